Set down the workspace, the core types and the design page

Cause: the repository is empty; every later part needs the same modules, contracts and checks. Change: a Maven workspace with one module for each duty, the dependency-free core (clock, ring, duty, identifiers, refusal reasons), the contracts between agreement and the replicated slices, formatter, linter and import rules, and docs/design.md. Conclusion: the parts can be built side by side against these contracts.

--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/package-info.java
@@ -0,0 +1,2 @@
+/** Durable log, votes and snapshots of the consensus groups in the data folder. */
+package dev.caroblb.agreement.journal;
--- /dev/null
+++ b/core/src/main/java/dev/caroblb/core/Duty.java
@@ -0,0 +1,117 @@
+package dev.caroblb.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * One thread that owns one {@link DutyHandler} and feeds it from a bounded ring. The thread blocks
+ * until a message arrives or the next tick is due.
+ */
+public final class Duty<M> implements Outlet<M>, AutoCloseable {
+  private static final System.Logger LOGGER = System.getLogger(Duty.class.getName());
+  private static final long MAX_WAIT_MS = 1_000;
+  private static final int MAX_BATCH = 256;
+  private static final long STOP_TIMEOUT_MS = 5_000;
+
+  private final Ring<M> ring;
+  private final DutyHandler<M> handler;
+  private final MillisClock clock;
+  private final ExecutorService executor;
+  private final LongAdder faults = new LongAdder();
+  private volatile boolean stopped;
+
+  public Duty(String name, int capacity, DutyHandler<M> handler, MillisClock clock) {
+    this.ring = new Ring<>(name, capacity);
+    this.handler = handler;
+    this.clock = clock;
+    this.executor = Executors.newSingleThreadExecutor(task -> new Thread(task, name));
+  }
+
+  /** Starts the thread of the duty. */
+  public void start() {
+    executor.execute(this::run);
+  }
+
+  public Ring<M> ring() {
+    return ring;
+  }
+
+  /** Number of exceptions that the handler threw. */
+  public long faults() {
+    return faults.sum();
+  }
+
+  @Override
+  public boolean offer(M message) {
+    return ring.offer(message);
+  }
+
+  private void run() {
+    List<M> batch = new ArrayList<>(MAX_BATCH);
+    while (!stopped) {
+      try {
+        waitForMessages(batch);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+      processBatch(batch);
+      batch.clear();
+    }
+  }
+
+  private void waitForMessages(List<M> batch) throws InterruptedException {
+    long waitMs = Math.max(0, Math.min(handler.nextTickMs() - clock.nowMs(), MAX_WAIT_MS));
+    Optional<M> first = ring.poll(waitMs);
+    if (first.isEmpty()) {
+      return;
+    }
+    batch.add(first.get());
+    ring.drainTo(batch, MAX_BATCH - 1);
+  }
+
+  private void processBatch(List<M> batch) {
+    for (M message : batch) {
+      guard(() -> handler.handle(message, clock.nowMs()));
+    }
+    if (!batch.isEmpty()) {
+      guard(() -> handler.batchEnd(clock.nowMs()));
+    }
+    if (handler.nextTickMs() <= clock.nowMs()) {
+      guard(() -> handler.tick(clock.nowMs()));
+    }
+  }
+
+  /** A fault in one message must not end the duty for all later ones. */
+  private void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      faults.increment();
+      LOGGER.log(
+          System.Logger.Level.ERROR,
+          LogLine.of("duty.fault").with("duty", ring.name()).with("error", e).toString(),
+          e);
+    }
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    executor.shutdownNow();
+    try {
+      if (!executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+        LOGGER.log(
+            System.Logger.Level.WARNING,
+            LogLine.of("duty.stop_timeout").with("duty", ring.name()).toString());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/caroblb/core/FailureDomain.java
@@ -0,0 +1,13 @@
+package dev.caroblb.core;
+
+/** Name of a set of machines that can fail together. */
+public record FailureDomain(String name) {
+  public FailureDomain {
+    Names.check("failure domain", name);
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
