Add the transport, HTTP adapters, streams slice and stand-in targets

Cause: the path from a caller to a target needs its two HTTP adapters, the decisions on running calls and something to call. Conclusion: the daemon can be wired next.

--- /dev/null
+++ b/callers/src/main/java/dev/caroblb/callers/CallRoute.java
@@ -0,0 +1,116 @@
+package dev.caroblb.callers;
+
+import dev.caroblb.core.CallPolicy;
+import dev.caroblb.core.CallRequest;
+import dev.caroblb.core.MillisClock;
+import dev.caroblb.core.Names;
+import dev.caroblb.core.Refusal;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.WorkspaceId;
+import dev.caroblb.http.IncomingRequest;
+import dev.caroblb.http.Reply;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+
+/** Accepts calls: {@code POST /v1/workspaces/{workspace}/calls/{call}}. */
+final class CallRoute implements Route {
+  private static final int PATH_LENGTH = 5;
+
+  private final AdmissionGate gate;
+  private final CallSink calls;
+  private final CallerConnections connections;
+  private final RefusalCounter refusals;
+  private final MillisClock clock;
+
+  CallRoute(
+      AdmissionGate gate,
+      CallSink calls,
+      CallerConnections connections,
+      RefusalCounter refusals,
+      MillisClock clock) {
+    this.gate = gate;
+    this.calls = calls;
+    this.connections = connections;
+    this.refusals = refusals;
+    this.clock = clock;
+  }
+
+  @Override
+  public boolean matches(String method, List<String> path) {
+    return method.equals("POST")
+        && path.size() == PATH_LENGTH
+        && path.get(0).equals("v1")
+        && path.get(1).equals("workspaces")
+        && path.get(3).equals("calls");
+  }
+
+  @Override
+  public void handle(IncomingRequest request, List<String> path, Reply reply) {
+    Either<Refusal, CallRequest> decoded = decode(request, path.get(2), path.get(4));
+    if (decoded.isLeft()) {
+      refuse(reply, decoded.getLeft());
+      return;
+    }
+    CallRequest call = decoded.get();
+    Optional<CallerConnection> connection = connections.open(call.id(), reply);
+    if (connection.isEmpty()) {
+      refuse(reply, Refusal.of(RefusalReason.STREAM_LIMIT));
+      return;
+    }
+    Optional<Refusal> refusal = calls.submit(call, connection.get());
+    refusal.ifPresent(connection.get()::refuse);
+  }
+
+  private void refuse(Reply reply, Refusal refusal) {
+    refusals.refused(refusal.reason());
+    Answers.refuse(reply, refusal);
+  }
+
+  private Either<Refusal, CallRequest> decode(
+      IncomingRequest request, String workspaceName, String callName) {
+    Optional<Refusal> closed = gate.closed();
+    if (closed.isPresent()) {
+      return Either.left(closed.get());
+    }
+    if (!Names.valid(workspaceName)) {
+      return Either.left(Refusal.of(RefusalReason.MALFORMED, "the workspace name is invalid"));
+    }
+    WorkspaceId workspace = new WorkspaceId(workspaceName);
+    Optional<WorkspaceAccess> access = gate.workspace(workspace);
+    if (access.isEmpty()) {
+      return Either.left(
+          Refusal.of(RefusalReason.UNKNOWN_WORKSPACE, "there is no workspace " + workspaceName));
+    }
+    if (!Tokens.matches(request, access.get().tokenSha256())) {
+      return Either.left(Refusal.of(RefusalReason.UNAUTHENTICATED));
+    }
+    Optional<CallPolicy> policy = access.get().call(callName);
+    if (policy.isEmpty()) {
+      return Either.left(
+          Refusal.of(
+              RefusalReason.UNKNOWN_CALL,
+              "workspace " + workspaceName + " has no call of that name"));
+    }
+    return decode(request, workspace, policy.get());
+  }
+
+  private Either<Refusal, CallRequest> decode(
+      IncomingRequest request, WorkspaceId workspace, CallPolicy policy) {
+    Optional<String> key = request.header("Idempotency-Key");
+    if (key.isEmpty() && !policy.repeatable()) {
+      return Either.left(
+          Refusal.of(RefusalReason.KEY_REQUIRED, "call " + policy.call() + " may not be repeated"));
+    }
+    Either<Refusal, Long> allowed = Deadlines.allowedMs(request, policy.deadlineMs());
+    return allowed.map(
+        allowedMs ->
+            new CallRequest(
+                connections.nextId(),
+                workspace,
+                policy,
+                clock.nowMs() + allowedMs,
+                key,
+                request.body()));
+  }
+}
--- /dev/null
+++ b/callers/src/main/java/dev/caroblb/callers/CallerConnections.java
@@ -0,0 +1,48 @@
+package dev.caroblb.callers;
+
+import dev.caroblb.http.Reply;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Limits how many calls are open at once and gives each an identity. */
+final class CallerConnections {
+  private final int maxOpen;
+  private final CallSink calls;
+  private final RefusalCounter refusals;
+  private final AtomicInteger open = new AtomicInteger();
+  private final AtomicLong lastId = new AtomicLong();
+
+  CallerConnections(int maxOpen, CallSink calls, RefusalCounter refusals) {
+    this.maxOpen = maxOpen;
+    this.calls = calls;
+    this.refusals = refusals;
+  }
+
+  long nextId() {
+    return lastId.incrementAndGet();
+  }
+
+  /** Number of calls whose answer is not complete. */
+  int open() {
+    return open.get();
+  }
+
+  /** Takes a place for a call; empty when all are taken. */
+  Optional<CallerConnection> open(long id, Reply reply) {
+    if (open.incrementAndGet() > maxOpen) {
+      open.decrementAndGet();
+      return Optional.empty();
+    }
+    CallerConnection connection =
+        new CallerConnection(reply, refusals, () -> open.decrementAndGet());
+    reply.onReady(() -> calls.ready(id));
+    reply.onGone(
+        () -> {
+          if (connection.close()) {
+            calls.gone(id);
+          }
+        });
+    return Optional.of(connection);
+  }
+}
--- /dev/null
+++ b/callers/src/main/java/dev/caroblb/callers/CallersServer.java
@@ -0,0 +1,104 @@
+package dev.caroblb.callers;
+
+import dev.caroblb.core.MillisClock;
+import dev.caroblb.core.Refusal;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.http.HttpLimits;
+import dev.caroblb.http.HttpListener;
+import dev.caroblb.http.IncomingRequest;
+import dev.caroblb.http.Reply;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+
+/** The HTTP front end of an instance. */
+public final class CallersServer implements AutoCloseable {
+  private static final int NOT_FOUND = 404;
+
+  private final List<Route> routes;
+  private final CallerConnections connections;
+  private final RefusalCounter refusals;
+  private final HttpListener listener;
+
+  private CallersServer(Ports ports, Limits limits, InetSocketAddress address, MillisClock clock)
+      throws IOException {
+    refusals = ports.refusals();
+    connections = new CallerConnections(limits.maxStreams(), ports.calls(), refusals);
+    routes =
+        List.of(
+            new CallRoute(ports.gate(), ports.calls(), connections, refusals, clock),
+            new ResumeRoute(ports.gate(), ports.calls(), connections, refusals, clock),
+            new TargetRoute(
+                limits.targetTokenSha256(), ports.targets(), ports.directory(), refusals),
+            new EntriesRoute(ports.directory()),
+            new StatusRoute(ports.status()),
+            new PublishRoute(limits.operatorTokenSha256(), ports.publishes(), refusals));
+    listener =
+        HttpListener.start(
+            address, limits.http(), this::handle, status -> refusals.refused(reasonOf(status)));
+  }
+
+  /** Starts to listen. */
+  public static CallersServer start(
+      Ports ports, Limits limits, InetSocketAddress address, MillisClock clock) throws IOException {
+    return new CallersServer(ports, limits, address, clock);
+  }
+
+  /** What the front end needs of the instance. */
+  public record Ports(
+      AdmissionGate gate,
+      CallSink calls,
+      PublishSink publishes,
+      TargetSink targets,
+      EntryDirectory directory,
+      StatusSource status,
+      RefusalCounter refusals) {}
+
+  /** Limits and credentials of the front end. */
+  public record Limits(
+      HttpLimits http, int maxStreams, String operatorTokenSha256, String targetTokenSha256) {}
+
+  private static RefusalReason reasonOf(int status) {
+    return switch (status) {
+      case 413 -> RefusalReason.BODY_TOO_LARGE;
+      case 500 -> RefusalReason.INTERNAL;
+      default -> RefusalReason.MALFORMED;
+    };
+  }
+
+  private void handle(IncomingRequest request, Reply reply) {
+    List<String> path = Arrays.asList(request.path().replaceFirst("^/", "").split("/", -1));
+    for (Route route : routes) {
+      if (route.matches(request.method(), path)) {
+        route.handle(request, path, reply);
+        return;
+      }
+    }
+    refusals.refused(RefusalReason.MALFORMED);
+    Answers.json(
+        reply,
+        NOT_FOUND,
+        Answers.refusalBody(
+            Refusal.of(RefusalReason.MALFORMED, "there is no such resource or method")));
+  }
+
+  public InetSocketAddress address() {
+    return listener.address();
+  }
+
+  /** Number of calls whose answer is not complete. */
+  public int openCalls() {
+    return connections.open();
+  }
+
+  /** Closes the listener, letting answers that are being written end within the given time. */
+  public void closeGracefully(long graceMs) throws InterruptedException {
+    listener.closeGracefully(graceMs);
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/callers/src/main/java/dev/caroblb/callers/EntriesRoute.java
@@ -0,0 +1,44 @@
+package dev.caroblb.callers;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.caroblb.http.IncomingRequest;
+import dev.caroblb.http.Reply;
+import java.util.List;
+
+/** Tells callers which entry instances they may use and how long they may keep the answer. */
+final class EntriesRoute implements Route {
+  private static final List<String> PATH = List.of("v1", "entries");
+  private static final int OK = 200;
+
+  private final EntryDirectory directory;
+
+  EntriesRoute(EntryDirectory directory) {
+    this.directory = directory;
+  }
+
+  @Override
+  public boolean matches(String method, List<String> path) {
+    return method.equals("GET") && path.equals(PATH);
+  }
+
+  @Override
+  public void handle(IncomingRequest request, List<String> path, Reply reply) {
+    Answers.json(reply, OK, encode(directory));
+  }
+
+  static ObjectNode encode(EntryDirectory directory) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    ArrayNode entries = body.putArray("entries");
+    for (EntryAddress entry : directory.entries()) {
+      entries
+          .addObject()
+          .put("address", entry.address())
+          .put("instance", entry.instance())
+          .put("domain", entry.domain());
+    }
+    body.put("keep_ms", directory.keepMs());
+    return body;
+  }
+}
--- /dev/null
+++ b/callers/src/main/java/dev/caroblb/callers/WorkspaceAccess.java
@@ -0,0 +1,12 @@
+package dev.caroblb.callers;
+
+import dev.caroblb.core.CallPolicy;
+import java.util.Optional;
+
+/** What the configuration in force says about one workspace. */
+public interface WorkspaceAccess {
+  /** SHA-256 of the token of the workspace, as 64 hex digits. */
+  String tokenSha256();
+
+  Optional<CallPolicy> call(String name);
+}
--- /dev/null
+++ b/engines/src/main/java/dev/caroblb/engines/package-info.java
@@ -0,0 +1,2 @@
+/** Links to targets: encodes requests to engines and plain services and decodes their answers. */
+package dev.caroblb.engines;
--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -0,0 +1,207 @@
+package dev.caroblb.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.net.URIAuthority;
+
+/**
+ * One request on a connection of its own. The connection is closed with the exchange, so that a
+ * late answer cannot be read as the answer to another request.
+ */
+public final class ClientExchange implements AsyncClientExchangeHandler {
+  private static final int INITIAL_WINDOW_BYTES = 65_536;
+
+  private final InetSocketAddress address;
+  private final OutgoingRequest request;
+  private final ResponseSink sink;
+  private final ByteBuffer body;
+
+  private AsyncClientEndpoint endpoint;
+  private CapacityChannel capacity;
+  private long unread;
+  private boolean written;
+  private boolean over;
+
+  ClientExchange(InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
+    this.address = address;
+    this.request = request;
+    this.sink = sink;
+    this.body = request.body().buffer();
+  }
+
+  /** Runs the request on a connection. */
+  void run(AsyncClientEndpoint connected) {
+    synchronized (this) {
+      if (over) {
+        connected.releaseAndDiscard();
+        return;
+      }
+      endpoint = connected;
+    }
+    connected.execute(this, null);
+  }
+
+  @Override
+  public void produceRequest(RequestChannel channel, HttpContext context)
+      throws HttpException, IOException {
+    synchronized (this) {
+      if (over) {
+        throw new IOException("the exchange was closed");
+      }
+      written = true;
+    }
+    BasicHttpRequest head =
+        new BasicHttpRequest(
+            request.method(),
+            URIScheme.HTTP.id,
+            new URIAuthority(address.getHostString(), address.getPort()),
+            request.path());
+    request.headers().forEach(head::addHeader);
+    EntityDetails entity =
+        body.hasRemaining()
+            ? new BasicEntityDetails(body.remaining(), ContentType.parse(request.contentType()))
+            : null;
+    channel.sendRequest(head, entity, context);
+  }
+
+  @Override
+  public int available() {
+    return body.remaining();
+  }
+
+  @Override
+  public void produce(DataStreamChannel channel) throws IOException {
+    channel.write(body);
+    if (!body.hasRemaining()) {
+      channel.endStream(null);
+    }
+  }
+
+  @Override
+  public void consumeInformation(HttpResponse response, HttpContext context) {}
+
+  @Override
+  public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+    Map<String, String> headers = new HashMap<>();
+    for (Header header : response.getHeaders()) {
+      headers.put(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+    }
+    sink.head(response.getCode(), headers);
+    if (entity == null) {
+      finish();
+    }
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel channel) throws IOException {
+    synchronized (this) {
+      boolean first = capacity == null;
+      capacity = channel;
+      if (!first) {
+        return;
+      }
+    }
+    channel.update(INITIAL_WINDOW_BYTES);
+  }
+
+  @Override
+  public void consume(ByteBuffer source) {
+    synchronized (this) {
+      unread += source.remaining();
+    }
+    sink.data(source);
+  }
+
+  /** Lets the peer send as many bytes more as were received since the last call. */
+  public void acknowledge() throws IOException {
+    CapacityChannel channel;
+    long bytes;
+    synchronized (this) {
+      channel = capacity;
+      bytes = unread;
+      unread = 0;
+    }
+    if (channel != null && bytes > 0) {
+      channel.update((int) bytes);
+    }
+  }
+
+  @Override
+  public void streamEnd(List<? extends Header> trailers) {
+    finish();
+  }
+
+  private void finish() {
+    if (!markOver()) {
+      return;
+    }
+    sink.end();
+    discard();
+  }
+
+  @Override
+  public void failed(Exception cause) {
+    boolean mayHaveRun;
+    synchronized (this) {
+      mayHaveRun = written;
+    }
+    if (!markOver()) {
+      return;
+    }
+    sink.failed(mayHaveRun, String.valueOf(cause));
+    discard();
+  }
+
+  @Override
+  public void cancel() {
+    failed(new IOException("the exchange was cancelled"));
+  }
+
+  @Override
+  public void releaseResources() {
+    failed(new IOException("the connection was closed"));
+  }
+
+  /** Closes the connection; the sink hears nothing more. */
+  public void close() {
+    markOver();
+    discard();
+  }
+
+  private synchronized boolean markOver() {
+    if (over) {
+      return false;
+    }
+    over = true;
+    return true;
+  }
+
+  private void discard() {
+    AsyncClientEndpoint current;
+    synchronized (this) {
+      current = endpoint;
+    }
+    if (current != null) {
+      current.releaseAndDiscard();
+    }
+  }
+}
--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -0,0 +1,71 @@
+package dev.caroblb.http;
+
+import java.net.InetSocketAddress;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+
+/** Sends HTTP requests, each on a connection of its own and without automatic retries. */
+public final class HttpConnector implements AutoCloseable {
+  private static final int MAX_CONNECTIONS = 1 << 20;
+
+  private final HttpAsyncRequester requester;
+  private final Timeout connectTimeout;
+
+  public HttpConnector(int ioThreads, long connectTimeoutMs, long idleMs) {
+    connectTimeout = Timeout.ofMilliseconds(connectTimeoutMs);
+    requester =
+        AsyncRequesterBootstrap.bootstrap()
+            .setIOReactorConfig(
+                IOReactorConfig.custom()
+                    .setIoThreadCount(ioThreads)
+                    .setSoTimeout(Timeout.ofMilliseconds(idleMs))
+                    .setTcpNoDelay(true)
+                    .build())
+            .setHttp1Config(Http1Config.custom().setInitialWindowSize(1).build())
+            .setMaxTotal(MAX_CONNECTIONS)
+            .setDefaultMaxPerRoute(MAX_CONNECTIONS)
+            .create();
+    requester.start();
+  }
+
+  /** Starts a request; the sink hears what becomes of it. */
+  public ClientExchange execute(
+      InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
+    ClientExchange exchange = new ClientExchange(address, request, sink);
+    HttpHost host = new HttpHost("http", address.getAddress(), address.getPort());
+    var unused =
+        requester.connect(
+            host,
+            connectTimeout,
+            null,
+            new FutureCallback<AsyncClientEndpoint>() {
+              @Override
+              public void completed(AsyncClientEndpoint endpoint) {
+                exchange.run(endpoint);
+              }
+
+              @Override
+              public void failed(Exception cause) {
+                exchange.failed(cause);
+              }
+
+              @Override
+              public void cancelled() {
+                exchange.cancel();
+              }
+            });
+    return exchange;
+  }
+
+  @Override
+  public void close() {
+    requester.close(CloseMode.IMMEDIATE);
+  }
+}
--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -0,0 +1,97 @@
+package dev.caroblb.http;
+
+import dev.caroblb.core.LogLine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/** Accepts HTTP connections and hands whole requests to a {@link RequestHandler}. */
+public final class HttpListener implements AutoCloseable {
+  private static final System.Logger LOGGER = System.getLogger(HttpListener.class.getName());
+  private static final int BAD_REQUEST = 400;
+  private static final int BACKLOG = 1_024;
+
+  private final HttpAsyncServer server;
+  private final InetSocketAddress address;
+
+  private HttpListener(HttpAsyncServer server, InetSocketAddress address) {
+    this.server = server;
+    this.address = address;
+  }
+
+  /** Starts to listen; port 0 lets the system choose one. */
+  public static HttpListener start(
+      InetSocketAddress address,
+      HttpLimits limits,
+      RequestHandler handler,
+      ListenerObserver observer)
+      throws IOException {
+    HttpAsyncServer server =
+        AsyncServerBootstrap.bootstrap()
+            .setIOReactorConfig(
+                IOReactorConfig.custom()
+                    .setIoThreadCount(limits.ioThreads())
+                    .setSoTimeout(Timeout.ofMilliseconds(limits.idleMs()))
+                    .setSoReuseAddress(true)
+                    .setTcpNoDelay(true)
+                    .setBacklogSize(BACKLOG)
+                    .build())
+            .setHttp1Config(
+                Http1Config.custom()
+                    .setMaxLineLength(limits.maxLineBytes())
+                    .setMaxHeaderCount(limits.maxHeaders())
+                    .build())
+            .setExceptionCallback(e -> onException(e, observer))
+            .register("*", () -> new ServerExchange(limits, handler, observer))
+            .setRequestRouter(
+                (request, context) -> () -> new ServerExchange(limits, handler, observer))
+            .create();
+    server.start();
+    try {
+      ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
+      return new HttpListener(server, (InetSocketAddress) endpoint.getAddress());
+    } catch (ExecutionException e) {
+      server.close(CloseMode.IMMEDIATE);
+      throw new IOException(
+          "cannot listen on " + address + "; choose a free address of this machine", e.getCause());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted before listening on " + address, e);
+    }
+  }
+
+  private static void onException(Exception cause, ListenerObserver observer) {
+    if (cause instanceof HttpException) {
+      observer.rejected(BAD_REQUEST);
+    }
+    LOGGER.log(
+        System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
+  }
+
+  /** The address that is listened on, with the chosen port. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Closes idle connections at once and others after at most the given time. */
+  public void closeGracefully(long graceMs) throws InterruptedException {
+    server.initiateShutdown();
+    server.awaitShutdown(TimeValue.ofMilliseconds(graceMs));
+    server.close(CloseMode.GRACEFUL);
+  }
+
+  @Override
+  public void close() {
+    server.close(CloseMode.IMMEDIATE);
+  }
+}
--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -0,0 +1,250 @@
+package dev.caroblb.http;
+
+import dev.caroblb.core.Payload;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.ResponseChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+
+/**
+ * One request and its answer: collects the body up to the limit, buffers output up to the limit.
+ */
+final class ServerExchange implements AsyncServerExchangeHandler, Reply {
+  private static final int BODY_TOO_LARGE = 413;
+  private static final int INTERNAL_ERROR = 500;
+
+  private final HttpLimits limits;
+  private final RequestHandler handler;
+  private final ListenerObserver observer;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+
+  private IncomingRequest head;
+  private ResponseChannel responses;
+  private HttpContext context;
+  private DataStreamChannel channel;
+  private int outputBytes;
+  private boolean tooLarge;
+  private boolean ended;
+  private boolean endSent;
+  private boolean gone;
+  private boolean wasFull;
+  private Optional<Runnable> onReady = Optional.empty();
+  private Optional<Runnable> onGone = Optional.empty();
+
+  ServerExchange(HttpLimits limits, RequestHandler handler, ListenerObserver observer) {
+    this.limits = limits;
+    this.handler = handler;
+    this.observer = observer;
+  }
+
+  @Override
+  public void handleRequest(
+      HttpRequest request, EntityDetails entity, ResponseChannel channel, HttpContext context) {
+    this.responses = channel;
+    this.context = context;
+    Map<String, String> headers = new HashMap<>();
+    for (Header header : request.getHeaders()) {
+      headers.put(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+    }
+    String target = request.getPath() == null ? "/" : request.getPath();
+    String path = target.split("\\?", 2)[0];
+    head = new IncomingRequest(request.getMethod(), path, headers, Payload.empty());
+    if (entity == null) {
+      dispatch();
+    }
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel capacity) throws IOException {
+    capacity.update(Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void consume(ByteBuffer source) {
+    if (tooLarge || body.size() + source.remaining() > limits.maxBodyBytes()) {
+      tooLarge = true;
+      source.position(source.limit());
+      return;
+    }
+    byte[] bytes = new byte[source.remaining()];
+    source.get(bytes);
+    body.write(bytes, 0, bytes.length);
+  }
+
+  @Override
+  public void streamEnd(List<? extends Header> trailers) {
+    dispatch();
+  }
+
+  private void dispatch() {
+    if (tooLarge) {
+      observer.rejected(BODY_TOO_LARGE);
+      send(
+          BODY_TOO_LARGE,
+          "text/plain",
+          Payload.ofText("the body is longer than " + limits.maxBodyBytes() + " bytes"),
+          Map.of());
+      return;
+    }
+    IncomingRequest request =
+        new IncomingRequest(
+            head.method(), head.path(), head.headers(), Payload.copyOf(body.toByteArray()));
+    try {
+      handler.handle(request, this);
+    } catch (RuntimeException e) {
+      observer.rejected(INTERNAL_ERROR);
+      send(INTERNAL_ERROR, "text/plain", Payload.ofText("internal error"), Map.of());
+    }
+  }
+
+  @Override
+  public void send(int status, String contentType, Payload content, Map<String, String> headers) {
+    synchronized (this) {
+      output.add(content.buffer());
+      outputBytes += content.size();
+      ended = true;
+    }
+    respond(status, contentType, content.size(), headers);
+  }
+
+  @Override
+  public void startStream(int status, String contentType, Map<String, String> headers) {
+    respond(status, contentType, -1, headers);
+  }
+
+  private void respond(int status, String contentType, long length, Map<String, String> headers) {
+    BasicHttpResponse response = new BasicHttpResponse(status);
+    headers.forEach(response::addHeader);
+    EntityDetails details = new BasicEntityDetails(length, ContentType.parse(contentType));
+    try {
+      responses.sendResponse(response, details, context);
+    } catch (HttpException | IOException e) {
+      failed(e);
+    }
+  }
+
+  @Override
+  public boolean write(Payload chunk) {
+    DataStreamChannel current;
+    synchronized (this) {
+      if (gone) {
+        return true;
+      }
+      if (outputBytes > 0 && outputBytes + chunk.size() > limits.outputBytes()) {
+        wasFull = true;
+        return false;
+      }
+      output.add(chunk.buffer());
+      outputBytes += chunk.size();
+      current = channel;
+    }
+    requestOutput(current);
+    return true;
+  }
+
+  @Override
+  public void end() {
+    DataStreamChannel current;
+    synchronized (this) {
+      ended = true;
+      current = channel;
+    }
+    requestOutput(current);
+  }
+
+  private static void requestOutput(DataStreamChannel channel) {
+    if (channel != null) {
+      channel.requestOutput();
+    }
+  }
+
+  @Override
+  public synchronized int available() {
+    return ended && outputBytes == 0 ? 1 : outputBytes;
+  }
+
+  @Override
+  public void produce(DataStreamChannel channel) throws IOException {
+    Optional<Runnable> ready;
+    synchronized (this) {
+      this.channel = channel;
+      writeOutput(channel);
+      if (ended && output.isEmpty() && !endSent) {
+        endSent = true;
+        channel.endStream(null);
+      }
+      ready = wasFull && outputBytes <= limits.outputBytes() / 2 ? onReady : Optional.empty();
+      if (ready.isPresent()) {
+        wasFull = false;
+      }
+    }
+    ready.ifPresent(Runnable::run);
+  }
+
+  private void writeOutput(DataStreamChannel channel) throws IOException {
+    while (!output.isEmpty()) {
+      ByteBuffer next = output.peekFirst();
+      outputBytes -= channel.write(next);
+      if (next.hasRemaining()) {
+        channel.requestOutput();
+        return;
+      }
+      output.removeFirst();
+    }
+  }
+
+  @Override
+  public synchronized void onReady(Runnable action) {
+    onReady = Optional.of(action);
+  }
+
+  @Override
+  public void onGone(Runnable action) {
+    boolean alreadyGone;
+    synchronized (this) {
+      onGone = Optional.of(action);
+      alreadyGone = gone;
+    }
+    if (alreadyGone) {
+      action.run();
+    }
+  }
+
+  @Override
+  public void failed(Exception cause) {
+    Optional<Runnable> action;
+    synchronized (this) {
+      if (gone || endSent) {
+        return;
+      }
+      gone = true;
+      output.clear();
+      outputBytes = 0;
+      action = onGone;
+    }
+    action.ifPresent(Runnable::run);
+  }
+
+  @Override
+  public void releaseResources() {
+    failed(new IOException("the connection was closed"));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/caroblb/standins/process/ScriptedPrompt.java
@@ -0,0 +1,27 @@
+package dev.caroblb.standins.process;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What a prompt asks of the stand-in: {@code tokens=N interval_ms=M} anywhere in its text.
+ *
+ * @param tokens length of the answer
+ * @param intervalMs time between tokens
+ */
+record ScriptedPrompt(int tokens, long intervalMs) {
+  private static final Pattern TOKENS = Pattern.compile("tokens=(\\d{1,6})");
+  private static final Pattern INTERVAL = Pattern.compile("interval_ms=(\\d{1,6})");
+  private static final int DEFAULT_TOKENS = 8;
+  private static final int DEFAULT_INTERVAL_MS = 5;
+
+  static ScriptedPrompt parse(String prompt) {
+    return new ScriptedPrompt(
+        number(TOKENS, prompt, DEFAULT_TOKENS), number(INTERVAL, prompt, DEFAULT_INTERVAL_MS));
+  }
+
+  private static int number(Pattern pattern, String prompt, int defaultValue) {
+    Matcher matcher = pattern.matcher(prompt);
+    return matcher.find() ? Integer.parseInt(matcher.group(1)) : defaultValue;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -0,0 +1,107 @@
+package dev.caroblb.standins.process;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.caroblb.core.SystemMillisClock;
+import dev.caroblb.http.HttpConnector;
+import dev.caroblb.http.HttpLimits;
+import dev.caroblb.http.HttpListener;
+import dev.caroblb.http.RequestHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Starts one stand-in; prints {@code ready address=host:port} when it listens. */
+public final class StandinMain {
+  private static final long ANNOUNCE_MS = 1_000;
+  private static final long TICK_MS = 2;
+  private static final long CONNECT_TIMEOUT_MS = 1_000;
+  private static final long IDLE_MS = 60_000;
+
+  @Parameter(names = "--kind", required = true, description = "engine or service")
+  private String kind = "";
+
+  @Parameter(names = "--target", required = true, description = "name of the target")
+  private String target = "";
+
+  @Parameter(names = "--domain", required = true, description = "failure domain")
+  private String domain = "";
+
+  @Parameter(names = "--incarnation", description = "incarnation; larger after a restart")
+  private long incarnation = 1;
+
+  @Parameter(names = "--serves", required = true, description = "models or services")
+  private List<String> serves = new ArrayList<>();
+
+  @Parameter(names = "--entries", required = true, description = "entry addresses to announce to")
+  private List<String> entries = new ArrayList<>();
+
+  @Parameter(names = "--token", required = true, description = "token for announcements")
+  private String token = "";
+
+  @Parameter(names = "--port", description = "port to listen on; 0 lets the system choose")
+  private int port;
+
+  @Parameter(names = "--ignore-fencing", description = "take orders with an old fencing token")
+  private boolean ignoreFencing;
+
+  private StandinMain() {}
+
+  public static void main(String[] args) throws IOException {
+    StandinMain main = new StandinMain();
+    JCommander.newBuilder().addObject(main).build().parse(args);
+    main.run();
+  }
+
+  private void run() throws IOException {
+    SystemMillisClock clock = new SystemMillisClock();
+    RequestHandler handler;
+    StandinState state;
+    if (kind.equals("engine")) {
+      StandinEngine engine = new StandinEngine(clock, !ignoreFencing, new LinkedHashSet<>(serves));
+      handler = engine;
+      state = engine;
+    } else {
+      StandinService service = new StandinService(new LinkedHashSet<>(serves));
+      handler = service;
+      state = service;
+    }
+    HttpListener listener =
+        HttpListener.start(
+            new InetSocketAddress("127.0.0.1", port), HttpLimits.DEFAULTS, handler, status -> {});
+    String address = "127.0.0.1:" + listener.address().getPort();
+    HttpConnector connector = new HttpConnector(1, CONNECT_TIMEOUT_MS, IDLE_MS);
+    Announcer announcer = new Announcer(connector, token, identity(address), state, entries);
+    schedule(announcer, state, clock);
+    Runtime.getRuntime().addShutdownHook(new Thread(announcer::leave));
+    System.out.println("ready address=" + address);
+  }
+
+  private ObjectNode identity(String address) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("target", target)
+        .put("incarnation", incarnation)
+        .put("kind", kind)
+        .put("domain", domain)
+        .put("address", address);
+  }
+
+  private static void schedule(Announcer announcer, StandinState state, SystemMillisClock clock) {
+    ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    List<ScheduledFuture<?>> tasks = new ArrayList<>();
+    tasks.add(
+        timer.scheduleAtFixedRate(announcer::announce, 0, ANNOUNCE_MS, TimeUnit.MILLISECONDS));
+    tasks.add(
+        timer.scheduleAtFixedRate(
+            () -> state.tick(clock.nowMs()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinService.java
@@ -0,0 +1,61 @@
+package dev.caroblb.standins.process;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.caroblb.core.Payload;
+import dev.caroblb.http.IncomingRequest;
+import dev.caroblb.http.Reply;
+import dev.caroblb.http.RequestHandler;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A plain service that records how often it ran each idempotency key. It deliberately does not
+ * deduplicate, so that its record shows every second run.
+ */
+final class StandinService implements RequestHandler, StandinState {
+  private static final String JSON = "application/json";
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+
+  private final Set<String> services;
+  private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+
+  StandinService(Set<String> services) {
+    this.services = Set.copyOf(services);
+  }
+
+  @Override
+  public void handle(IncomingRequest request, Reply reply) {
+    if (request.method().equals("GET") && request.path().equals("/v1/record")) {
+      record(reply);
+      return;
+    }
+    if (!request.method().equals("POST") || !request.path().startsWith("/v1/calls/")) {
+      reply.send(NOT_FOUND, JSON, Payload.ofText("{}"), Map.of());
+      return;
+    }
+    String key = request.header("Idempotency-Key").orElse("");
+    int run = runs.merge(key, 1, Integer::sum);
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("key", key).put("run", run);
+    reply.send(OK, JSON, Payload.ofText(body.toString()), Map.of());
+  }
+
+  private void record(Reply reply) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    runs.forEach(body::put);
+    reply.send(OK, JSON, Payload.ofText(body.toString()), Map.of());
+  }
+
+  @Override
+  public void describe(ObjectNode announcement) {
+    ArrayNode serves = announcement.putArray("serves");
+    services.forEach(serves::add);
+  }
+
+  @Override
+  public void tick(long nowMs) {}
+}
--- /dev/null
+++ b/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
@@ -0,0 +1,250 @@
+package dev.caroblb.streams;
+
+import dev.caroblb.core.CallRequest;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.Refusal;
+import dev.caroblb.core.RefusalReason;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A call of a plain service. With an idempotency key nothing is sent before the reservation is
+ * durable, and "not run" is told only after the reservation was given back.
+ */
+final class ServiceCall implements RunningCall {
+  private enum State {
+    RESERVING,
+    SENT,
+    RELEASING,
+    ANSWERED
+  }
+
+  private final CallRequest call;
+  private final Endpoint endpoint;
+  private final StreamScope scope;
+  private final CallerBuffer caller;
+
+  private State state = State.RESERVING;
+  private long link;
+  private Optional<Refusal> releaseRefusal = Optional.empty();
+  private Optional<KeyCommand> unsentKeyCommand = Optional.empty();
+  private boolean finished;
+
+  ServiceCall(StreamsMessage.Start start, StreamScope scope, long nowMs) {
+    this.call = start.call();
+    this.endpoint = start.endpoint();
+    this.scope = scope;
+    this.caller = new CallerBuffer(start.caller(), nowMs);
+  }
+
+  @Override
+  public long id() {
+    return call.id();
+  }
+
+  @Override
+  public void start(long nowMs) {
+    if (call.idempotencyKey().isEmpty()) {
+      sendCall();
+      return;
+    }
+    if (!scope.send(new KeyCommand.Reserve(call))) {
+      answer(new CallerEvent.Refused(Refusal.of(RefusalReason.KEY_UNAVAILABLE)), nowMs);
+    }
+  }
+
+  private void sendCall() {
+    state = State.SENT;
+    link = scope.links().open(this);
+    scope.send(
+        new EngineCommand.CallService(
+            link, endpoint, call.policy().call(), call.idempotencyKey().orElse(""), call.body()));
+  }
+
+  @Override
+  public void onKeyGranted(long nowMs) {
+    if (state != State.RESERVING) {
+      return;
+    }
+    if (nowMs >= call.deadlineMs()) {
+      release(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the deadline passed"));
+      return;
+    }
+    sendCall();
+  }
+
+  @Override
+  public void onKeyOutcome(int status, String contentType, Payload body) {
+    if (state == State.RESERVING) {
+      answer(new CallerEvent.Answer(status, contentType, body, true), call.deadlineMs());
+    }
+  }
+
+  @Override
+  public void onKeyRefused(Refusal refusal) {
+    if (state == State.RESERVING) {
+      answer(new CallerEvent.Refused(refusal), call.deadlineMs());
+    }
+  }
+
+  @Override
+  public void onKeyReleased() {
+    if (state == State.RELEASING) {
+      answer(new CallerEvent.Refused(releaseRefusal.orElseThrow()), call.deadlineMs());
+    }
+  }
+
+  @Override
+  public void onEngineEvents(long fromLink, List<EngineEvent> events, long nowMs) {
+    if (fromLink != link || state != State.SENT) {
+      return;
+    }
+    for (EngineEvent event : events) {
+      if (event instanceof EngineEvent.Answer answer) {
+        onAnswer(answer, nowMs);
+        return;
+      }
+      if (event instanceof EngineEvent.Rejected rejected) {
+        onNotRun(RefusalReason.TARGET_REFUSED, rejected.message());
+        return;
+      }
+      if (event instanceof EngineEvent.Failed failed) {
+        onFailed(failed, nowMs);
+        return;
+      }
+    }
+    scope.send(new EngineCommand.Consumed(link));
+  }
+
+  private void onAnswer(EngineEvent.Answer answer, long nowMs) {
+    closeLink();
+    if (call.idempotencyKey().isPresent()) {
+      sendKeyCommand(
+          new KeyCommand.StoreOutcome(call, answer.status(), answer.contentType(), answer.body()));
+    }
+    scope.report(outcome(Optional.empty(), false));
+    answer(
+        new CallerEvent.Answer(answer.status(), answer.contentType(), answer.body(), false), nowMs);
+  }
+
+  private void onFailed(EngineEvent.Failed failed, long nowMs) {
+    if (!failed.written()) {
+      onNotRun(RefusalReason.TARGET_UNREACHABLE, failed.cause());
+      return;
+    }
+    closeLink();
+    if (call.policy().repeatable()) {
+      handBack(RefusalReason.CONNECTION_LOST);
+      return;
+    }
+    refuse(Refusal.of(RefusalReason.CONNECTION_LOST, failed.cause()), nowMs);
+  }
+
+  private void onNotRun(RefusalReason reason, String cause) {
+    closeLink();
+    if (call.idempotencyKey().isEmpty()) {
+      handBack(reason);
+      return;
+    }
+    scope.report(outcome(Optional.of(reason), false));
+    release(Refusal.of(reason, cause));
+  }
+
+  private void handBack(RefusalReason reason) {
+    finished = true;
+    scope.report(outcome(Optional.of(reason), true));
+  }
+
+  private void release(Refusal refusal) {
+    state = State.RELEASING;
+    releaseRefusal = Optional.of(refusal);
+    sendKeyCommand(new KeyCommand.Release(call));
+  }
+
+  private void refuse(Refusal refusal, long nowMs) {
+    scope.log("call.refused", id(), endpoint, refusal.reason(), refusal.message());
+    scope.report(outcome(Optional.of(refusal.reason()), false));
+    answer(new CallerEvent.Refused(refusal), nowMs);
+  }
+
+  private CallOutcome outcome(Optional<RefusalReason> reason, boolean retry) {
+    return new CallOutcome(Optional.of(call), endpoint, 0, reason, retry);
+  }
+
+  private void sendKeyCommand(KeyCommand command) {
+    unsentKeyCommand = scope.send(command) ? Optional.empty() : Optional.of(command);
+  }
+
+  private void answer(CallerEvent event, long nowMs) {
+    state = State.ANSWERED;
+    caller.add(event);
+    deliver(nowMs);
+  }
+
+  private void deliver(long nowMs) {
+    boolean delivered = caller.flush(nowMs);
+    finished = state == State.ANSWERED && delivered && unsentKeyCommand.isEmpty();
+  }
+
+  private void closeLink() {
+    scope.links().close(link);
+    scope.send(new EngineCommand.Close(link));
+    link = 0;
+  }
+
+  @Override
+  public void onCallerReady(long nowMs) {
+    deliver(nowMs);
+  }
+
+  @Override
+  public void onCallerGone(long nowMs) {
+    // The call goes on, so that its outcome is recorded for a resend.
+    caller.detach();
+    deliver(nowMs);
+  }
+
+  @Override
+  public void onTick(long nowMs) {
+    unsentKeyCommand.ifPresent(this::sendKeyCommand);
+    if (state == State.ANSWERED) {
+      if (caller.stalledMs(nowMs) >= scope.limits().callerStallMs()) {
+        caller.detach();
+      }
+      deliver(nowMs);
+      return;
+    }
+    if (nowMs < call.deadlineMs()) {
+      return;
+    }
+    endAtDeadline(nowMs);
+  }
+
+  private void endAtDeadline(long nowMs) {
+    switch (state) {
+      case RESERVING -> {
+        sendKeyCommand(new KeyCommand.Release(call));
+        refuse(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the key was not reserved"), nowMs);
+      }
+      case SENT -> {
+        closeLink();
+        refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the deadline passed"), nowMs);
+      }
+      case RELEASING ->
+          refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the key was not released"), nowMs);
+      case ANSWERED -> deliver(nowMs);
+    }
+  }
+
+  @Override
+  public void onStop(long nowMs) {
+    if (state != State.ANSWERED) {
+      endAtDeadline(nowMs);
+    }
+  }
+
+  @Override
+  public boolean finished() {
+    return finished;
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/Channel.java
@@ -0,0 +1,30 @@
+package dev.caroblb.transport;
+
+import java.util.Optional;
+
+/** Which slice a frame belongs to. The numbers are part of the protocol. */
+public enum Channel {
+  MEMBERSHIP(1),
+  AGREEMENT(2),
+  CONFIGURATION(3),
+  IDEMPOTENCY(4);
+
+  private final int number;
+
+  Channel(int number) {
+    this.number = number;
+  }
+
+  int number() {
+    return number;
+  }
+
+  static Optional<Channel> of(int number) {
+    for (Channel channel : values()) {
+      if (channel.number == number) {
+        return Optional.of(channel);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/Channels.java
@@ -0,0 +1,25 @@
+package dev.caroblb.transport;
+
+import dev.caroblb.core.LogLine;
+import java.io.IOException;
+import java.nio.channels.SelectableChannel;
+
+/** Closes channels whose errors no longer matter. */
+final class Channels {
+  private static final System.Logger LOGGER = System.getLogger(Channels.class.getName());
+
+  private Channels() {}
+
+  static void closeQuietly(SelectableChannel channel) {
+    if (channel == null) {
+      return;
+    }
+    try {
+      channel.close();
+    } catch (IOException e) {
+      LOGGER.log(
+          System.Logger.Level.DEBUG,
+          LogLine.of("transport.close_failed").with("cause", e).toString());
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
@@ -0,0 +1,179 @@
+package dev.caroblb.transport;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.MillisClock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.ArrayBlockingQueue;
+
+/** The connection dialled to one other instance, with its bounded send queue. */
+final class OutboundPeer {
+  private static final int QUEUE_FRAMES = 4_096;
+  private static final long MIN_BACKOFF_MS = 50;
+  private static final long MAX_BACKOFF_MS = 1_000;
+
+  /**
+   * A connection that takes no bytes for this long is dialled again: after a partition the kernel
+   * may otherwise wait minutes before it sends again.
+   */
+  private static final long WRITE_STALL_MS = 2_000;
+
+  private final InstanceId peer;
+  private final InetSocketAddress address;
+  private final Hello hello;
+  private final MillisClock clock;
+  private final TransportCounters counters;
+  private final ArrayBlockingQueue<ByteBuffer> queue = new ArrayBlockingQueue<>(QUEUE_FRAMES);
+
+  private SocketChannel channel;
+  private SelectionKey key;
+  private ByteBuffer writing;
+  private boolean connected;
+  private long nextDialMs;
+  private long backoffMs = MIN_BACKOFF_MS;
+  private long lastProgressMs;
+
+  OutboundPeer(
+      InstanceId peer,
+      InetSocketAddress address,
+      Hello hello,
+      MillisClock clock,
+      TransportCounters counters) {
+    this.peer = peer;
+    this.address = address;
+    this.hello = hello;
+    this.clock = clock;
+    this.counters = counters;
+  }
+
+  InstanceId peer() {
+    return peer;
+  }
+
+  /** Queues a frame from any thread; false when the queue is full. */
+  boolean enqueue(ByteBuffer frame) {
+    if (queue.offer(frame)) {
+      return true;
+    }
+    counters.dropped();
+    return false;
+  }
+
+  /** Dials when due, drops stalled connections, and asks for write readiness when needed. */
+  void maintain(Selector selector) {
+    long nowMs = clock.nowMs();
+    if (channel == null) {
+      dialIfDue(selector, nowMs);
+      return;
+    }
+    boolean pending = !connected || writing != null || !queue.isEmpty();
+    if (!pending) {
+      lastProgressMs = nowMs;
+      return;
+    }
+    if (nowMs - lastProgressMs >= WRITE_STALL_MS) {
+      disconnect();
+      return;
+    }
+    if (connected) {
+      key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+    }
+  }
+
+  private void dialIfDue(Selector selector, long nowMs) {
+    if (nowMs < nextDialMs) {
+      return;
+    }
+    lastProgressMs = nowMs;
+    try {
+      channel = SocketChannel.open();
+      channel.configureBlocking(false);
+      channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      key = channel.register(selector, SelectionKey.OP_CONNECT, this);
+      if (channel.connect(address)) {
+        onConnected();
+      }
+    } catch (IOException e) {
+      disconnect();
+    }
+  }
+
+  /** Continues after the selector reported the connection ready. */
+  void onReady() {
+    try {
+      if (key.isConnectable() && channel.finishConnect()) {
+        onConnected();
+      }
+      if (key.isValid() && key.isReadable()) {
+        checkOpen();
+      }
+      if (key.isValid() && key.isWritable()) {
+        write();
+      }
+    } catch (IOException e) {
+      disconnect();
+    }
+  }
+
+  private void onConnected() {
+    connected = true;
+    backoffMs = MIN_BACKOFF_MS;
+    lastProgressMs = clock.nowMs();
+    writing = FrameCodec.encode(hello);
+    key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+  }
+
+  /** Nothing is ever sent on a dialled connection by the other side, so bytes mean an error. */
+  private void checkOpen() throws IOException {
+    if (channel.read(ByteBuffer.allocate(1)) != 0) {
+      throw new IOException("the peer closed the connection");
+    }
+  }
+
+  private void write() throws IOException {
+    while (true) {
+      if (writing == null) {
+        writing = queue.poll();
+      }
+      if (writing == null) {
+        key.interestOps(SelectionKey.OP_READ);
+        return;
+      }
+      int bytes = channel.write(writing);
+      if (bytes > 0) {
+        lastProgressMs = clock.nowMs();
+      }
+      if (writing.hasRemaining()) {
+        return;
+      }
+      counters.sent(writing.capacity());
+      writing = null;
+    }
+  }
+
+  /** Closes the connection; a frame that was partly written is given up. */
+  void disconnect() {
+    if (writing != null && connected) {
+      counters.dropped();
+    }
+    writing = null;
+    connected = false;
+    Channels.closeQuietly(channel);
+    channel = null;
+    nextDialMs = clock.nowMs() + backoffMs;
+    backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+    dropQueued();
+  }
+
+  /** Frames of a lost connection are stale; their slices send again what still matters. */
+  private void dropQueued() {
+    while (queue.poll() != null) {
+      counters.dropped();
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/PeerReceiver.java
@@ -0,0 +1,10 @@
+package dev.caroblb.transport;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+
+/** Receives the messages of one channel on the transport thread; must not block. */
+@FunctionalInterface
+public interface PeerReceiver {
+  void received(InstanceId from, Payload body);
+}
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Framed MessagePack connections between the instances of one system. */
+package dev.caroblb.transport;
