Read the settings of an instance

Cause: an instance takes its addresses, failure domain, peers, limits and times from a TOML file, and operators must see every mistake in one run. Change: SettingsReader reads the file into InstanceSettings or a list of SettingsError with file, line, key, value found, values allowed and remedy.

--- /dev/null
+++ b/settings/src/main/java/dev/caroblb/settings/Secret.java
@@ -0,0 +1,9 @@
+package dev.caroblb.settings;
+
+/** Text that must not appear in logs and error messages. */
+public record Secret(String text) {
+  @Override
+  public String toString() {
+    return "hidden";
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/dev/caroblb/settings/TableReader.java
@@ -0,0 +1,197 @@
+package dev.caroblb.settings;
+
+import dev.caroblb.core.Names;
+import dev.caroblb.settings.SettingsError.Kind;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** Reads typed values from one TOML table and remembers which keys were asked for. */
+final class TableReader {
+  static final String NAME_FORM = "1 to 63 letters, digits, '-' or '_', first a letter or digit";
+
+  private final ErrorCollector errors;
+  private final TomlTable table;
+  private final String prefix;
+  private final int line;
+  private final Set<String> known = new HashSet<>();
+
+  TableReader(ErrorCollector errors, TomlTable table, String prefix, int line) {
+    this.errors = errors;
+    this.table = table;
+    this.prefix = prefix;
+    this.line = line;
+  }
+
+  /** Line of a key, or of the table when the key is missing. */
+  int lineOf(String key) {
+    TomlPosition position = table.inputPositionOf(List.of(key));
+    return position == null ? line : position.line();
+  }
+
+  Optional<String> name(String key) {
+    return text(key, NAME_FORM, text -> Names.valid(text) ? Optional.of(text) : Optional.empty());
+  }
+
+  /** Reads a required text that {@code parse} accepts. */
+  <T> Optional<T> text(String key, String allowed, Function<String, Optional<T>> parse) {
+    return optionalText(key, allowed, parse, TableReader::quoted, true);
+  }
+
+  /** Reads a required text whose value must not be shown. */
+  <T> Optional<T> secret(String key, String allowed, Function<String, Optional<T>> parse) {
+    Function<Object, String> hide =
+        value -> "a hidden value of " + value.toString().length() + " characters";
+    return optionalText(key, allowed, parse, hide, true);
+  }
+
+  /** Reads a text that may be absent. */
+  <T> Optional<T> textIfPresent(String key, String allowed, Function<String, Optional<T>> parse) {
+    return optionalText(key, allowed, parse, TableReader::quoted, false);
+  }
+
+  private <T> Optional<T> optionalText(
+      String key,
+      String allowed,
+      Function<String, Optional<T>> parse,
+      Function<Object, String> show,
+      boolean required) {
+    Optional<Object> value = value(key);
+    if (value.isEmpty()) {
+      if (required) {
+        missing(key, allowed);
+      }
+      return Optional.empty();
+    }
+    if (!(value.get() instanceof String text)) {
+      add(Kind.WRONG_TYPE, key, show.apply(value.get()), "a string, " + allowed);
+      return Optional.empty();
+    }
+    Optional<T> parsed = parse.apply(text);
+    if (parsed.isEmpty()) {
+      add(Kind.NOT_ALLOWED, key, show.apply(text), allowed);
+    }
+    return parsed;
+  }
+
+  /** Reads an integer; absent means {@code defaultValue}. */
+  long integer(String key, long defaultValue, long min, long max) {
+    Optional<Object> value = value(key);
+    if (value.isEmpty()) {
+      return defaultValue;
+    }
+    String allowed = "an integer from " + min + " to " + max;
+    if (!(value.get() instanceof Long number)) {
+      add(Kind.WRONG_TYPE, key, quoted(value.get()), allowed);
+      return defaultValue;
+    }
+    if (number < min || number > max) {
+      add(Kind.NOT_ALLOWED, key, number.toString(), allowed);
+      return defaultValue;
+    }
+    return number;
+  }
+
+  Optional<Boolean> flag(String key) {
+    Optional<Object> value = value(key);
+    if (value.isEmpty()) {
+      missing(key, "true or false");
+      return Optional.empty();
+    }
+    if (!(value.get() instanceof Boolean flag)) {
+      add(Kind.WRONG_TYPE, key, quoted(value.get()), "true or false");
+      return Optional.empty();
+    }
+    return Optional.of(flag);
+  }
+
+  /** The table under a key; an empty one when it is absent. */
+  TableReader table(String key) {
+    Optional<Object> value = value(key);
+    if (value.isPresent() && value.get() instanceof TomlTable inner) {
+      return new TableReader(errors, inner, prefix + key + ".", lineOf(key));
+    }
+    value.ifPresent(
+        other -> add(Kind.WRONG_TYPE, key, quoted(other), "a table [" + prefix + key + "]"));
+    return new TableReader(errors, Toml.parse(""), prefix + key + ".", line);
+  }
+
+  /** The tables of a required array of tables. */
+  List<TableReader> tables(String key) {
+    String allowed = "one or more tables [[" + prefix + key + "]]";
+    Optional<Object> value = value(key);
+    if (value.isEmpty()) {
+      missing(key, allowed);
+      return List.of();
+    }
+    if (!(value.get() instanceof TomlArray array)) {
+      add(Kind.WRONG_TYPE, key, quoted(value.get()), allowed);
+      return List.of();
+    }
+    if (array.isEmpty()) {
+      add(Kind.NOT_ALLOWED, key, "an empty array", allowed);
+    }
+    List<TableReader> readers = new ArrayList<>();
+    for (int i = 0; i < array.size(); i++) {
+      int elementLine = array.inputPositionOf(i).line();
+      if (array.get(i) instanceof TomlTable inner) {
+        readers.add(new TableReader(errors, inner, prefix + key + "." + i + ".", elementLine));
+        continue;
+      }
+      errors.add(
+          Kind.WRONG_TYPE, elementLine, prefix + key + "." + i, quoted(array.get(i)), allowed);
+    }
+    return readers;
+  }
+
+  /** Reports every key that was not asked for; called after all keys were read. */
+  void rejectUnknownKeys() {
+    List<String> names = known.stream().sorted().toList();
+    for (String key : table.keySet()) {
+      if (!known.contains(key)) {
+        errors.add(
+            Kind.UNKNOWN_KEY,
+            lineOf(key),
+            prefix + key,
+            "an unknown key",
+            String.join(", ", names),
+            "remove it or correct its spelling");
+      }
+    }
+  }
+
+  /** Reports a value that does not fit the other values of the file. */
+  void contradiction(String key, String found, String allowed, String remedy) {
+    errors.add(Kind.CONTRADICTION, lineOf(key), prefix + key, found, allowed, remedy);
+  }
+
+  private Optional<Object> value(String key) {
+    known.add(key);
+    return Optional.ofNullable(table.get(List.of(key)));
+  }
+
+  private void missing(String key, String allowed) {
+    errors.add(Kind.MISSING, line, prefix + key, "no value", allowed, "add the key");
+  }
+
+  private void add(Kind kind, String key, String found, String allowed) {
+    errors.add(kind, lineOf(key), prefix + key, found, allowed);
+  }
+
+  private static String quoted(Object value) {
+    if (value instanceof TomlTable) {
+      return "a table";
+    }
+    if (value instanceof TomlArray) {
+      return "an array";
+    }
+    return value instanceof String ? "\"" + value + "\"" : String.valueOf(value);
+  }
+}
--- /dev/null
+++ b/settings/src/test/java/dev/caroblb/settings/SettingsReaderTest.java
@@ -0,0 +1,204 @@
+package dev.caroblb.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.settings.SettingsError.Kind;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsReaderTest {
+  private static final String HASH = "ab".repeat(32);
+  private static final String GOOD =
+      """
+      cluster = "receipts"
+      cluster_token = "0123456789abcdef"
+      instance = "a1"
+      domain = "d1"
+      region = "kr-south"
+      callers_address = "127.0.0.1:0"
+      peers_address = "127.0.0.1:7101"
+      data_folder = "data"
+      operator_token_sha256 = "%s"
+      target_token_sha256 = "%s"
+      [[peers]]
+      instance = "a1"
+      domain = "d1"
+      peers_address = "127.0.0.1:7101"
+      callers_address = "127.0.0.1:0"
+      replica = true
+      [[peers]]
+      instance = "a2"
+      domain = "d2"
+      peers_address = "[::1]:7102"
+      callers_address = "127.0.0.1:7002"
+      replica = false
+      """
+          .formatted(HASH, HASH);
+
+  @TempDir private Path folder;
+
+  private InstanceSettings accepted(String text) throws IOException {
+    return SettingsReader.read(write(text)).getOrElseThrow(e -> new AssertionError(e.toString()));
+  }
+
+  private List<SettingsError> refused(String text) throws IOException {
+    return SettingsReader.read(write(text)).getLeft();
+  }
+
+  private Path write(String text) throws IOException {
+    return Files.writeString(folder.resolve("instance.toml"), text);
+  }
+
+  @Nested
+  class WithRequiredKeysOnly {
+    /** Guards against defaults that differ from the design page. */
+    @Test
+    void fillsDefaults() throws IOException {
+      InstanceSettings settings = accepted(GOOD);
+      assertEquals(4, settings.keyGroups());
+      assertEquals(new LimitSettings(1_000, 1_048_576, 16_384, 256, 30_000), settings.limits());
+      assertEquals(
+          new TimeSettings(5_000, 600_000, 4_000, 3_500, 30_000, 5_000, 10_000), settings.times());
+      assertEquals(System.Logger.Level.INFO, settings.logLevel());
+      assertEquals(Optional.empty(), settings.portsFile());
+    }
+
+    /** Guards against a peer list that contains the instance itself when it should not. */
+    @Test
+    void separatesSelfFromOthers() throws IOException {
+      InstanceSettings settings = accepted(GOOD);
+      assertTrue(settings.replica());
+      assertEquals(Optional.of(folder.resolve("data")), settings.dataFolder());
+      assertEquals(
+          List.of(new InstanceId("a2")),
+          settings.otherPeers().stream().map(PeerSettings::instance).toList());
+    }
+
+    /** Guards against the cluster token in a log line. */
+    @Test
+    void hidesTheToken() throws IOException {
+      assertFalse(accepted(GOOD).toString().contains("0123456789abcdef"));
+    }
+  }
+
+  @Nested
+  class WithSeveralMistakes {
+    /** Guards against a reader that stops at the first mistake or loses its line. */
+    @Test
+    void reportsAllWithLines() throws IOException {
+      String text =
+          GOOD.replace("cluster = \"receipts\"", "clutser = \"receipts\"")
+              .replace("\"0123456789abcdef\"", "\"short\"")
+              .replace("\"127.0.0.1:7101\"\ndata", "\"localhost:7101\"\ndata")
+              .concat("[limits]\nbacklog = 0\nmax_streams = \"many\"\n");
+      List<SettingsError> errors = refused(text);
+      assertEquals(
+          List.of(
+              "1 MISSING cluster",
+              "1 UNKNOWN_KEY clutser",
+              "2 NOT_ALLOWED cluster_token",
+              "7 NOT_ALLOWED peers_address",
+              "24 NOT_ALLOWED limits.backlog",
+              "25 WRONG_TYPE limits.max_streams"),
+          errors.stream()
+              .map(e -> e.line() + " " + e.kind() + " " + e.key())
+              .sorted(Comparator.comparingInt(s -> Integer.parseInt(s.split(" ", 2)[0])))
+              .toList());
+      assertFalse(errors.toString().contains("\"short\""));
+    }
+
+    /**
+     * Guards against a message that omits the file, the value, the allowed values or the remedy.
+     */
+    @Test
+    void messageIsComplete() throws IOException {
+      String message = refused(GOOD + "[limits]\nbacklog = 0\n").get(0).message();
+      assertEquals(
+          folder.resolve("instance.toml")
+              + ":24: key \"limits.backlog\": found 0, allowed: an integer from 1 to 65535;"
+              + " set an allowed value",
+          message);
+    }
+  }
+
+  @Nested
+  class WithASyntaxError {
+    /** Guards against follow-up errors for keys on lines the parser skipped. */
+    @Test
+    void reportsItWithoutMissingKeys() throws IOException {
+      List<SettingsError> errors = refused(GOOD.replace("region = \"kr-south\"", "region = = 1"));
+      assertEquals(Kind.SYNTAX, errors.get(0).kind());
+      assertEquals(5, errors.get(0).line());
+      assertTrue(errors.stream().noneMatch(error -> error.kind() == Kind.MISSING));
+    }
+  }
+
+  @Nested
+  class WithContradictions {
+    private void assertContradiction(String text, String key) throws IOException {
+      List<SettingsError> errors = refused(text);
+      assertEquals(1, errors.size(), errors.toString());
+      assertEquals(Kind.CONTRADICTION, errors.get(0).kind());
+      assertEquals(key, errors.get(0).key());
+    }
+
+    /** Guards against a replica that loses its votes because it has no folder. */
+    @Test
+    void replicaNeedsDataFolder() throws IOException {
+      assertContradiction(GOOD.replace("data_folder = \"data\"\n", ""), "data_folder");
+    }
+
+    /** Guards against a folder that nothing uses. */
+    @Test
+    void otherInstanceHasNoDataFolder() throws IOException {
+      assertContradiction(
+          GOOD.replace("replica = true", "replica = false")
+              .replace("7002\"\nreplica = false", "7002\"\nreplica = true"),
+          "data_folder");
+    }
+
+    /** Guards against an instance that is unknown to the others. */
+    @Test
+    void instanceMustBeListed() throws IOException {
+      assertContradiction(GOOD.replaceFirst("instance = \"a1\"", "instance = \"a9\""), "instance");
+    }
+
+    /** Guards against two instances under one name. */
+    @Test
+    void namesAreUnique() throws IOException {
+      assertContradiction(GOOD.replace("\"a2\"", "\"a1\""), "peers.1.instance");
+    }
+
+    /** Guards against a peer that cannot be dialled. */
+    @Test
+    void otherPeerNeedsAPort() throws IOException {
+      assertContradiction(GOOD.replace("[::1]:7102", "[::1]:0"), "peers.1.peers_address");
+    }
+
+    /** Guards against an address that leads every instance to itself. */
+    @Test
+    void peerAddressIsNoWildcard() throws IOException {
+      assertContradiction(GOOD.replace("[::1]:7102", "0.0.0.0:7102"), "peers.1.peers_address");
+    }
+  }
+
+  @Nested
+  class WithoutAFile {
+    /** Guards against an exception instead of a typed error. */
+    @Test
+    void reportsIt() {
+      List<SettingsError> errors = SettingsReader.read(folder.resolve("absent.toml")).getLeft();
+      assertEquals(Kind.UNREADABLE, errors.get(0).kind());
+    }
+  }
+}
