Read team files and report all mistakes at once

Cause: teams state models, workspaces and calls in TOML; a publish must name every mistake with its place and remedy before anything is accepted.

Change: package configuration.teamfile with TeamFileReader, the records TeamFile, WorkspacePolicy and ModelNeed, and one example for each team. Keys behind a syntax error do not count as missing. A failure inside the TOML parser (unlimited recursion, a violated assertion) is an error of the file.

Conclusion: arbitrary text gives a result, never an exception.

--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/teamfile/TeamFile.java
@@ -0,0 +1,25 @@
+package dev.caroblb.configuration.teamfile;
+
+import dev.caroblb.core.CallPolicy;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Content of a valid team file.
+ *
+ * @param team name of the team
+ * @param workspaces workspaces of the team; an empty list retires them
+ * @param models models the team needs
+ * @param calls calls by name, which hold for all workspaces of the team
+ */
+public record TeamFile(
+    String team,
+    List<WorkspacePolicy> workspaces,
+    List<ModelNeed> models,
+    Map<String, CallPolicy> calls) {
+  public TeamFile {
+    workspaces = List.copyOf(workspaces);
+    models = List.copyOf(models);
+    calls = Map.copyOf(calls);
+  }
+}
