Add the placement slice with baselines and the predictive policy

Cause: calls need a target that will not run out of memory before they end. Change: messages, fleet state, online survival curves of output length, memory forecast for each target, ejection by evidence, the placement duty, five baseline policies and the predictive one behind PlacementPolicy.

--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/Candidates.java
@@ -0,0 +1,57 @@
+package dev.caroblb.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
+
+/** Selections that the baseline policies share. */
+final class Candidates {
+  private Candidates() {}
+
+  /** Whether the target is eligible and not in the domain that a retry avoids. */
+  static boolean suits(Target target, PlacementRequest request) {
+    return target.eligible()
+        && (request.avoid().isEmpty() || !request.avoid().get().equals(target.domain()));
+  }
+
+  /** Eligible target of lowest cost, ties broken at random, the avoided domain last. */
+  static Optional<Target> lowest(
+      List<Target> targets,
+      PlacementRequest request,
+      SplittableRandom random,
+      ToDoubleFunction<Target> cost) {
+    Optional<Target> best = lowest(targets, Optional.of(request), random, cost);
+    return best.isPresent() ? best : lowest(targets, Optional.empty(), random, cost);
+  }
+
+  private static Optional<Target> lowest(
+      List<Target> targets,
+      Optional<PlacementRequest> avoiding,
+      SplittableRandom random,
+      ToDoubleFunction<Target> cost) {
+    Target best = null;
+    double bestCost = Double.MAX_VALUE;
+    int ties = 0;
+    for (Target target : targets) {
+      if (avoiding.isPresent() ? !suits(target, avoiding.get()) : !target.eligible()) {
+        continue;
+      }
+      double value = cost.applyAsDouble(target);
+      if (value > bestCost) {
+        continue;
+      }
+      ties = value < bestCost ? 1 : ties + 1;
+      if (random.nextInt(ties) == 0) {
+        best = target;
+      }
+      bestCost = value;
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Placement under the priority of the team file alone. */
+  static Placement plain(Target target, PlacementRequest request) {
+    return target.placement(request.priority() * 100);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/EjectionRule.java
@@ -0,0 +1,90 @@
+package dev.caroblb.placement;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Ejects targets by evidence: failed calls, generations without progress, tokens far slower than at
+ * the other targets, and reports that contradict themselves. At most a third of the targets of a
+ * kind is out at once, because a cause that hits more of them is not theirs.
+ */
+final class EjectionRule {
+  /** Evidence at which a target is ejected: two refused connections, or three lost ones. */
+  static final double EJECT_AT = 3.0;
+
+  private static final int MAX_SHARE_DIVISOR = 3;
+  private static final long FIRST_BACKOFF_MS = 2_000;
+  private static final long MAX_BACKOFF_MS = 60_000;
+  // The streams duty calls a link stalled after the same time.
+  private static final long STALL_MS = 5_000;
+  private static final double STALL_EVIDENCE = 0.5;
+  // Batches of unequal size differ by up to twice in time per token.
+  private static final double SLOW_FACTOR = 4.0;
+  private static final double SLOW_EVIDENCE = 0.5;
+  private static final double CONTRADICTION_EVIDENCE = 1.0;
+
+  /** Takes in how a call failed. */
+  void failed(Target target, CallFailure failure, long nowMs) {
+    target.health.addEvidence(failure.evidence(), nowMs);
+    if (target.health.state() == TargetHealth.State.PROBE_RUNNING) {
+      target.health.eject(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, nowMs);
+    }
+  }
+
+  /** Takes in that the target produced tokens or an answer; a probe that does so succeeded. */
+  void succeeded(Target target, long nowMs) {
+    if (target.health.state() == TargetHealth.State.PROBE_RUNNING) {
+      target.health.clear(nowMs);
+    }
+  }
+
+  void contradicted(Target target, long nowMs) {
+    target.health.addEvidence(CONTRADICTION_EVIDENCE, nowMs);
+  }
+
+  /** Weighs the evidence of all targets of a kind; called about twice a second. */
+  void review(List<Target> targets, long nowMs) {
+    double median = medianInterval(targets);
+    int ejected = 0;
+    for (Target target : targets) {
+      target.health.allowProbe(nowMs);
+      ejected += target.health.ejected() ? 1 : 0;
+    }
+    for (Target target : targets) {
+      weigh(target, median, nowMs);
+      boolean due =
+          target.health.state() == TargetHealth.State.TRUSTED
+              && target.health.evidence(nowMs) >= EJECT_AT;
+      if (due && (ejected + 1) * MAX_SHARE_DIVISOR <= targets.size()) {
+        target.health.eject(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, nowMs);
+        ejected++;
+      }
+    }
+  }
+
+  private static void weigh(Target target, double medianIntervalMs, long nowMs) {
+    double interval = target.health.tokenIntervalMs();
+    if (medianIntervalMs > 0 && interval > SLOW_FACTOR * medianIntervalMs) {
+      target.health.addEvidence(SLOW_EVIDENCE, nowMs);
+    }
+    // A generation without a first token may wait for memory; only started ones can stall.
+    for (Generation generation : target.running()) {
+      boolean stalled = nowMs - generation.progressAtMs() > STALL_MS;
+      if (stalled && generation.tokens() > 0 && !generation.suspended()) {
+        target.health.addEvidence(STALL_EVIDENCE, nowMs);
+        return;
+      }
+    }
+  }
+
+  private static double medianInterval(List<Target> targets) {
+    double[] known =
+        targets.stream()
+            .mapToDouble(target -> target.health.tokenIntervalMs())
+            .filter(interval -> interval > 0)
+            .sorted()
+            .toArray();
+    // With fewer than three there is no telling which one is slow.
+    return known.length < 3 ? 0 : Arrays.stream(known).skip(known.length / 2).findFirst().orElse(0);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/Fleet.java
@@ -0,0 +1,120 @@
+package dev.caroblb.placement;
+
+import dev.caroblb.core.TargetId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Targets and own running generations as this instance knows them; the state of placement. */
+public final class Fleet {
+  private final Map<TargetId, Target> targets = new HashMap<>();
+  private final Map<String, List<Target>> byKind = new HashMap<>();
+  private final Map<Long, Generation> generations = new HashMap<>();
+
+  /**
+   * Takes in what membership knows. An older incarnation changes nothing; a newer one starts with a
+   * clean state.
+   */
+  Optional<Target> see(TargetView view, long nowMs) {
+    Target known = targets.get(view.target());
+    if (known != null && known.view().incarnation() > view.incarnation()) {
+      return Optional.empty();
+    }
+    if (view.state() == TargetState.GONE) {
+      drop(known);
+      return Optional.empty();
+    }
+    if (known != null && known.view().incarnation() == view.incarnation()) {
+      // Leaving is final within an incarnation, also when an older message arrives late.
+      if (known.view().state() == TargetState.LEAVING && view.state() == TargetState.AVAILABLE) {
+        return Optional.of(known);
+      }
+      if (!known.view().serves().equals(view.serves())) {
+        unlist(known);
+        list(known, view);
+      }
+      known.update(view, nowMs);
+      return Optional.of(known);
+    }
+    drop(known);
+    Target target = new Target(view, nowMs);
+    targets.put(view.target(), target);
+    list(target, view);
+    target.update(view, nowMs);
+    return Optional.of(target);
+  }
+
+  private void list(Target target, TargetView view) {
+    for (String kind : view.serves()) {
+      byKind.computeIfAbsent(kind, key -> new ArrayList<>()).add(target);
+    }
+  }
+
+  private void drop(Target known) {
+    if (known == null) {
+      return;
+    }
+    targets.remove(known.id());
+    unlist(known);
+  }
+
+  private void unlist(Target known) {
+    for (String kind : known.view().serves()) {
+      List<Target> serving = byKind.get(kind);
+      serving.remove(known);
+      if (serving.isEmpty()) {
+        byKind.remove(kind);
+      }
+    }
+  }
+
+  Optional<Target> target(TargetId id) {
+    return Optional.ofNullable(targets.get(id));
+  }
+
+  /** Targets that serve a kind, eligible or not; the list must not be changed. */
+  public List<Target> serving(String kind) {
+    List<Target> serving = byKind.get(kind);
+    return serving == null ? List.of() : serving;
+  }
+
+  Collection<List<Target>> kinds() {
+    return byKind.values();
+  }
+
+  /** Takes in a placement; empty when the target is gone meanwhile. */
+  Optional<Generation> start(PlacementRequest request, Placement placement, long nowMs) {
+    Target target = targets.get(placement.target());
+    if (target == null) {
+      return Optional.empty();
+    }
+    Generation generation = new Generation(request, target, nowMs);
+    generations.put(request.call(), generation);
+    target.add(generation);
+    if (request.prompt().prefix() != 0) {
+      target.prefixes.sent(request.prompt().prefix());
+    }
+    return Optional.of(generation);
+  }
+
+  Optional<Generation> generation(long call) {
+    return Optional.ofNullable(generations.get(call));
+  }
+
+  Optional<Generation> end(long call, long nowMs) {
+    Generation generation = generations.remove(call);
+    if (generation == null) {
+      return Optional.empty();
+    }
+    generation.target().remove(generation, nowMs);
+    return Optional.of(generation);
+  }
+
+  /** Number of generations of this instance that run. */
+  public int running() {
+    return generations.size();
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/LeastOutstandingPolicy.java
@@ -0,0 +1,22 @@
+package dev.caroblb.placement;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Baseline: the target with the fewest calls of this instance. */
+public final class LeastOutstandingPolicy implements PlacementPolicy {
+  private final Fleet fleet;
+  private final SplittableRandom random;
+
+  public LeastOutstandingPolicy(Fleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = new SplittableRandom(seed);
+  }
+
+  @Override
+  public Optional<Placement> place(PlacementRequest request, long nowMs) {
+    return Candidates.lowest(
+            fleet.serving(request.kind()), request, random, target -> target.running().size())
+        .map(target -> Candidates.plain(target, request));
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementHandler.java
@@ -0,0 +1,160 @@
+package dev.caroblb.placement;
+
+import dev.caroblb.core.DutyHandler;
+import dev.caroblb.core.Outlet;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+
+/** The placement duty: keeps the fleet up to date and answers every {@code PlaceCall} once. */
+public final class PlacementHandler implements DutyHandler<PlacementMessage> {
+  /** Time between periodic reviews. */
+  public static final long TICK_MS = 250;
+
+  // A report arrives each second from each target, so room shows within this time.
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private final Fleet fleet;
+  private final PlacementPolicy policy;
+  private final Outlet<PlacementOutcome> outlet;
+  private final EjectionRule ejection = new EjectionRule();
+  private final ArrayDeque<PlacementOutcome> undelivered = new ArrayDeque<>();
+  private long nextTickMs;
+
+  public PlacementHandler(Fleet fleet, PlacementPolicy policy, Outlet<PlacementOutcome> outlet) {
+    this.fleet = fleet;
+    this.policy = policy;
+    this.outlet = outlet;
+  }
+
+  @Override
+  public void handle(PlacementMessage message, long nowMs) {
+    if (message instanceof PlacementMessage.Progressed progressed) {
+      progress(progressed.call(), progressed.tokens(), nowMs);
+    } else if (message instanceof PlacementMessage.PlaceCall place) {
+      place(place.request(), nowMs);
+    } else if (message instanceof PlacementMessage.TargetSeen seen) {
+      see(seen.view(), nowMs);
+    } else if (message instanceof PlacementMessage.Finished finished) {
+      finish(finished.call(), finished.tokens(), nowMs);
+    } else if (message instanceof PlacementMessage.CacheSeen cache) {
+      fleet
+          .target(cache.event().target())
+          .filter(target -> target.view().incarnation() == cache.event().incarnation())
+          .ifPresent(target -> target.prefixes.apply(cache.event()));
+    } else if (message instanceof PlacementMessage.Preempted preempted) {
+      fleet.generation(preempted.call()).ifPresent(generation -> preempt(generation, nowMs));
+    } else if (message instanceof PlacementMessage.Failed failed) {
+      fail(failed.call(), failed.failure(), nowMs);
+    }
+  }
+
+  private void place(PlacementRequest request, long nowMs) {
+    Optional<Generation> generation =
+        policy.place(request, nowMs).flatMap(placement -> start(request, placement, nowMs));
+    if (generation.isEmpty()) {
+      boolean known = !fleet.serving(request.kind()).isEmpty();
+      emit(new PlacementOutcome.NoCapacity(request.call(), known, RETRY_AFTER_MS));
+      return;
+    }
+    generation.get().target().health.probeSent();
+    policy.placed(generation.get(), nowMs);
+  }
+
+  private Optional<Generation> start(PlacementRequest request, Placement placement, long nowMs) {
+    Optional<Generation> generation = fleet.start(request, placement, nowMs);
+    if (generation.isPresent()) {
+      emit(new PlacementOutcome.Placed(request.call(), placement));
+    }
+    return generation;
+  }
+
+  private void see(TargetView view, long nowMs) {
+    Optional<Target> target = fleet.see(view, nowMs);
+    if (target.isEmpty()) {
+      return;
+    }
+    if (view.load().filter(LoadReport::contradictory).isPresent()) {
+      ejection.contradicted(target.get(), nowMs);
+      return;
+    }
+    if (view.load().isPresent()) {
+      policy.reported(target.get(), nowMs);
+      roomReported(target.get());
+    }
+  }
+
+  private void progress(long call, int tokens, long nowMs) {
+    Optional<Generation> found = fleet.generation(call);
+    if (found.isEmpty() || tokens <= found.get().tokens()) {
+      return;
+    }
+    Generation generation = found.get();
+    Target target = generation.target();
+    int previous = generation.tokens();
+    if (previous > 0 && !generation.suspended()) {
+      target.health.interval((nowMs - generation.progressAtMs()) / (double) (tokens - previous));
+    }
+    generation.progress(tokens, nowMs);
+    ejection.succeeded(target, nowMs);
+    policy.progressed(generation, previous, nowMs);
+  }
+
+  private void finish(long call, int tokens, long nowMs) {
+    Optional<Generation> ended = fleet.end(call, nowMs);
+    if (ended.isEmpty()) {
+      return;
+    }
+    Generation generation = ended.get();
+    int previous = generation.tokens();
+    generation.progress(Math.max(tokens, previous), nowMs);
+    ejection.succeeded(generation.target(), nowMs);
+    policy.finished(generation, previous, nowMs);
+    roomReported(generation.target());
+  }
+
+  private void preempt(Generation generation, long nowMs) {
+    generation.preempt();
+    policy.preempted(generation, nowMs);
+  }
+
+  private void fail(long call, CallFailure failure, long nowMs) {
+    Optional<Generation> ended = fleet.end(call, nowMs);
+    if (ended.isEmpty()) {
+      return;
+    }
+    ejection.failed(ended.get().target(), failure, nowMs);
+    policy.failed(ended.get(), failure, nowMs);
+    roomReported(ended.get().target());
+  }
+
+  private void roomReported(Target target) {
+    for (String kind : target.view().serves()) {
+      // Only a hint: when it cannot be delivered, the next report brings another one.
+      outlet.offer(new PlacementOutcome.RoomReported(kind));
+    }
+  }
+
+  private void emit(PlacementOutcome outcome) {
+    if (!undelivered.isEmpty() || !outlet.offer(outcome)) {
+      undelivered.addLast(outcome);
+    }
+  }
+
+  @Override
+  public void tick(long nowMs) {
+    nextTickMs = nowMs + TICK_MS;
+    while (!undelivered.isEmpty() && outlet.offer(undelivered.peekFirst())) {
+      undelivered.removeFirst();
+    }
+    for (List<Target> targets : fleet.kinds()) {
+      ejection.review(targets, nowMs);
+    }
+    policy.tick(nowMs);
+  }
+
+  @Override
+  public long nextTickMs() {
+    return nextTickMs;
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementPolicy.java
@@ -0,0 +1,34 @@
+package dev.caroblb.placement;
+
+import java.util.Optional;
+
+/**
+ * Chooses a target. {@link #place} decides on the state of the {@link Fleet} that the policy was
+ * built with and changes nothing that a later decision depends on; the other methods report what
+ * happened after the fleet has taken it in.
+ */
+public interface PlacementPolicy {
+  /** The target for a call, or empty when the call should wait. */
+  Optional<Placement> place(PlacementRequest request, long nowMs);
+
+  /** A call was placed. */
+  default void placed(Generation generation, long nowMs) {}
+
+  /** A generation produced tokens; {@code previousTokens} is the count reported before. */
+  default void progressed(Generation generation, int previousTokens, long nowMs) {}
+
+  /** A generation ended normally. */
+  default void finished(Generation generation, int previousTokens, long nowMs) {}
+
+  /** The engine preempted a generation. */
+  default void preempted(Generation generation, long nowMs) {}
+
+  /** A generation ended without its whole answer. */
+  default void failed(Generation generation, CallFailure failure, long nowMs) {}
+
+  /** A load report of a target arrived. */
+  default void reported(Target target, long nowMs) {}
+
+  /** Periodic work, at most every {@link PlacementHandler#TICK_MS}. */
+  default void tick(long nowMs) {}
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementRequest.java
@@ -0,0 +1,27 @@
+package dev.caroblb.placement;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.WorkspaceId;
+import java.util.Optional;
+
+/**
+ * One call that needs a target.
+ *
+ * @param call identity of the call within this instance
+ * @param kind model or service that serves it, see {@code CallPolicy.targetKind}
+ * @param callName name of the call in the team file
+ * @param workspace workspace that is charged for it
+ * @param priority 0 (lowest) to 9 (highest), from the team file
+ * @param prompt shape of the prompt
+ * @param attempt 0 for the first dispatch, 1 for the first retry
+ * @param avoid failure domain of the previous attempt
+ */
+public record PlacementRequest(
+    long call,
+    String kind,
+    String callName,
+    WorkspaceId workspace,
+    int priority,
+    PromptShape prompt,
+    int attempt,
+    Optional<FailureDomain> avoid) {}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PolicyKind.java
@@ -0,0 +1,29 @@
+package dev.caroblb.placement;
+
+import java.util.Locale;
+
+/** Policies by name, for settings and experiments. */
+public enum PolicyKind {
+  ROUND_ROBIN,
+  LEAST_OUTSTANDING,
+  LOWEST_LOAD,
+  TWO_CHOICES,
+  PREFIX_AFFINITY,
+  PREDICTIVE;
+
+  /** Creates the policy over a fleet; the seed breaks ties. */
+  public PlacementPolicy create(Fleet fleet, long seed) {
+    return switch (this) {
+      case ROUND_ROBIN -> new RoundRobinPolicy(fleet);
+      case LEAST_OUTSTANDING -> new LeastOutstandingPolicy(fleet, seed);
+      case LOWEST_LOAD -> new LowestLoadPolicy(fleet, seed);
+      case TWO_CHOICES -> new TwoChoicesPolicy(fleet, seed);
+      case PREFIX_AFFINITY -> new PrefixAffinityPolicy(fleet, seed);
+      case PREDICTIVE -> new PredictivePolicy(fleet, PredictiveSettings.defaults(), seed);
+    };
+  }
+
+  public String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
@@ -0,0 +1,174 @@
+package dev.caroblb.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Chooses the target with the lowest expected cost in time: risk that its memory fills, queue and
+ * batch delay, minus what a cached prefix saves. When every target would exceed the risk limit, the
+ * call waits.
+ */
+public final class PredictivePolicy implements PlacementPolicy {
+  private static final int SHORTLIST = 16;
+  private static final double AVOIDED_DOMAIN_COST_MS = 60_000;
+  // A call that adds less than this is let in up to this multiple of the limit: short calls take
+  // little memory, and holding them back frees none.
+  private static final double SMALL_ADDED_RISK = 0.01;
+  private static final double SMALL_CALL_LIMIT_FACTOR = 3;
+
+  private final Fleet fleet;
+  private final PredictiveSettings settings;
+  private final LengthEstimator lengths;
+  private final TargetForecaster forecaster;
+  private final SplittableRandom random;
+  private final Map<String, OtherInstances> others = new HashMap<>();
+  private final Forecast call = new Forecast();
+  private final Forecast nothing = new Forecast();
+  private final Target[] shortlist = new Target[SHORTLIST];
+  private final double[] costs = new double[SHORTLIST];
+
+  public PredictivePolicy(Fleet fleet, PredictiveSettings settings, long seed) {
+    this.fleet = fleet;
+    this.settings = settings;
+    this.lengths = new PooledLengthEstimator();
+    this.forecaster = new TargetForecaster(lengths);
+    this.random = new SplittableRandom(seed);
+  }
+
+  @Override
+  public Optional<Placement> place(PlacementRequest request, long nowMs) {
+    SurvivalCurve curve = lengths.curve(request.kind(), request.callName(), request.workspace());
+    double blocks = 1 + request.prompt().tokens() / (double) PredictiveSettings.BLOCK_TOKENS;
+    call.clear();
+    call.add(1.0, blocks, curve);
+    int candidates = shortlist(fleet.serving(request.kind()));
+    double best = Double.MAX_VALUE;
+    for (int i = 0; i < candidates; i++) {
+      costs[i] = cost(shortlist[i], request);
+      best = Math.min(best, costs[i]);
+    }
+    if (best == Double.MAX_VALUE) {
+      return Optional.empty();
+    }
+    return Optional.of(pick(candidates, best).placement(enginePriority(request, curve)));
+  }
+
+  /** Eligible targets, only those of lowest cost before the call when there are many. */
+  private int shortlist(List<Target> targets) {
+    int size = 0;
+    int start = targets.isEmpty() ? 0 : random.nextInt(targets.size());
+    for (int n = 0; n < targets.size(); n++) {
+      int index = start + n;
+      Target target = targets.get(index < targets.size() ? index : index - targets.size());
+      double cost = target.forecast.baseCostMs();
+      if ((size == SHORTLIST && cost >= costs[size - 1]) || !target.eligible()) {
+        continue;
+      }
+      int at = size == SHORTLIST ? SHORTLIST - 1 : size++;
+      for (; at > 0 && costs[at - 1] > cost; at--) {
+        costs[at] = costs[at - 1];
+        shortlist[at] = shortlist[at - 1];
+      }
+      costs[at] = cost;
+      shortlist[at] = target;
+    }
+    return size;
+  }
+
+  /** Expected cost in milliseconds; {@code Double.MAX_VALUE} when the call must not go there. */
+  private double cost(Target target, PlacementRequest request) {
+    double totalBlocks = target.forecast.totalBlocks();
+    double risk = totalBlocks == 0 ? 0 : target.forecast.risk(totalBlocks, call);
+    if (risk > settings.maxRisk() && !target.forecast.idle() && !small(target, risk)) {
+      return Double.MAX_VALUE;
+    }
+    double cost = target.forecast.baseCostMs() + risk * settings.riskCostMs();
+    if (request.prompt().prefix() != 0) {
+      double cached = target.prefixes.trust(request.prompt().prefix());
+      cost -= cached * request.prompt().prefixTokens() * settings.prefillMsPerToken();
+    }
+    boolean avoided = request.avoid().isPresent() && request.avoid().get().equals(target.domain());
+    return avoided ? cost + AVOIDED_DOMAIN_COST_MS : cost;
+  }
+
+  private boolean small(Target target, double risk) {
+    return risk <= settings.maxRisk() * SMALL_CALL_LIMIT_FACTOR
+        && risk - target.forecast.risk(target.forecast.totalBlocks(), nothing) < SMALL_ADDED_RISK;
+  }
+
+  /** One of the candidates that are about as good as the best, so that instances spread. */
+  private Target pick(int candidates, double best) {
+    Target chosen = shortlist[0];
+    int close = 0;
+    for (int i = 0; i < candidates; i++) {
+      if (costs[i] <= best + settings.tieMs() && random.nextInt(++close) == 0) {
+        chosen = shortlist[i];
+      }
+    }
+    return chosen;
+  }
+
+  /**
+   * Priority of the team file first; then what a preemption would lose, by expected length; a
+   * retried call is preempted after first attempts.
+   */
+  private static int enginePriority(PlacementRequest request, SurvivalCurve curve) {
+    int loss = LengthBuckets.index((int) curve.expectedRemaining(0));
+    int retried = request.attempt() > 0 ? LengthBuckets.COUNT : 0;
+    return request.priority() * 100 + retried + loss;
+  }
+
+  @Override
+  public void placed(Generation generation, long nowMs) {
+    others(generation.request().kind()).placed(nowMs);
+    forecast(generation.target(), nowMs);
+  }
+
+  @Override
+  public void progressed(Generation generation, int previousTokens, long nowMs) {
+    lengths.grew(generation.request(), previousTokens, generation.tokens());
+  }
+
+  @Override
+  public void finished(Generation generation, int previousTokens, long nowMs) {
+    lengths.ended(generation.request(), previousTokens, generation.tokens());
+    forecast(generation.target(), nowMs);
+  }
+
+  @Override
+  public void failed(Generation generation, CallFailure failure, long nowMs) {
+    forecast(generation.target(), nowMs);
+  }
+
+  @Override
+  public void reported(Target target, long nowMs) {
+    for (String kind : target.view().serves()) {
+      others(kind).reported(target.running().size(), target.othersRunning());
+    }
+    forecast(target, nowMs);
+  }
+
+  @Override
+  public void tick(long nowMs) {
+    lengths.refresh();
+    for (List<Target> targets : fleet.kinds()) {
+      for (Target target : targets) {
+        forecast(target, nowMs);
+      }
+    }
+  }
+
+  private void forecast(Target target, long nowMs) {
+    String kind = target.view().serves().get(0);
+    int alike = fleet.serving(kind).size();
+    double arrived = others(kind).expectedPlacements(nowMs - target.loadAtMs(), alike, nowMs);
+    forecaster.update(target, kind, arrived, settings, nowMs);
+  }
+
+  private OtherInstances others(String kind) {
+    return others.computeIfAbsent(kind, key -> new OtherInstances());
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/PrefixAffinityPolicy.java
@@ -0,0 +1,37 @@
+package dev.caroblb.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Baseline: the target that most probably has the prefix cached; without one, the target that the
+ * hash of the prefix names, or the one with the fewest own calls where there is no prefix.
+ */
+public final class PrefixAffinityPolicy implements PlacementPolicy {
+  private final Fleet fleet;
+  private final SplittableRandom random;
+
+  public PrefixAffinityPolicy(Fleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = new SplittableRandom(seed);
+  }
+
+  @Override
+  public Optional<Placement> place(PlacementRequest request, long nowMs) {
+    List<Target> targets = fleet.serving(request.kind());
+    long prefix = request.prompt().prefix();
+    if (prefix == 0) {
+      return Candidates.lowest(targets, request, random, target -> target.running().size())
+          .map(target -> Candidates.plain(target, request));
+    }
+    return Candidates.lowest(targets, request, random, target -> cost(target, prefix))
+        .map(target -> Candidates.plain(target, request));
+  }
+
+  /** Rendezvous hash in 0 to 1, so that instances agree without a message; cached ones first. */
+  private static double cost(Target target, Long prefix) {
+    long hash = (target.id().hashCode() * 0x9E3779B97F4A7C15L ^ prefix) * 0xBF58476D1CE4E5B9L;
+    return (hash >>> 11) / (double) (1L << 53) - target.prefixes.trust(prefix);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/RoundRobinPolicy.java
@@ -0,0 +1,37 @@
+package dev.caroblb.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Baseline: the targets of a kind in turn. */
+public final class RoundRobinPolicy implements PlacementPolicy {
+  private final Fleet fleet;
+  private final Map<String, Integer> next = new HashMap<>();
+
+  public RoundRobinPolicy(Fleet fleet) {
+    this.fleet = fleet;
+  }
+
+  @Override
+  public Optional<Placement> place(PlacementRequest request, long nowMs) {
+    List<Target> targets = fleet.serving(request.kind());
+    int start = next.getOrDefault(request.kind(), 0);
+    Optional<Target> fallback = Optional.empty();
+    for (int i = 0; i < targets.size(); i++) {
+      Target target = targets.get((start + i) % targets.size());
+      if (Candidates.suits(target, request)) {
+        return Optional.of(Candidates.plain(target, request));
+      }
+      fallback = fallback.isEmpty() && target.eligible() ? Optional.of(target) : fallback;
+    }
+    return fallback.map(target -> Candidates.plain(target, request));
+  }
+
+  @Override
+  public void placed(Generation generation, long nowMs) {
+    String kind = generation.request().kind();
+    next.put(kind, fleet.serving(kind).indexOf(generation.target()) + 1);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/SurvivalCurve.java
@@ -0,0 +1,116 @@
+package dev.caroblb.placement;
+
+import java.util.Optional;
+
+/**
+ * Probability that an output is longer than a number of tokens, learned online. Each bucket counts
+ * how many generations reached it and how many ended in it, so that generations that still run or
+ * were cut off count for the part they produced. Old counts fade. Where own counts are few, the
+ * curve follows its prior.
+ */
+final class SurvivalCurve {
+  // Counts halve after about 700 generations, so that a new template shows within an hour.
+  private static final double GROWTH_PER_END = 1.001;
+  private static final double RESCALE_AT = 1e9;
+  // The prior weighs as much as this many generations in each bucket.
+  private static final double PRIOR_GENERATIONS = 8;
+
+  /** Cold start: of the generations that reach a bucket, one in eight ends in it. */
+  static final double COLD_HAZARD = 0.125;
+
+  private final Optional<SurvivalCurve> prior;
+  private final double[] reached = new double[LengthBuckets.COUNT];
+  private final double[] ended = new double[LengthBuckets.COUNT];
+  private final double[] hazard = new double[LengthBuckets.COUNT];
+  private final double[] survival = new double[LengthBuckets.COUNT + 1];
+  private final double[] tailTokens = new double[LengthBuckets.COUNT + 1];
+  private double unit = 1;
+  private double generations;
+
+  SurvivalCurve(Optional<SurvivalCurve> prior) {
+    this.prior = prior;
+    refresh();
+  }
+
+  /** Takes in that a generation grew from one length to another and goes on. */
+  void grew(int from, int to) {
+    int last = LengthBuckets.index(to);
+    for (int bucket = LengthBuckets.index(from); bucket < last; bucket++) {
+      reached[bucket] += unit;
+    }
+  }
+
+  /** Takes in that a generation ended at a length, all growth up to it taken in before. */
+  void ended(int tokens) {
+    int bucket = LengthBuckets.index(tokens);
+    reached[bucket] += unit;
+    ended[bucket] += unit;
+    generations++;
+    unit *= GROWTH_PER_END;
+    if (unit > RESCALE_AT) {
+      rescale();
+    }
+  }
+
+  private void rescale() {
+    for (int i = 0; i < LengthBuckets.COUNT; i++) {
+      reached[i] /= unit;
+      ended[i] /= unit;
+    }
+    unit = 1;
+  }
+
+  /** Recomputes the curve from the counts and the prior. */
+  void refresh() {
+    survival[0] = 1;
+    for (int i = 0; i < LengthBuckets.COUNT; i++) {
+      double priorHazard = prior.isPresent() ? prior.get().hazard[i] : COLD_HAZARD;
+      double reachedCount = reached[i] / unit;
+      hazard[i] =
+          (ended[i] / unit + PRIOR_GENERATIONS * priorHazard) / (reachedCount + PRIOR_GENERATIONS);
+      survival[i + 1] = survival[i] * (1 - hazard[i]);
+    }
+    tailTokens[LengthBuckets.COUNT] = 0;
+    for (int i = LengthBuckets.COUNT - 1; i >= 0; i--) {
+      int width = LengthBuckets.lower(i + 1) - LengthBuckets.lower(i);
+      tailTokens[i] = tailTokens[i + 1] + width * (survival[i] + survival[i + 1]) / 2;
+    }
+  }
+
+  /** Probability that an output is longer than {@code tokens}. */
+  double survival(int tokens) {
+    int bucket = LengthBuckets.index(tokens);
+    return survival[bucket] + fraction(tokens, bucket) * (survival[bucket + 1] - survival[bucket]);
+  }
+
+  /** Expected tokens still to come after {@code produced} tokens. */
+  double expectedRemaining(int produced) {
+    double now = survival(produced);
+    return now <= 0 ? 0 : tail(produced) / now;
+  }
+
+  /**
+   * Probability that a generation of unknown progress, found running at a random moment, gets
+   * {@code more} tokens.
+   */
+  double residual(int more) {
+    return tailTokens[0] <= 0 ? 0 : tail(more) / tailTokens[0];
+  }
+
+  private double tail(int tokens) {
+    int bucket = LengthBuckets.index(tokens);
+    double part = fraction(tokens, bucket);
+    return tailTokens[bucket] + part * (tailTokens[bucket + 1] - tailTokens[bucket]);
+  }
+
+  private static double fraction(int tokens, int bucket) {
+    int lower = LengthBuckets.lower(bucket);
+    int width = LengthBuckets.lower(bucket + 1) - lower;
+    return Math.min(1.0, (tokens - lower) / (double) width);
+  }
+
+  /** Number of generations that ended. */
+  double generations() {
+    return generations;
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/Target.java
@@ -0,0 +1,134 @@
+package dev.caroblb.placement;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** State of one incarnation of a target as this instance knows it. Owned by a {@link Fleet}. */
+public final class Target {
+  // Reports are at most this old when they are used to tell own load from that of other instances.
+  private static final long ENDED_KEPT_MS = 5_000;
+
+  private record Ended(long placedAtMs, long endedAtMs, int blocks) {}
+
+  final Forecast forecast = new Forecast();
+  final TargetHealth health = new TargetHealth();
+  final PrefixDirectory prefixes = new PrefixDirectory();
+  private final long firstSeenMs;
+  private final List<Generation> running = new ArrayList<>();
+  private final ArrayDeque<Ended> ended = new ArrayDeque<>();
+  private TargetView view;
+  private Optional<LoadReport> load = Optional.empty();
+  private long loadAtMs;
+  private int placedSinceReport;
+  private int othersRunning;
+  private int othersBlocks;
+
+  Target(TargetView view, long nowMs) {
+    this.view = view;
+    this.firstSeenMs = nowMs;
+    this.loadAtMs = nowMs;
+  }
+
+  void update(TargetView newView, long nowMs) {
+    view = newView;
+    newView.load().filter(report -> !report.contradictory()).ifPresent(r -> takeLoad(r, nowMs));
+  }
+
+  private void takeLoad(LoadReport report, long nowMs) {
+    load = Optional.of(report);
+    loadAtMs = nowMs - report.ageMs();
+    while (!ended.isEmpty() && ended.peekFirst().endedAtMs < nowMs - ENDED_KEPT_MS) {
+      ended.removeFirst();
+    }
+    int ownRunning = 0;
+    int ownBlocks = 0;
+    placedSinceReport = 0;
+    for (Generation generation : running) {
+      if (generation.placedAtMs() > loadAtMs) {
+        placedSinceReport++;
+        continue;
+      }
+      ownRunning++;
+      ownBlocks += generation.suspended() ? 0 : generation.blocks();
+    }
+    for (Ended past : ended) {
+      if (past.endedAtMs > loadAtMs && past.placedAtMs <= loadAtMs) {
+        ownRunning++;
+        ownBlocks += past.blocks;
+      }
+    }
+    othersRunning = Math.max(0, report.running() + report.waiting() - ownRunning);
+    othersBlocks = othersRunning == 0 ? 0 : Math.max(0, report.usedBlocks() - ownBlocks);
+  }
+
+  void add(Generation generation) {
+    running.add(generation);
+    placedSinceReport++;
+  }
+
+  void remove(Generation generation, long nowMs) {
+    running.remove(generation);
+    ended.addLast(new Ended(generation.placedAtMs(), nowMs, generation.blocks()));
+  }
+
+  public TargetId id() {
+    return view.target();
+  }
+
+  public TargetView view() {
+    return view;
+  }
+
+  public FailureDomain domain() {
+    return view.domain();
+  }
+
+  /** Whether new work may go there, regardless of its load. */
+  public boolean eligible() {
+    return view.state() == TargetState.AVAILABLE && !health.ejected();
+  }
+
+  /** Generations of this instance at the target. */
+  public List<Generation> running() {
+    return running;
+  }
+
+  /** Latest load report. */
+  public Optional<LoadReport> load() {
+    return load;
+  }
+
+  /** Time to which the latest load report refers. */
+  public long loadAtMs() {
+    return loadAtMs;
+  }
+
+  /** Calls that this instance placed there since the time of the latest report. */
+  public int placedSinceReport() {
+    return placedSinceReport;
+  }
+
+  /** Generations of other instances at the time of the latest report. */
+  public int othersRunning() {
+    return othersRunning;
+  }
+
+  /** Blocks of memory held for other instances at the time of the latest report. */
+  public int othersBlocks() {
+    return othersBlocks;
+  }
+
+  /** Time since this incarnation was first seen. */
+  public long knownForMs(long nowMs) {
+    return nowMs - firstSeenMs;
+  }
+
+  Placement placement(int enginePriority) {
+    return new Placement(
+        view.target(), view.incarnation(), view.domain(), view.address(), enginePriority);
+  }
+}
--- /dev/null
+++ b/placement/src/main/java/dev/caroblb/placement/TwoChoicesPolicy.java
@@ -0,0 +1,46 @@
+package dev.caroblb.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Baseline: of two targets taken at random, the one with fewer running and waiting calls. */
+public final class TwoChoicesPolicy implements PlacementPolicy {
+  private static final int DRAWS = 8;
+
+  private final Fleet fleet;
+  private final SplittableRandom random;
+
+  public TwoChoicesPolicy(Fleet fleet, long seed) {
+    this.fleet = fleet;
+    this.random = new SplittableRandom(seed);
+  }
+
+  @Override
+  public Optional<Placement> place(PlacementRequest request, long nowMs) {
+    List<Target> targets = fleet.serving(request.kind());
+    Optional<Target> first = draw(targets, request);
+    if (first.isEmpty()) {
+      return Candidates.lowest(targets, request, random, TwoChoicesPolicy::load)
+          .map(target -> Candidates.plain(target, request));
+    }
+    Target one = first.get();
+    Target other = draw(targets, request).orElse(one);
+    return Optional.of(Candidates.plain(load(other) < load(one) ? other : one, request));
+  }
+
+  private Optional<Target> draw(List<Target> targets, PlacementRequest request) {
+    for (int i = 0; i < DRAWS && !targets.isEmpty(); i++) {
+      Target target = targets.get(random.nextInt(targets.size()));
+      if (Candidates.suits(target, request)) {
+        return Optional.of(target);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static double load(Target target) {
+    int reported = target.load().map(report -> report.running() + report.waiting()).orElse(0);
+    return reported + target.placedSinceReport();
+  }
+}
--- /dev/null
+++ b/placement/src/test/java/dev/caroblb/placement/PlacementHandlerTest.java
@@ -0,0 +1,74 @@
+package dev.caroblb.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PlacementHandlerTest {
+  private final List<PlacementOutcome> outcomes = new ArrayList<>();
+  private boolean full;
+
+  private boolean accept(PlacementOutcome outcome) {
+    return !full && outcomes.add(outcome);
+  }
+
+  private PlacementHandler handler(PolicyKind kind) {
+    Fleet fleet = new Fleet();
+    return new PlacementHandler(fleet, kind.create(fleet, 3), this::accept);
+  }
+
+  /** Guards against a policy that leaves a call unanswered or answers it twice. */
+  @Property(seed = "11", tries = 100)
+  void everyCallIsAnsweredOnce(
+      @ForAll PolicyKind kind, @ForAll @IntRange(min = 0, max = 20) int targets) {
+    List<PlacementOutcome> answers = new ArrayList<>();
+    Fleet fleet = new Fleet();
+    PlacementHandler handler = new PlacementHandler(fleet, kind.create(fleet, 5), answers::add);
+    for (int i = 0; i < targets; i++) {
+      handler.handle(new PlacementMessage.TargetSeen(Views.available(i, 2, 100)), 0);
+    }
+    answers.clear();
+    for (int call = 0; call < 30; call++) {
+      handler.handle(new PlacementMessage.PlaceCall(Views.request(call, 50, call % 3)), call);
+    }
+    assertEquals(30, answers.size());
+  }
+
+  @Nested
+  class WhenTheOutletIsFull {
+    /** Guards against an answer that is lost when the next ring has no room. */
+    @Test
+    void offersAgainAtTheNextTick() {
+      PlacementHandler handler = handler(PolicyKind.LEAST_OUTSTANDING);
+      handler.handle(new PlacementMessage.TargetSeen(Views.available(1, 0, 0)), 0);
+      outcomes.clear();
+      full = true;
+      handler.handle(new PlacementMessage.PlaceCall(Views.request(1, 50, 0)), 0);
+      assertTrue(outcomes.isEmpty());
+      full = false;
+      handler.tick(250);
+      assertEquals(1, outcomes.size());
+    }
+  }
+
+  @Nested
+  class WhenNoTargetServesTheKind {
+    /** Guards against a wait for targets that do not exist, unknown to the caller. */
+    @Test
+    void saysSo() {
+      for (PolicyKind kind : EnumSet.allOf(PolicyKind.class)) {
+        outcomes.clear();
+        handler(kind).handle(new PlacementMessage.PlaceCall(Views.request(1, 50, 0)), 0);
+        assertEquals(List.of(new PlacementOutcome.NoCapacity(1, false, 1_000)), outcomes);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/placement/src/test/java/dev/caroblb/placement/PredictivePolicyTest.java
@@ -0,0 +1,114 @@
+package dev.caroblb.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.TargetId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PredictivePolicyTest {
+  private final Fleet fleet = new Fleet();
+  private final List<PlacementOutcome> outcomes = new ArrayList<>();
+  private final PlacementHandler handler =
+      new PlacementHandler(
+          fleet, new PredictivePolicy(fleet, PredictiveSettings.defaults(), 1), outcomes::add);
+
+  private void see(TargetView view, long nowMs) {
+    handler.handle(new PlacementMessage.TargetSeen(view), nowMs);
+  }
+
+  private Optional<TargetId> place(PlacementRequest request, long nowMs) {
+    outcomes.clear();
+    handler.handle(new PlacementMessage.PlaceCall(request), nowMs);
+    return outcomes.get(0) instanceof PlacementOutcome.Placed placed
+        ? Optional.of(placed.placement().target())
+        : Optional.empty();
+  }
+
+  @Nested
+  class WhenMemoryIsNearlyFull {
+    /** Guards against a call sent where it will be preempted. */
+    @Test
+    void theCallWaits() {
+      see(Views.available(1, 16, 950), 0);
+      assertEquals(Optional.empty(), place(Views.request(1, 400, 0), 0));
+    }
+
+    /** Guards against a call that waits for ever because its own need exceeds the limit. */
+    @Test
+    void anIdleTargetTakesAnyCall() {
+      see(Views.available(1, 0, 0), 0);
+      assertTrue(place(Views.request(1, 15_000, 0), 0).isPresent());
+    }
+
+    /** Guards against a cached prefix that outweighs the risk of full memory. */
+    @Test
+    void aHotPrefixGoesElsewhere() {
+      see(Views.available(1, 14, 850), 0);
+      see(Views.available(2, 4, 200), 0);
+      TargetId full = new TargetId("engine-1");
+      handler.handle(new PlacementMessage.CacheSeen(new CacheEvent(full, 1, 1, 9, true)), 0);
+      assertEquals(Optional.of(new TargetId("engine-2")), place(Views.request(1, 400, 9), 0));
+    }
+  }
+
+  @Nested
+  class WhenTargetsAreAlike {
+    /** Guards against instances that all choose the same target between two reports. */
+    @Test
+    void spreads() {
+      for (int i = 0; i < 12; i++) {
+        see(Views.available(i, 3, 100), 0);
+      }
+      Set<TargetId> chosen = new HashSet<>();
+      for (int i = 0; i < 12; i++) {
+        chosen.add(place(Views.request(i, 100, 0), 0).orElseThrow());
+      }
+      assertTrue(chosen.size() >= 10, "chose only " + chosen);
+    }
+
+    /** Guards against a prefix that saves time and is not used. */
+    @Test
+    void prefersTheCachedPrefix() {
+      for (int i = 0; i < 12; i++) {
+        see(Views.available(i, 3, 100), 0);
+      }
+      TargetId holder = new TargetId("engine-5");
+      handler.handle(new PlacementMessage.CacheSeen(new CacheEvent(holder, 1, 1, 9, true)), 0);
+      assertEquals(Optional.of(holder), place(Views.request(1, 800, 9), 0));
+    }
+  }
+
+  @Nested
+  class WhenATargetLeaves {
+    /** Guards against new work for a leaving target. */
+    @Test
+    void getsNoCall() {
+      see(Views.available(1, 0, 0), 0);
+      see(Views.view(1, 1, TargetState.LEAVING, null), 10);
+      assertEquals(Optional.empty(), place(Views.request(1, 100, 0), 20));
+    }
+  }
+
+  @Nested
+  class WhenReportsStop {
+    /** Guards against trust in an old report that showed room. */
+    @Test
+    void riskGrowsWithTheAgeOfTheReport() {
+      see(Views.available(1, 3, 200), 0);
+      Target target = fleet.serving(Views.KIND).get(0);
+      Forecast call = new Forecast();
+      call.clear();
+      handler.tick(0);
+      double fresh = target.forecast.risk(1_000, call);
+      handler.tick(20_000);
+      assertTrue(target.forecast.risk(1_000, call) > fresh);
+    }
+  }
+}
--- /dev/null
+++ b/placement/src/test/java/dev/caroblb/placement/SurvivalCurveTest.java
@@ -0,0 +1,96 @@
+package dev.caroblb.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SurvivalCurveTest {
+  private static void learn(SurvivalCurve curve, int tokens, int times) {
+    for (int i = 0; i < times; i++) {
+      curve.grew(0, tokens);
+      curve.ended(tokens);
+    }
+    curve.refresh();
+  }
+
+  /** Guards against lengths that fall outside the bucket they are counted in. */
+  @Property(seed = "7")
+  void bucketHoldsItsLengths(@ForAll @IntRange(min = 0, max = 131_071) int tokens) {
+    int bucket = LengthBuckets.index(tokens);
+    assertTrue(LengthBuckets.lower(bucket) <= tokens);
+    assertTrue(bucket == LengthBuckets.COUNT - 1 || tokens < LengthBuckets.lower(bucket + 1));
+  }
+
+  /** Guards against a curve that rises, which would make a longer output more likely. */
+  @Property(seed = "7", tries = 200)
+  void neverRises(@ForAll @Size(min = 1, max = 50) int[] lengths) {
+    SurvivalCurve curve = new SurvivalCurve(Optional.empty());
+    for (int length : lengths) {
+      learn(curve, Math.abs(length % 60_000), 1);
+    }
+    for (int tokens = 0; tokens < 70_000; tokens += 97) {
+      assertTrue(curve.survival(tokens) >= curve.survival(tokens + 97));
+    }
+  }
+
+  @Nested
+  class WithoutObservations {
+    /** Guards against a cold start that takes outputs for short. */
+    @Test
+    void followsTheStatedAssumption() {
+      SurvivalCurve curve = new SurvivalCurve(Optional.empty());
+      double expected = Math.pow(1 - SurvivalCurve.COLD_HAZARD, LengthBuckets.index(256));
+      assertEquals(expected, curve.survival(256), 1e-9);
+    }
+
+    /** Guards against a new workspace that ignores what other workspaces taught. */
+    @Test
+    void followsThePrior() {
+      SurvivalCurve prior = new SurvivalCurve(Optional.empty());
+      learn(prior, 1_000, 500);
+      SurvivalCurve curve = new SurvivalCurve(Optional.of(prior));
+      assertEquals(prior.survival(500), curve.survival(500), 1e-9);
+    }
+  }
+
+  @Nested
+  class WithObservations {
+    private final SurvivalCurve curve = new SurvivalCurve(Optional.empty());
+
+    /** Guards against remaining lengths that ignore the tokens produced so far. */
+    @Test
+    void expectsMoreAfterSurvivingTheShortOnes() {
+      learn(curve, 50, 500);
+      learn(curve, 4_000, 500);
+      assertTrue(curve.expectedRemaining(0) < 3_000);
+      assertTrue(curve.expectedRemaining(100) > 3_000);
+    }
+
+    /** Guards against a curve that keeps an old length for ever. */
+    @Test
+    void forgets() {
+      learn(curve, 4_000, 2_000);
+      learn(curve, 50, 3_000);
+      assertTrue(curve.survival(1_000) < 0.2, "survival " + curve.survival(1_000));
+    }
+
+    /** Guards against counting only finished outputs, which hides the long ones that still run. */
+    @Test
+    void countsRunningGenerations() {
+      learn(curve, 100, 50);
+      double before = curve.survival(1_000);
+      for (int i = 0; i < 50; i++) {
+        curve.grew(0, 2_000);
+      }
+      curve.refresh();
+      assertTrue(curve.survival(1_000) > before + 0.2);
+    }
+  }
+}
