Add the membership duty

Cause: entries need to know which instances and targets are alive, draining or leaving, and callers need addresses.

The age of a record travels as a duration. A record also carries an echo of the receiver's latest heartbeat, from which the receiver bounds the transit time on its own clock, so that a stalled link cannot revive a dead target.

Conclusion: the slice is ready to be wired.

--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/Announcement.java
@@ -0,0 +1,81 @@
+package dev.caroblb.membership;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import java.util.List;
+
+/**
+ * What a target says about itself.
+ *
+ * @param target name of the target
+ * @param incarnation identity of one run of the target; a later run has a larger one
+ * @param sequence number of the announcement within the incarnation
+ * @param kind engine or plain service
+ * @param domain failure domain of the target
+ * @param address where calls are sent, {@code host:port}
+ * @param serves models in the form of {@code ModelId.toString()}, or names of services
+ * @param leaving whether the target takes no new work; final within the incarnation
+ * @param load load at the time of the announcement
+ * @param cacheEvents cache events since the previous announcement
+ */
+public record Announcement(
+    TargetId target,
+    long incarnation,
+    long sequence,
+    TargetKind kind,
+    FailureDomain domain,
+    String address,
+    List<String> serves,
+    boolean leaving,
+    TargetLoad load,
+    List<CacheEvent> cacheEvents) {
+  public static final int MAX_ADDRESS_LENGTH = 255;
+  public static final int MAX_SERVES = 128;
+  public static final int MAX_SERVED_NAME_LENGTH = 192;
+
+  /** Bounds an announcement to a few KiB; further events count as lost ones. */
+  public static final int MAX_CACHE_EVENTS = 256;
+
+  public Announcement {
+    serves = List.copyOf(serves);
+    cacheEvents = List.copyOf(cacheEvents);
+    if (incarnation < 0 || sequence < 0) {
+      throw new IllegalArgumentException(
+          "incarnation and sequence of target " + target + " must not be negative");
+    }
+    if (address.isEmpty() || address.length() > MAX_ADDRESS_LENGTH) {
+      throw new IllegalArgumentException(
+          "address of target " + target + " must have 1 to " + MAX_ADDRESS_LENGTH + " characters");
+    }
+    if (serves.size() > MAX_SERVES || cacheEvents.size() > MAX_CACHE_EVENTS) {
+      throw new IllegalArgumentException(
+          "target "
+              + target
+              + " announces too much; send at most "
+              + MAX_SERVES
+              + " names and "
+              + MAX_CACHE_EVENTS
+              + " cache events");
+    }
+    for (String name : serves) {
+      if (name.isEmpty() || name.length() > MAX_SERVED_NAME_LENGTH) {
+        throw new IllegalArgumentException(
+            "target "
+                + target
+                + " serves a name that does not have 1 to "
+                + MAX_SERVED_NAME_LENGTH
+                + " characters");
+      }
+    }
+  }
+
+  /** The same announcement with the final state of its incarnation. */
+  Announcement asLeaving() {
+    return new Announcement(
+        target, incarnation, sequence, kind, domain, address, serves, true, load, cacheEvents);
+  }
+
+  TargetSummary summary() {
+    return new TargetSummary(target, incarnation, sequence, leaving);
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceState.java
@@ -0,0 +1,7 @@
+package dev.caroblb.membership;
+
+/** Whether an instance offers itself to new callers. */
+public enum InstanceState {
+  READY,
+  DRAINING
+}
--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/LocalDrain.java
@@ -0,0 +1,70 @@
+package dev.caroblb.membership;
+
+import dev.caroblb.core.Outlet;
+import java.util.Optional;
+
+/** Times of the planned stop of this instance. */
+final class LocalDrain {
+  /** Covers the way of the last answer that listed this instance. */
+  static final long KEEP_MARGIN_MS = 2_000;
+
+  static final long SHORTENED_LIMIT_MS = 10_000;
+
+  private final long limitMs;
+  private final Outlet<DrainStage> outlet;
+  private Optional<DrainStage> reported = Optional.empty();
+  private boolean requested;
+  private long refuseAtMs;
+  private long endAtMs;
+
+  LocalDrain(long limitMs, Outlet<DrainStage> outlet) {
+    this.limitMs = limitMs;
+    this.outlet = outlet;
+  }
+
+  /**
+   * Starts the drain; a later request shortens it. New calls are then refused at once, because one
+   * accepted now would more likely be cut off than finish.
+   */
+  void request(long nowMs) {
+    if (requested) {
+      endAtMs = Math.min(endAtMs, nowMs + SHORTENED_LIMIT_MS);
+      refuseAtMs = Math.min(refuseAtMs, nowMs);
+      return;
+    }
+    requested = true;
+    endAtMs = nowMs + limitMs;
+    refuseAtMs = Math.min(endAtMs, nowMs + InstanceView.KEEP_MS + KEEP_MARGIN_MS);
+  }
+
+  InstanceState state() {
+    return requested ? InstanceState.DRAINING : InstanceState.READY;
+  }
+
+  /** Reports every stage that was reached; one that finds no room is offered again. */
+  void report(long nowMs) {
+    for (DrainStage stage : DrainStage.values()) {
+      if (!reached(stage, nowMs)) {
+        return;
+      }
+      if (reported.isPresent() && reported.get().compareTo(stage) >= 0) {
+        continue;
+      }
+      if (!outlet.offer(stage)) {
+        return;
+      }
+      reported = Optional.of(stage);
+    }
+  }
+
+  private boolean reached(DrainStage stage, long nowMs) {
+    if (!requested) {
+      return false;
+    }
+    return switch (stage) {
+      case ANNOUNCED -> true;
+      case REFUSE_NEW_CALLS -> nowMs >= refuseAtMs;
+      case LIMIT_REACHED -> nowMs >= endAtMs;
+    };
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/TargetKind.java
@@ -0,0 +1,7 @@
+package dev.caroblb.membership;
+
+/** What a target serves. */
+public enum TargetKind {
+  ENGINE,
+  SERVICE
+}
--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
@@ -0,0 +1,99 @@
+package dev.caroblb.membership.codec;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.membership.AgedAnnouncement;
+import dev.caroblb.membership.Announcement;
+import dev.caroblb.membership.CacheEvent;
+import dev.caroblb.membership.TargetKind;
+import dev.caroblb.membership.TargetLoad;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+
+/** Encoding of one announcement with its age. */
+final class AnnouncementFormat {
+  static final int MAX_NAME_BYTES = 63;
+
+  private static final int MAX_TEXT_BYTES = 4 * Announcement.MAX_ADDRESS_LENGTH;
+
+  /** Position is the code; later versions append only. */
+  private static final List<TargetKind> KINDS = List.of(TargetKind.ENGINE, TargetKind.SERVICE);
+
+  /** Position is the code; later versions append only. */
+  private static final List<CacheEvent.Change> CHANGES =
+      List.of(CacheEvent.Change.STORED, CacheEvent.Change.EVICTED, CacheEvent.Change.CLEARED);
+
+  private static final int FIELDS = 11;
+  private static final int LOAD_FIELDS = 6;
+  private static final int EVENT_FIELDS = 3;
+
+  private AnnouncementFormat() {}
+
+  static void write(MessagePacker out, AgedAnnouncement aged) throws IOException {
+    Announcement announcement = aged.announcement();
+    out.packArrayHeader(FIELDS);
+    out.packLong(aged.ageMs());
+    out.packString(announcement.target().name());
+    out.packLong(announcement.incarnation());
+    out.packLong(announcement.sequence());
+    out.packInt(KINDS.indexOf(announcement.kind()));
+    out.packString(announcement.domain().name());
+    out.packString(announcement.address());
+    out.packArrayHeader(announcement.serves().size());
+    for (String name : announcement.serves()) {
+      out.packString(name);
+    }
+    out.packBoolean(announcement.leaving());
+    writeLoad(out, announcement.load());
+    out.packArrayHeader(announcement.cacheEvents().size());
+    for (CacheEvent event : announcement.cacheEvents()) {
+      out.packArrayHeader(EVENT_FIELDS);
+      out.packLong(event.sequence());
+      out.packInt(CHANGES.indexOf(event.change()));
+      out.packLong(event.prefix());
+    }
+  }
+
+  private static void writeLoad(MessagePacker out, TargetLoad load) throws IOException {
+    out.packArrayHeader(LOAD_FIELDS);
+    out.packLong(load.running());
+    out.packLong(load.waiting());
+    out.packLong(load.usedBlocks());
+    out.packLong(load.totalBlocks());
+    out.packLong(load.preemptions());
+    out.packLong(load.reportedAtMs());
+  }
+
+  static AgedAnnouncement read(BoundedReader in) throws IOException {
+    return in.structure(FIELDS, () -> fields(in));
+  }
+
+  private static AgedAnnouncement fields(BoundedReader in) throws IOException {
+    long ageMs = in.number();
+    Announcement announcement =
+        new Announcement(
+            new TargetId(in.text(MAX_NAME_BYTES)),
+            in.number(),
+            in.number(),
+            in.constant(KINDS),
+            new FailureDomain(in.text(MAX_NAME_BYTES)),
+            in.text(MAX_TEXT_BYTES),
+            in.list(Announcement.MAX_SERVES, () -> in.text(MAX_TEXT_BYTES)),
+            in.flag(),
+            in.structure(LOAD_FIELDS, () -> load(in)),
+            in.list(
+                Announcement.MAX_CACHE_EVENTS,
+                () -> in.structure(EVENT_FIELDS, () -> cacheEvent(in))));
+    return new AgedAnnouncement(announcement, ageMs);
+  }
+
+  private static TargetLoad load(BoundedReader in) throws IOException {
+    return new TargetLoad(
+        in.number(), in.number(), in.number(), in.number(), in.number(), in.number());
+  }
+
+  private static CacheEvent cacheEvent(BoundedReader in) throws IOException {
+    return new CacheEvent(in.number(), in.constant(CHANGES), in.number());
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -0,0 +1,181 @@
+package dev.caroblb.membership.codec;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.MessageCodec;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.membership.AgedAnnouncement;
+import dev.caroblb.membership.Announcement;
+import dev.caroblb.membership.Echo;
+import dev.caroblb.membership.InstanceState;
+import dev.caroblb.membership.PeerMessage;
+import dev.caroblb.membership.TargetSummary;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
+public final class MembershipCodec implements MessageCodec<PeerMessage> {
+  /** Position is the code; later versions append only. */
+  private static final List<InstanceState> STATES =
+      List.of(InstanceState.READY, InstanceState.DRAINING);
+
+  private static final int TYPE_HEARTBEAT = 1;
+  private static final int TYPE_RECORDS = 2;
+  private static final int TYPE_DIGEST = 3;
+  private static final int TYPE_REQUEST = 4;
+
+  private static final int HEARTBEAT_FIELDS = 7;
+  private static final int RECORDS_FIELDS = 2;
+  private static final int SUMMARIES_FIELDS = 1;
+  private static final int SUMMARY_FIELDS = 4;
+  private static final int ECHO_FIELDS = 3;
+
+  /** Above the number of targets that a table holds. */
+  private static final int MAX_SUMMARIES = 32_768;
+
+  private static final int MAX_RECORDS = 256;
+
+  @Override
+  public Payload encode(PeerMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      write(out, message);
+      return Payload.copyOf(out.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("packing into memory failed", e);
+    }
+  }
+
+  private static void write(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      writeHeartbeat(out, heartbeat);
+    } else if (message instanceof PeerMessage.Records records) {
+      writeRecords(out, records);
+    } else if (message instanceof PeerMessage.Digest digest) {
+      writeSummaries(out, TYPE_DIGEST, digest.targets());
+    } else if (message instanceof PeerMessage.Request request) {
+      writeSummaries(out, TYPE_REQUEST, request.known());
+    }
+  }
+
+  private static void writeHeartbeat(MessagePacker out, PeerMessage.Heartbeat heartbeat)
+      throws IOException {
+    out.packArrayHeader(1 + HEARTBEAT_FIELDS);
+    out.packInt(TYPE_HEARTBEAT);
+    out.packLong(heartbeat.incarnation());
+    out.packLong(heartbeat.sequence());
+    out.packInt(STATES.indexOf(heartbeat.state()));
+    out.packLong(heartbeat.configuration());
+    out.packString(heartbeat.domain().name());
+    out.packString(heartbeat.address());
+    out.packLong(heartbeat.sentAtMs());
+  }
+
+  private static void writeRecords(MessagePacker out, PeerMessage.Records records)
+      throws IOException {
+    out.packArrayHeader(1 + RECORDS_FIELDS);
+    out.packInt(TYPE_RECORDS);
+    out.packArrayHeader(records.echo().isPresent() ? 1 : 0);
+    if (records.echo().isPresent()) {
+      Echo echo = records.echo().get();
+      out.packArrayHeader(ECHO_FIELDS);
+      out.packLong(echo.incarnation());
+      out.packLong(echo.sentAtMs());
+      out.packLong(echo.heldMs());
+    }
+    out.packArrayHeader(records.records().size());
+    for (AgedAnnouncement aged : records.records()) {
+      AnnouncementFormat.write(out, aged);
+    }
+  }
+
+  private static void writeSummaries(MessagePacker out, int type, List<TargetSummary> summaries)
+      throws IOException {
+    out.packArrayHeader(1 + SUMMARIES_FIELDS);
+    out.packInt(type);
+    out.packArrayHeader(summaries.size());
+    for (TargetSummary summary : summaries) {
+      out.packArrayHeader(SUMMARY_FIELDS);
+      out.packString(summary.target().name());
+      out.packLong(summary.incarnation());
+      out.packLong(summary.sequence());
+      out.packBoolean(summary.leaving());
+    }
+  }
+
+  @Override
+  public Optional<PeerMessage> decode(Payload bytes) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes.toBytes())) {
+      int present = unpacker.unpackArrayHeader();
+      BoundedReader in = new BoundedReader(unpacker);
+      int type = (int) in.number();
+      int fields = fieldCount(type);
+      if (fields == 0 || present < 1 + fields) {
+        return Optional.empty();
+      }
+      PeerMessage message = read(in, type);
+      unpacker.skipValue(present - 1 - fields);
+      return Optional.of(message);
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static int fieldCount(int type) {
+    return switch (type) {
+      case TYPE_HEARTBEAT -> HEARTBEAT_FIELDS;
+      case TYPE_RECORDS -> RECORDS_FIELDS;
+      case TYPE_DIGEST, TYPE_REQUEST -> SUMMARIES_FIELDS;
+      default -> 0;
+    };
+  }
+
+  private static PeerMessage read(BoundedReader in, int type) throws IOException {
+    return switch (type) {
+      case TYPE_HEARTBEAT -> heartbeat(in);
+      case TYPE_RECORDS -> records(in);
+      case TYPE_DIGEST -> new PeerMessage.Digest(summaries(in));
+      default -> new PeerMessage.Request(summaries(in));
+    };
+  }
+
+  private static PeerMessage heartbeat(BoundedReader in) throws IOException {
+    return new PeerMessage.Heartbeat(
+        in.number(),
+        in.number(),
+        in.constant(STATES),
+        in.number(),
+        new FailureDomain(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
+        in.text(Announcement.MAX_ADDRESS_LENGTH),
+        in.number());
+  }
+
+  private static PeerMessage records(BoundedReader in) throws IOException {
+    List<Echo> echo =
+        in.list(
+            1,
+            () -> in.structure(ECHO_FIELDS, () -> new Echo(in.number(), in.number(), in.number())));
+    List<AgedAnnouncement> records = in.list(MAX_RECORDS, () -> AnnouncementFormat.read(in));
+    return new PeerMessage.Records(echo.stream().findFirst(), records);
+  }
+
+  private static List<TargetSummary> summaries(BoundedReader in) throws IOException {
+    return in.list(
+        MAX_SUMMARIES,
+        () ->
+            in.structure(
+                SUMMARY_FIELDS,
+                () ->
+                    new TargetSummary(
+                        new TargetId(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
+                        in.number(),
+                        in.number(),
+                        in.flag())));
+  }
+}
--- /dev/null
+++ b/membership/src/test/java/dev/caroblb/membership/Announcements.java
@@ -0,0 +1,34 @@
+package dev.caroblb.membership;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import java.util.List;
+
+/** Builds announcements of an engine. */
+final class Announcements {
+  static final TargetId ENGINE = new TargetId("engine-1");
+
+  private Announcements() {}
+
+  static Announcement of(TargetId target, long incarnation, long sequence, boolean leaving) {
+    return new Announcement(
+        target,
+        incarnation,
+        sequence,
+        TargetKind.ENGINE,
+        new FailureDomain("d1"),
+        "127.0.0.1:9000",
+        List.of("reader"),
+        leaving,
+        new TargetLoad(3, 1, 400, 1_000, 2, 123_456),
+        List.of(new CacheEvent(7, CacheEvent.Change.STORED, -5)));
+  }
+
+  static Announcement alive(long incarnation, long sequence) {
+    return of(ENGINE, incarnation, sequence, false);
+  }
+
+  static Announcement leaving(long incarnation, long sequence) {
+    return of(ENGINE, incarnation, sequence, true);
+  }
+}
--- /dev/null
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -0,0 +1,208 @@
+package dev.caroblb.membership;
+
+import static dev.caroblb.membership.Announcements.ENGINE;
+import static dev.caroblb.membership.Announcements.alive;
+import static dev.caroblb.membership.Announcements.leaving;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class MembershipHandlerTest {
+  private final Cluster cluster = new Cluster(3, 1);
+  private final Node first = cluster.nodes.get(0);
+  private final Node second = cluster.nodes.get(1);
+
+  @BeforeEach
+  void exchangeHeartbeats() {
+    cluster.advance(1_200);
+  }
+
+  private void announce(Node entry, Announcement announcement) {
+    entry.announce(announcement, cluster.nowMs);
+    cluster.collect();
+  }
+
+  private List<String> entriesOf(Node node) {
+    return node.view.entries().stream().map(entry -> entry.id().name()).toList();
+  }
+
+  @Nested
+  class AnnouncementAtOneEntry {
+    /** Guards against a target that only the entry it announced itself to gives work to. */
+    @Test
+    void reachesEveryInstance() {
+      announce(first, alive(1, 1));
+      cluster.advance(50);
+      for (Node node : cluster.nodes) {
+        assertEquals(Map.of(ENGINE, 1L), node.available);
+      }
+    }
+
+    /** Guards against load reports that never reach placement. */
+    @Test
+    void reportsLoadOfLaterOnes() {
+      announce(first, alive(1, 1));
+      announce(first, alive(1, 2));
+      assertTrue(first.changes.get(1) instanceof TargetChange.Reported);
+    }
+  }
+
+  @Nested
+  class LateHeartbeatAfterLeave {
+    /** Guards against new work for a leaving target after a delayed announcement. */
+    @Test
+    void doesNotBringTheTargetBack() {
+      announce(first, alive(1, 1));
+      announce(first, leaving(1, 3));
+      announce(first, alive(1, 2));
+      announce(first, alive(1, 4));
+      cluster.advance(50);
+      assertEquals(Map.of(), first.available);
+      assertEquals(Map.of(), second.available);
+    }
+  }
+
+  @Nested
+  class LostLeaveNotice {
+    /** Guards against a lost notice that only the expiry repairs. */
+    @Test
+    void digestRepairsItWithinASecond() {
+      announce(first, alive(1, 1));
+      cluster.advance(50);
+      cluster.allLinks(Cluster.Link.DROPS);
+      announce(first, leaving(1, 2));
+      cluster.allLinks(Cluster.Link.GOOD);
+      cluster.advance(1_100);
+      assertEquals(Map.of(), second.available);
+      assertTrue(second.changes.get(1) instanceof TargetChange.Leaving);
+    }
+  }
+
+  @Nested
+  class RestartUnderTheSameAddress {
+    /** Guards against generations of the old run that are taken for living ones. */
+    @Test
+    void replacesTheOldIncarnation() {
+      announce(first, alive(1, 9));
+      announce(first, alive(2, 1));
+      announce(first, alive(1, 10));
+      assertEquals(Map.of(ENGINE, 2L), first.available);
+      TargetChange.Restarted restarted = (TargetChange.Restarted) first.changes.get(1);
+      assertEquals(1, restarted.previousIncarnation());
+      assertEquals(2, first.changes.size());
+    }
+  }
+
+  @Nested
+  class EntryCutOff {
+    /** Guards against an isolated entry that goes on with what it knew. */
+    @Test
+    void givesNoNewWorkButStillNamesTheOthers() {
+      announce(first, alive(1, 1));
+      cluster.advance(50);
+      cluster.allLinks(Cluster.Link.DROPS);
+      cluster.advance(3_700);
+      assertEquals(Map.of(), second.available);
+      assertEquals(List.of("i1", "i0", "i2"), entriesOf(second));
+    }
+
+    /** Guards against callers that are sent to a dead entry although others are alive. */
+    @Test
+    void isNotNamedByTheOthers() {
+      for (int other = 0; other < 3; other++) {
+        cluster.link(1, other, Cluster.Link.DROPS);
+      }
+      cluster.advance(3_200);
+      assertEquals(List.of("i0", "i2"), entriesOf(first));
+    }
+  }
+
+  @Nested
+  class ReclaimedTarget {
+    /** Guards against a stalled link whose late messages look like signs of life. */
+    @Test
+    void lateForwardedRecordDoesNotReviveIt() {
+      cluster.link(0, 1, Cluster.Link.STALLS);
+      announce(first, alive(1, 1));
+      cluster.advance(5_000);
+      cluster.link(0, 1, Cluster.Link.GOOD);
+      cluster.advance(2_500, () -> assertEquals(Map.of(), second.available));
+    }
+
+    /** Guards against a repaired record that starts its age at zero. */
+    @Test
+    void repairedRecordKeepsItsAge() {
+      cluster.link(0, 1, Cluster.Link.DROPS);
+      cluster.link(2, 1, Cluster.Link.DROPS);
+      announce(first, alive(1, 1));
+      cluster.advance(2_500);
+      cluster.link(0, 1, Cluster.Link.GOOD);
+      cluster.link(2, 1, Cluster.Link.GOOD);
+      cluster.advance(1_300);
+      assertEquals(Map.of(), second.available);
+    }
+
+    /** Guards against a resent copy of the last announcement that counts as a new one. */
+    @Test
+    void repeatedAnnouncementDoesNotKeepItAlive() {
+      announce(first, alive(1, 1));
+      cluster.advance(3_000);
+      announce(first, alive(1, 1));
+      cluster.advance(700);
+      assertEquals(Map.of(), first.available);
+    }
+  }
+
+  @Nested
+  class PlannedStop {
+    /** Guards against new callers that are sent to a stopping entry, or turned away too early. */
+    @Test
+    void leavesTheViewAtOnceAndRefusesAfterTheAddressesExpired() {
+      first.handle(new MembershipMessage.StopRequested(), cluster.nowMs);
+      cluster.collect();
+      assertEquals(List.of(DrainStage.ANNOUNCED), first.stages);
+      cluster.advance(50);
+      assertEquals(List.of("i1", "i2"), entriesOf(second));
+      cluster.advance(6_900);
+      assertEquals(1, first.stages.size());
+      cluster.advance(200);
+      assertEquals(List.of(DrainStage.ANNOUNCED, DrainStage.REFUSE_NEW_CALLS), first.stages);
+      cluster.advance(52_900);
+      assertEquals(DrainStage.LIMIT_REACHED, first.stages.get(2));
+    }
+
+    /** Guards against an operator who cannot shorten the drain, and a lost report. */
+    @Test
+    void secondRequestShortensItEvenWhenOutletsAreFull() {
+      first.outletsFull = true;
+      first.handle(new MembershipMessage.StopRequested(), cluster.nowMs);
+      first.handle(new MembershipMessage.StopRequested(), cluster.nowMs);
+      first.outletsFull = false;
+      cluster.advance(9_900);
+      assertEquals(List.of(DrainStage.ANNOUNCED, DrainStage.REFUSE_NEW_CALLS), first.stages);
+      cluster.advance(300);
+      assertEquals(DrainStage.LIMIT_REACHED, first.stages.get(2));
+    }
+  }
+
+  @Nested
+  class FullPlacementRing {
+    /** Guards against a leaving target that placement goes on using after a refused offer. */
+    @Test
+    void changeIsOfferedAgain() {
+      announce(first, alive(1, 1));
+      first.outletsFull = true;
+      announce(first, leaving(1, 2));
+      first.outletsFull = false;
+      assertFalse(first.available.isEmpty());
+      cluster.advance(200);
+      assertEquals(Map.of(), first.available);
+    }
+  }
+}
--- /dev/null
+++ b/membership/src/test/java/dev/caroblb/membership/Node.java
@@ -0,0 +1,90 @@
+package dev.caroblb.membership;
+
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.TargetId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** One handler with its own clock, and everything it emitted. */
+final class Node {
+  final InstanceId id;
+  final Deque<Addressed<PeerMessage>> sent = new ArrayDeque<>();
+  final List<TargetChange> changes = new ArrayList<>();
+  final List<DrainStage> stages = new ArrayList<>();
+
+  /** Incarnation of each target that placement would give work to. */
+  final Map<TargetId, Long> available = new HashMap<>();
+
+  InstanceView view = new InstanceView(List.of(), List.of());
+  boolean outletsFull;
+
+  private final MembershipHandler handler;
+  private final long offsetMs;
+  private final double rate;
+
+  Node(String name, Set<InstanceId> peers, long offsetMs, double rate) {
+    this.id = new InstanceId(name);
+    this.offsetMs = offsetMs;
+    this.rate = rate;
+    this.handler =
+        new MembershipHandler(
+            new LocalInstance(id, 1, new FailureDomain("d1"), name + ":80"),
+            peers,
+            60_000,
+            new AllTargets(),
+            new MembershipOutlets(sent::add, this::change, this::showView, this::stage));
+  }
+
+  private boolean change(TargetChange change) {
+    if (outletsFull) {
+      return false;
+    }
+    changes.add(change);
+    if (change instanceof TargetChange.Available a) {
+      available.put(change.target(), a.latest().announcement().incarnation());
+    } else if (change instanceof TargetChange.Restarted r) {
+      available.put(change.target(), r.latest().announcement().incarnation());
+    } else if (!(change instanceof TargetChange.Reported)) {
+      available.remove(change.target());
+    }
+    return true;
+  }
+
+  private boolean showView(InstanceView latest) {
+    view = latest;
+    return true;
+  }
+
+  private boolean stage(DrainStage stage) {
+    return !outletsFull && stages.add(stage);
+  }
+
+  private long local(long realMs) {
+    return offsetMs + (long) (realMs * rate);
+  }
+
+  void handle(MembershipMessage message, long realMs) {
+    handler.handle(message, local(realMs));
+  }
+
+  void from(InstanceId peer, PeerMessage message, long realMs) {
+    handle(new MembershipMessage.FromPeer(new Addressed<>(peer, message)), realMs);
+  }
+
+  void announce(Announcement announcement, long realMs) {
+    handle(new MembershipMessage.Announced(announcement), realMs);
+  }
+
+  void tickIfDue(long realMs) {
+    if (handler.nextTickMs() <= local(realMs)) {
+      handler.tick(local(realMs));
+    }
+  }
+}
