--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/AgreementOutlets.java
@@ -0,0 +1,13 @@
+package dev.caroblb.agreement;
+
+import dev.caroblb.agreement.journal.JournalMessage;
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.LeaderLease;
+import dev.caroblb.core.Outlet;
+
+/** Destinations of what the agreement duty emits. */
+public record AgreementOutlets(
+    Outlet<Addressed<PeerMessage>> peers,
+    Outlet<JournalMessage> journal,
+    Outlet<LeaderLease> leases,
+    Outlet<ReplicaFault> faults) {}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/Applier.java
@@ -0,0 +1,131 @@
+package dev.caroblb.agreement;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.ProposalOutcome;
+import dev.caroblb.core.StateMachine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Applies committed entries to the state machine, answers proposers and takes snapshots. */
+final class Applier {
+  private final ReplicatedLog log;
+  private final GroupJournal journal;
+  private final StateMachine machine;
+  private final Backlog<ProposalOutcome> replies;
+  private final NavigableMap<Long, Pending> pending = new TreeMap<>();
+  private long commitIndex;
+  private long pendingBytes;
+  private long bytesSinceSnapshot;
+
+  Applier(
+      ReplicatedLog log,
+      GroupJournal journal,
+      StateMachine machine,
+      Backlog<ProposalOutcome> replies) {
+    this.log = log;
+    this.journal = journal;
+    this.machine = machine;
+    this.replies = replies;
+    Snapshot snapshot = log.snapshot();
+    commitIndex = snapshot.lastIndex();
+    if (snapshot.lastIndex() > 0) {
+      machine.restore(snapshot.state());
+    }
+  }
+
+  /** Last entry known to be committed; it and all entries before it are applied. */
+  long commitIndex() {
+    return commitIndex;
+  }
+
+  /** Whether the limits on proposals that wait allow another one. */
+  boolean hasRoom(Payload command) {
+    return pending.size() < Timing.MAX_PENDING_PROPOSALS
+        && pendingBytes + command.size() <= Timing.MAX_PENDING_BYTES;
+  }
+
+  /** Remembers who waits for the entry of the given index. */
+  void await(long index, Payload command, Outlet<ProposalOutcome> reply) {
+    pending.put(index, new Pending(command.size(), reply));
+    pendingBytes += command.size();
+  }
+
+  /** Answers all proposers that wait; leadership ended before their commands were committed. */
+  void abandonProposals() {
+    for (Pending waiting : pending.values()) {
+      replies.send(waiting.reply(), new ProposalOutcome.Unknown());
+    }
+    pending.clear();
+    pendingBytes = 0;
+  }
+
+  void refuse(Outlet<ProposalOutcome> reply, Optional<InstanceId> leader) {
+    replies.send(reply, new ProposalOutcome.NotLeader(leader));
+  }
+
+  /** Applies entries up to the given index. */
+  void commitTo(long index) {
+    boolean membersChanged = false;
+    while (commitIndex < index) {
+      commitIndex++;
+      LogEntry entry = log.entry(commitIndex);
+      bytesSinceSnapshot += entry.payload().size();
+      membersChanged |= entry.kind() == EntryKind.MEMBERS;
+      if (entry.kind() == EntryKind.COMMAND) {
+        answer(commitIndex, machine.apply(entry.payload()));
+      }
+    }
+    if (membersChanged || snapshotDue()) {
+      takeSnapshot();
+    }
+  }
+
+  /** Replaces the state by a snapshot of another replica. */
+  void install(Snapshot snapshot) {
+    boolean keepLater = log.contains(snapshot.lastIndex(), snapshot.lastTerm());
+    machine.restore(snapshot.state());
+    commitIndex = snapshot.lastIndex();
+    bytesSinceSnapshot = 0;
+    if (!keepLater) {
+      log.reset(snapshot);
+      journal.saveSnapshot(snapshot, false);
+      return;
+    }
+    log.compact(snapshot);
+    journal.saveSnapshot(snapshot, true);
+  }
+
+  private boolean snapshotDue() {
+    return commitIndex - log.snapshot().lastIndex() >= Timing.SNAPSHOT_ENTRIES
+        || bytesSinceSnapshot >= Timing.SNAPSHOT_BYTES;
+  }
+
+  /**
+   * A committed member list is always put into a snapshot: only so a replica that restarts knows
+   * that it is committed, which the loss-proof rule of {@link Quorum} needs.
+   */
+  private void takeSnapshot() {
+    long term = log.termAt(commitIndex).orElseThrow();
+    List<Member> members = new ArrayList<>(log.members().at(commitIndex));
+    Snapshot snapshot = new Snapshot(commitIndex, term, members, machine.snapshot());
+    log.compact(snapshot);
+    journal.saveSnapshot(snapshot, true);
+    bytesSinceSnapshot = 0;
+  }
+
+  private void answer(long index, Payload result) {
+    Pending waiting = pending.remove(index);
+    if (waiting == null) {
+      return;
+    }
+    pendingBytes -= waiting.bytes();
+    replies.send(waiting.reply(), new ProposalOutcome.Applied(result));
+  }
+
+  private record Pending(int bytes, Outlet<ProposalOutcome> reply) {}
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/Ballot.java
@@ -0,0 +1,47 @@
+package dev.caroblb.agreement;
+
+import java.util.Optional;
+
+/** Current term and the vote given in it, both stored before they take effect outside. */
+final class Ballot {
+  private final GroupJournal journal;
+  private long term;
+  private Optional<Member> votedFor;
+
+  Ballot(RecoveredGroup recovered, GroupJournal journal) {
+    this.journal = journal;
+    this.term = recovered.term();
+    this.votedFor = recovered.votedFor();
+  }
+
+  long term() {
+    return term;
+  }
+
+  /** Enters a later term without a vote. */
+  void enter(long newTerm) {
+    term = newTerm;
+    votedFor = Optional.empty();
+    journal.saveVote(term, votedFor);
+  }
+
+  /** Enters the next term with a vote for this replica itself. */
+  void enterAsCandidate(Member self) {
+    term++;
+    votedFor = Optional.of(self);
+    journal.saveVote(term, votedFor);
+  }
+
+  /** Whether a vote for the candidate is possible in the current term. */
+  boolean free(Member candidate) {
+    return votedFor.isEmpty() || votedFor.get().equals(candidate);
+  }
+
+  void vote(Member candidate) {
+    if (votedFor.isPresent()) {
+      return;
+    }
+    votedFor = Optional.of(candidate);
+    journal.saveVote(term, votedFor);
+  }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/ConsensusGroup.java
@@ -0,0 +1,364 @@
+package dev.caroblb.agreement;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LeaderLease;
+import dev.caroblb.core.LogLine;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.ProposalOutcome;
+import java.util.Optional;
+import java.util.Set;
+
+/** One replica of one group: keeps its role and routes messages to the parts. */
+final class ConsensusGroup {
+  private static final System.Logger LOGGER = System.getLogger(ConsensusGroup.class.getName());
+
+  private final GroupContext context;
+  private final ReplicatedLog log;
+  private final GroupJournal journal;
+  private final Ballot ballot;
+  private final Applier applier;
+  private final FollowerLog followerLog;
+  private final LeaseKeeper lease;
+  private final SlotReports reports;
+  private final Formation formation;
+  private final Election election;
+  private final Voter voter;
+  private final Leadership leadership;
+  private final LeaseAnnouncer announcer;
+  private Role role = Role.FOLLOWER;
+  private Optional<InstanceId> leader = Optional.empty();
+  private long leaderSentMs;
+  private long nextProbeMs;
+
+  ConsensusGroup(GroupContext context, RecoveredGroup recovered, long nowMs) {
+    this.context = context;
+    log = new ReplicatedLog(recovered, context.memberCodec());
+    journal = new GroupJournal(context.group(), context.journal(), log.lastIndex());
+    ballot = new Ballot(recovered, journal);
+    applier = new Applier(log, journal, context.machine(), context.replies());
+    followerLog = new FollowerLog(log, journal, applier);
+    lease = new LeaseKeeper(nowMs);
+    reports = new SlotReports(context.group(), context.self(), context.peers(), context.random());
+    formation = new Formation(context, log, journal, reports);
+    election = new Election(context, log, nowMs);
+    voter = new Voter(context, log, journal, ballot);
+    leadership = new Leadership(context, log, journal, applier, reports, lease);
+    announcer = new LeaseAnnouncer(context.leases());
+    nextProbeMs = nowMs;
+  }
+
+  void propose(Payload command, Outlet<ProposalOutcome> reply) {
+    boolean tooLarge = command.size() > Timing.MAX_COMMAND_BYTES;
+    if (role != Role.LEADER || tooLarge || !applier.hasRoom(command)) {
+      applier.refuse(reply, leader);
+      return;
+    }
+    long index = leadership.append(EntryKind.COMMAND, command);
+    applier.await(index, command, reply);
+  }
+
+  void receive(InstanceId peer, PeerMessage message, long nowMs) {
+    if (message instanceof PeerMessage.AppendRequest request) {
+      receiveAppend(peer, request, nowMs);
+    } else if (message instanceof PeerMessage.AppendResponse response) {
+      receiveAppendResponse(peer, response, nowMs);
+    } else if (message instanceof PeerMessage.VoteRequest request) {
+      receiveVoteRequest(peer, request, nowMs);
+    } else if (message instanceof PeerMessage.VoteResponse response) {
+      receiveVoteResponse(peer, response, nowMs);
+    } else if (message instanceof PeerMessage.SnapshotChunk chunk) {
+      receiveChunk(peer, chunk, nowMs);
+    } else if (message instanceof PeerMessage.SnapshotProgress progress) {
+      receiveSnapshotProgress(peer, progress, nowMs);
+    } else if (message instanceof PeerMessage.Probe probe) {
+      context.peers().send(peer, report(probe));
+    } else if (message instanceof PeerMessage.Report report) {
+      reports.receive(peer, report);
+    } else if (message instanceof PeerMessage.Form form && formation.receive(peer, form)) {
+      election.reset(nowMs);
+    }
+    reports.follow(log.members().newest());
+  }
+
+  /** Takes note of what the journal has synced. */
+  void synced(long sequence, long nowMs) {
+    journal.synced(sequence);
+    if (!journal.voteSynced()) {
+      return;
+    }
+    voter.releaseGrant();
+    if (election.phase() == Election.Phase.SAVING_VOTE) {
+      election.enter(Election.Phase.VOTE);
+      election.grant(context.self());
+      election.requestVotes(ballot.term(), leadership.votingTargets());
+      countVotes(nowMs);
+    }
+    if (role == Role.LEADER) {
+      leadership.advance(nowMs);
+    } else if (leader.isPresent() && followerLog.owesAcknowledgement()) {
+      acknowledge(leader.get());
+    }
+  }
+
+  void tick(long nowMs) {
+    if (nowMs >= nextProbeMs) {
+      nextProbeMs = nowMs + Timing.PROBE_MS;
+      probe(nowMs);
+    }
+    if (role == Role.LEADER) {
+      tickLeader(nowMs);
+    } else if (election.due(nowMs)) {
+      campaign(nowMs);
+    }
+  }
+
+  /** Stores and sends the entries that were appended since the last call. */
+  void flush(long nowMs) {
+    if (role == Role.LEADER) {
+      leadership.flush(nowMs);
+    }
+  }
+
+  long nextTickMs() {
+    long due = role == Role.LEADER ? leadership.nextHeartbeatMs() : election.deadlineMs();
+    return Math.min(due, nextProbeMs);
+  }
+
+  GroupStatus status() {
+    return new GroupStatus(
+        context.group(),
+        role,
+        ballot.term(),
+        leader,
+        log.members().newest(),
+        log.lastIndex(),
+        applier.commitIndex(),
+        log.snapshot().lastIndex());
+  }
+
+  /** Gives up leadership for good, because the replica stops. */
+  void stop() {
+    role = Role.FOLLOWER;
+    leader = Optional.empty();
+    lease.end();
+    applier.abandonProposals();
+  }
+
+  /** Offers the lease if it changed; false if the outlet refuses it. */
+  boolean announce() {
+    boolean leads = role == Role.LEADER;
+    return announcer.announce(
+        new LeaderLease(
+            context.group(), ballot.term(), leader, leads, leads ? leadership.leaseUntilMs() : 0));
+  }
+
+  private void receiveAppend(InstanceId peer, PeerMessage.AppendRequest request, long nowMs) {
+    if (!follow(peer, request.term(), nowMs)) {
+      sendAppendResponse(peer, request.sentMs(), false, 0);
+      return;
+    }
+    leaderSentMs = request.sentMs();
+    Optional<Long> hint = followerLog.append(request);
+    if (!journal.voteSynced()) {
+      return;
+    }
+    if (hint.isPresent()) {
+      sendAppendResponse(peer, request.sentMs(), false, hint.get());
+    } else if (request.entries().isEmpty() || followerLog.owesAcknowledgement()) {
+      acknowledge(peer);
+    }
+  }
+
+  private void receiveChunk(InstanceId peer, PeerMessage.SnapshotChunk chunk, long nowMs) {
+    if (!follow(peer, chunk.term(), nowMs)) {
+      sendAppendResponse(peer, chunk.sentMs(), false, 0);
+      return;
+    }
+    leaderSentMs = chunk.sentMs();
+    long received = followerLog.receive(chunk);
+    if (!journal.voteSynced()) {
+      return;
+    }
+    context
+        .peers()
+        .send(
+            peer,
+            new PeerMessage.SnapshotProgress(
+                context.group(),
+                context.self().incarnation(),
+                ballot.term(),
+                chunk.sentMs(),
+                chunk.lastIndex(),
+                received));
+  }
+
+  /** Follows the sender as the leader of the term; false if the term has passed. */
+  private boolean follow(InstanceId peer, long term, long nowMs) {
+    if (term < ballot.term()) {
+      return false;
+    }
+    enterTerm(term, nowMs);
+    if (role == Role.LEADER) {
+      throw new IllegalStateException("two leaders in term " + term + ": here and " + peer);
+    }
+    role = Role.FOLLOWER;
+    leader = Optional.of(peer);
+    lease.heardFromLeader(nowMs);
+    election.reset(nowMs);
+    return true;
+  }
+
+  private void acknowledge(InstanceId peer) {
+    followerLog.acknowledged();
+    sendAppendResponse(peer, leaderSentMs, true, followerLog.matchIndex());
+  }
+
+  private void sendAppendResponse(InstanceId peer, long sentMs, boolean matched, long index) {
+    context
+        .peers()
+        .send(
+            peer,
+            new PeerMessage.AppendResponse(
+                context.group(),
+                context.self().incarnation(),
+                ballot.term(),
+                sentMs,
+                matched,
+                index));
+  }
+
+  private void receiveAppendResponse(
+      InstanceId peer, PeerMessage.AppendResponse response, long nowMs) {
+    if (leadsAnswerOf(response.term(), nowMs)) {
+      leadership.receive(new Member(peer, response.incarnation()), response, nowMs);
+    }
+  }
+
+  private void receiveSnapshotProgress(
+      InstanceId peer, PeerMessage.SnapshotProgress progress, long nowMs) {
+    if (leadsAnswerOf(progress.term(), nowMs)) {
+      leadership.receive(new Member(peer, progress.incarnation()), progress, nowMs);
+    }
+  }
+
+  private boolean leadsAnswerOf(long term, long nowMs) {
+    enterTerm(term, nowMs);
+    return role == Role.LEADER && term == ballot.term();
+  }
+
+  private void receiveVoteRequest(InstanceId peer, PeerMessage.VoteRequest request, long nowMs) {
+    boolean held = lease.holdsVotes(nowMs);
+    if (!held && !request.preVote()) {
+      enterTerm(request.term(), nowMs);
+    }
+    if (voter.answer(peer, request, held || role == Role.LEADER)) {
+      election.reset(nowMs);
+    }
+  }
+
+  private void receiveVoteResponse(InstanceId peer, PeerMessage.VoteResponse response, long nowMs) {
+    enterTerm(response.term(), nowMs);
+    if (election.counts(response, ballot.term())) {
+      election.grant(new Member(peer, response.incarnation()));
+      countVotes(nowMs);
+    }
+  }
+
+  /** Enters a later term as a follower; does nothing for the current or an earlier one. */
+  private void enterTerm(long term, long nowMs) {
+    if (term <= ballot.term()) {
+      return;
+    }
+    ballot.enter(term);
+    stepDown(nowMs);
+  }
+
+  private void stepDown(long nowMs) {
+    if (role == Role.LEADER) {
+      logRole("agreement.step_down");
+      leadership.save();
+    }
+    role = Role.FOLLOWER;
+    leader = Optional.empty();
+    lease.end();
+    election.reset(nowMs);
+    applier.abandonProposals();
+  }
+
+  private void campaign(long nowMs) {
+    election.reset(nowMs);
+    leader = Optional.empty();
+    role = Role.FOLLOWER;
+    boolean member =
+        log.members().newest().contains(context.self())
+            || quorum().previous().filter(list -> list.contains(context.self())).isPresent();
+    if (!member || lease.holdsVotes(nowMs)) {
+      return;
+    }
+    role = Role.CANDIDATE;
+    election.enter(Election.Phase.PRE_VOTE);
+    election.grant(context.self());
+    election.requestVotes(ballot.term() + 1, leadership.votingTargets());
+    countVotes(nowMs);
+  }
+
+  private void countVotes(long nowMs) {
+    if (!election.won(quorum())) {
+      return;
+    }
+    if (election.phase() == Election.Phase.PRE_VOTE) {
+      ballot.enterAsCandidate(context.self());
+      election.enter(Election.Phase.SAVING_VOTE);
+      return;
+    }
+    role = Role.LEADER;
+    leader = Optional.of(context.self().instance());
+    election.reset(nowMs);
+    logRole("agreement.lead");
+    leadership.start(ballot.term(), nowMs);
+  }
+
+  private void tickLeader(long nowMs) {
+    leadership.tick(nowMs);
+    if (leadership.lostContact(nowMs)) {
+      stepDown(nowMs);
+    }
+  }
+
+  private Quorum quorum() {
+    Set<Member> lost = leadership.lostMembers();
+    return log.members().quorum(applier.commitIndex(), lost);
+  }
+
+  /** Asks slots for their incarnation, unless a leader does so. */
+  private void probe(long nowMs) {
+    if (formation.tryForm()) {
+      reports.follow(log.members().newest());
+      election.reset(nowMs);
+    }
+    if (role != Role.LEADER && lease.holdsVotes(nowMs) && !log.isBlank()) {
+      return;
+    }
+    for (InstanceId slot : context.settings().otherSlots()) {
+      if (role != Role.LEADER || leadership.silent(slot, nowMs)) {
+        reports.probe(slot);
+      }
+    }
+  }
+
+  private PeerMessage report(PeerMessage.Probe probe) {
+    return new PeerMessage.Report(
+        context.group(), context.self().incarnation(), probe.nonce(), log.isBlank());
+  }
+
+  private void logRole(String event) {
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of(event)
+            .with("group", context.group())
+            .with("instance", context.self().instance())
+            .with("term", ballot.term())
+            .toString());
+  }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/ReplicatedLog.java
@@ -0,0 +1,143 @@
+package dev.caroblb.agreement;
+
+import dev.caroblb.core.MessageCodec;
+import dev.caroblb.core.Payload;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Log of one group in memory, with the latest snapshot and the member lists it contains. */
+final class ReplicatedLog {
+  private static final Snapshot NO_SNAPSHOT = new Snapshot(0, 0, List.of(), Payload.empty());
+
+  private final MessageCodec<List<Member>> memberCodec;
+  private final MemberHistory members = new MemberHistory();
+  private final List<LogEntry> entries = new ArrayList<>();
+  private Snapshot snapshot = NO_SNAPSHOT;
+  private long baseIndex;
+  private long baseTerm;
+
+  ReplicatedLog(RecoveredGroup recovered, MessageCodec<List<Member>> memberCodec) {
+    this.memberCodec = memberCodec;
+    reset(recovered.snapshot().orElse(NO_SNAPSHOT));
+    for (LogEntry entry : recovered.entries()) {
+      if (entry.index() > lastIndex()) {
+        append(entry);
+      }
+    }
+  }
+
+  MemberHistory members() {
+    return members;
+  }
+
+  Snapshot snapshot() {
+    return snapshot;
+  }
+
+  /** Whether no entry was ever stored. */
+  boolean isBlank() {
+    return lastIndex() == 0;
+  }
+
+  long lastIndex() {
+    return baseIndex + entries.size();
+  }
+
+  long lastTerm() {
+    return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+  }
+
+  /** Index of the first entry that {@link #entry(long)} can return. */
+  long firstIndex() {
+    return baseIndex + 1;
+  }
+
+  /** Term of an entry, or of the one before the first; empty when the log does not know it. */
+  OptionalLong termAt(long index) {
+    if (index == baseIndex) {
+      return OptionalLong.of(baseTerm);
+    }
+    if (index < baseIndex || index > lastIndex()) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(entry(index).term());
+  }
+
+  /** Whether the log holds an entry of the given index and term. */
+  boolean contains(long index, long term) {
+    OptionalLong known = termAt(index);
+    return known.isPresent() && known.getAsLong() == term;
+  }
+
+  LogEntry entry(long index) {
+    return entries.get((int) (index - baseIndex - 1));
+  }
+
+  void append(LogEntry entry) {
+    if (entry.index() != lastIndex() + 1) {
+      throw new IllegalStateException(
+          "entry " + entry.index() + " does not follow entry " + lastIndex());
+    }
+    entries.add(entry);
+    if (entry.kind() == EntryKind.MEMBERS) {
+      members.add(entry.index(), decodeMembers(entry));
+    }
+  }
+
+  /** Removes the entries from the given index on. */
+  void truncateFrom(long index) {
+    entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    members.truncateFrom(index);
+  }
+
+  /** Entries from an index on, at least one if there is one, up to the limits of a message. */
+  List<LogEntry> batchFrom(long index) {
+    List<LogEntry> batch = new ArrayList<>();
+    long bytes = 0;
+    for (long i = index; i <= lastIndex() && batch.size() < Timing.MAX_BATCH_ENTRIES; i++) {
+      LogEntry entry = entry(i);
+      bytes += entry.payload().size();
+      if (!batch.isEmpty() && bytes > Timing.MAX_BATCH_BYTES) {
+        break;
+      }
+      batch.add(entry);
+    }
+    return batch;
+  }
+
+  /** Takes over a snapshot of entries that this log holds, and removes entries well before it. */
+  void compact(Snapshot taken) {
+    snapshot = taken;
+    members.compactTo(taken.lastIndex());
+    long bytes = 0;
+    long keepFrom = taken.lastIndex() + 1;
+    while (keepFrom > firstIndex()
+        && taken.lastIndex() - keepFrom < Timing.RETAINED_ENTRIES - 1
+        && bytes <= Timing.RETAINED_BYTES) {
+      keepFrom--;
+      bytes += entry(keepFrom).payload().size();
+    }
+    long newBase = keepFrom - 1;
+    long newBaseTerm = termAt(newBase).orElseThrow();
+    entries.subList(0, (int) (newBase - baseIndex)).clear();
+    baseIndex = newBase;
+    baseTerm = newBaseTerm;
+  }
+
+  /** Replaces the whole log by a snapshot. */
+  void reset(Snapshot installed) {
+    snapshot = installed;
+    entries.clear();
+    baseIndex = installed.lastIndex();
+    baseTerm = installed.lastTerm();
+    members.reset(installed.lastIndex(), installed.members());
+  }
+
+  private List<Member> decodeMembers(LogEntry entry) {
+    Optional<List<Member>> decoded = memberCodec.decode(entry.payload());
+    return decoded.orElseThrow(
+        () -> new IllegalStateException("entry " + entry.index() + " holds no member list"));
+  }
+}
--- /dev/null
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
@@ -0,0 +1,251 @@
+package dev.caroblb.agreement;
+
+import dev.caroblb.agreement.codec.PeerMessageCodec;
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.GroupId;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.ProposalOutcome;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Several handlers in one thread, with a network, disks and clocks driven by hand. Every step
+ * checks the invariants: one leader per term, no two leases at once, no fault, equal histories.
+ */
+final class SimulatedCluster {
+  static final GroupId GROUP = GroupId.CONTROL;
+  private static final long STEP_US = 1_000;
+
+  private final Random random;
+  private final Map<GroupId, List<String>> histories = new HashMap<>();
+  private final List<SimulatedReplica> replicas = new ArrayList<>();
+  private final PriorityQueue<Flight> flights = new PriorityQueue<>();
+  private final Set<Integer> cutOff = new HashSet<>();
+  private final Map<String, InstanceId> leaders = new HashMap<>();
+  private final Set<String> acknowledged = new HashSet<>();
+  private final PeerMessageCodec codec = new PeerMessageCodec();
+  private long trueUs;
+  private long sent;
+  private int lossPercent;
+  private int duplicatePercent;
+  private int maxDelayMs = 2;
+
+  SimulatedCluster(int size, long seed, GroupId... groups) {
+    random = new Random(seed);
+    for (GroupId group : groups.length == 0 ? new GroupId[] {GROUP} : groups) {
+      histories.put(group, new ArrayList<>());
+    }
+    List<InstanceId> slots = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      slots.add(new InstanceId("replica-" + i));
+    }
+    for (int i = 0; i < size; i++) {
+      int from = i;
+      double rate = 0.9951 + 0.0098 * random.nextDouble();
+      replicas.add(
+          new SimulatedReplica(
+              slots.get(i), slots, rate, random, message -> send(from, message), histories));
+    }
+    replicas.forEach(replica -> replica.start(trueUs));
+  }
+
+  SimulatedReplica replica(int index) {
+    return replicas.get(index);
+  }
+
+  List<SimulatedReplica> replicas() {
+    return replicas;
+  }
+
+  Set<String> acknowledged() {
+    return acknowledged;
+  }
+
+  void network(int loss, int duplicates, int delayMs) {
+    lossPercent = loss;
+    duplicatePercent = duplicates;
+    maxDelayMs = delayMs;
+  }
+
+  /** Cuts a replica off from all others, or reconnects it. */
+  void cutOff(int index, boolean cut) {
+    if (cut) {
+      cutOff.add(index);
+    } else {
+      cutOff.remove(index);
+    }
+  }
+
+  void crash(int index) {
+    replicas.get(index).crash();
+  }
+
+  void start(int index) {
+    replicas.get(index).start(trueUs);
+  }
+
+  /** Proposes to every replica that believes it leads, as a client with an old view would. */
+  void propose(GroupId group, String command) {
+    for (SimulatedReplica replica : replicas) {
+      if (replica.status(group).filter(status -> status.role() == Role.LEADER).isPresent()) {
+        proposeTo(replica, group, command + "@" + replica.instance());
+      }
+    }
+  }
+
+  void proposeTo(SimulatedReplica replica, GroupId group, String command) {
+    replica.handle(
+        new AgreementMessage.Propose(
+            group, Payload.ofText(command), outcome -> note(command, outcome)),
+        trueUs);
+  }
+
+  /** Delivers a message now, as if a replica had sent it. */
+  void deliver(int to, InstanceId from, PeerMessage message) {
+    replicas.get(to).handle(new AgreementMessage.FromPeer(new Addressed<>(from, message)), trueUs);
+  }
+
+  void run(long durationMs) {
+    long end = trueUs + durationMs * 1_000;
+    while (trueUs < end) {
+      step();
+    }
+  }
+
+  /** Runs until the condition holds; false if it does not within the time. */
+  boolean runUntil(long limitMs, BooleanSupplier condition) {
+    long end = trueUs + limitMs * 1_000;
+    while (trueUs < end) {
+      if (condition.getAsBoolean()) {
+        return true;
+      }
+      step();
+    }
+    return condition.getAsBoolean();
+  }
+
+  /** The replica that holds the lease of a group. */
+  Optional<SimulatedReplica> leader(GroupId group) {
+    return replicas.stream().filter(replica -> replica.holdsLease(group, trueUs)).findFirst();
+  }
+
+  /** Whether a lease is held, all slots are members, and all have applied the same commands. */
+  boolean settled(GroupId group) {
+    Optional<SimulatedReplica> leader = leader(group);
+    if (leader.isEmpty()) {
+      return false;
+    }
+    GroupStatus status = leader.get().status(group).orElseThrow();
+    if (status.commitIndex() < status.lastIndex()) {
+      return false;
+    }
+    for (SimulatedReplica replica : replicas) {
+      Optional<GroupStatus> other = replica.status(group);
+      if (other.isEmpty()
+          || !status.members().contains(replica.member())
+          || other.get().commitIndex() != status.commitIndex()) {
+        return false;
+      }
+    }
+    return status.members().size() == replicas.size();
+  }
+
+  private void step() {
+    trueUs += STEP_US;
+    while (!flights.isEmpty() && flights.peek().dueUs() <= trueUs) {
+      arrive(flights.remove());
+    }
+    for (SimulatedReplica replica : replicas) {
+      replica.step(trueUs);
+    }
+    checkInvariants();
+  }
+
+  private boolean send(int from, Addressed<PeerMessage> message) {
+    int to = indexOf(message.peer());
+    Payload bytes = codec.encode(message.message());
+    int copies = random.nextInt(100) < duplicatePercent ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      if (random.nextInt(100) >= lossPercent) {
+        long delayUs = 200L + random.nextInt(maxDelayMs * 1_000);
+        flights.add(new Flight(trueUs + delayUs, sent++, from, to, bytes));
+      }
+    }
+    return true;
+  }
+
+  private void arrive(Flight flight) {
+    if (cutOff.contains(flight.from()) || cutOff.contains(flight.to())) {
+      return;
+    }
+    deliver(
+        flight.to(),
+        replicas.get(flight.from()).instance(),
+        codec.decode(flight.bytes()).orElseThrow());
+  }
+
+  private int indexOf(InstanceId instance) {
+    for (int i = 0; i < replicas.size(); i++) {
+      if (replicas.get(i).instance().equals(instance)) {
+        return i;
+      }
+    }
+    throw new AssertionError("a message goes to the unknown instance " + instance);
+  }
+
+  private boolean note(String command, ProposalOutcome outcome) {
+    if (outcome instanceof ProposalOutcome.Applied) {
+      acknowledged.add(command);
+    }
+    return true;
+  }
+
+  private void checkInvariants() {
+    for (GroupId group : histories.keySet()) {
+      int holders = 0;
+      for (SimulatedReplica replica : replicas) {
+        holders += replica.holdsLease(group, trueUs) ? 1 : 0;
+        checkLeader(group, replica);
+      }
+      if (holders > 1) {
+        throw new AssertionError(holders + " leases of " + group + " at " + trueUs + " us");
+      }
+    }
+    for (SimulatedReplica replica : replicas) {
+      if (!replica.faults().isEmpty()) {
+        throw new AssertionError(replica.instance() + ": " + replica.faults());
+      }
+    }
+  }
+
+  private void checkLeader(GroupId group, SimulatedReplica replica) {
+    Optional<GroupStatus> status = replica.status(group);
+    if (status.isEmpty() || status.get().role() != Role.LEADER) {
+      return;
+    }
+    String term = group + "/" + status.get().term();
+    InstanceId known = leaders.putIfAbsent(term, replica.instance());
+    if (known != null && !known.equals(replica.instance())) {
+      throw new AssertionError(
+          "term " + term + " is led by " + known + " and " + replica.instance());
+    }
+  }
+
+  private record Flight(long dueUs, long order, int from, int to, Payload bytes)
+      implements Comparable<Flight> {
+    @Override
+    public int compareTo(Flight other) {
+      int byTime = Long.compare(dueUs, other.dueUs);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+}
