Add configuration decisions and their message forms

Cause: an accepted configuration must be in force everywhere within seconds and never revert (design 4.5).

--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/LeaderFinder.java
@@ -0,0 +1,35 @@
+package dev.caroblb.configuration;
+
+import dev.caroblb.core.InstanceId;
+import java.util.List;
+
+/** The replica that is taken for the control leader; asks the known replicas in turn. */
+final class LeaderFinder {
+  private final List<InstanceId> replicas;
+  private int current;
+
+  LeaderFinder(List<InstanceId> replicas) {
+    if (replicas.isEmpty()) {
+      throw new IllegalArgumentException(
+          "no control replicas are known; name them in the settings of the instance");
+    }
+    this.replicas = List.copyOf(replicas);
+  }
+
+  InstanceId target() {
+    return replicas.get(current);
+  }
+
+  /** Moves on to the next replica. */
+  void next() {
+    current = (current + 1) % replicas.size();
+  }
+
+  /** Moves to the replica that another one named as the leader. */
+  void pointAt(InstanceId leader) {
+    int index = replicas.indexOf(leader);
+    if (index >= 0) {
+      current = index;
+    }
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/NameClaims.java
@@ -0,0 +1,45 @@
+package dev.caroblb.configuration;
+
+import dev.caroblb.configuration.teamfile.TeamFileError;
+import io.vavr.collection.HashMap;
+import java.util.List;
+import java.util.Optional;
+
+/** Immutable index of the file that owns each name of one kind. */
+final class NameClaims {
+  private static final NameClaims EMPTY = new NameClaims(HashMap.empty());
+
+  private final HashMap<String, String> ownerByName;
+
+  private NameClaims(HashMap<String, String> ownerByName) {
+    this.ownerByName = ownerByName;
+  }
+
+  static NameClaims empty() {
+    return EMPTY;
+  }
+
+  NameClaims without(List<String> names) {
+    return new NameClaims(ownerByName.removeAll(names));
+  }
+
+  NameClaims with(String name, String file) {
+    return new NameClaims(ownerByName.put(name, file));
+  }
+
+  /** The mistake of a file that claims a name of another one; empty when the name is free. */
+  Optional<TeamFileError> conflict(String key, String name, String file) {
+    return ownerByName
+        .get(name)
+        .toJavaOptional()
+        .map(
+            owner ->
+                new TeamFileError(
+                    file,
+                    1,
+                    key,
+                    '"' + name + '"',
+                    "a name that no other file has; " + owner + " has it",
+                    "rename it, or publish " + owner + " without it first"));
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/Publish.java
@@ -0,0 +1,50 @@
+package dev.caroblb.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * Team files submitted under one number. A publish replaces the files that it names.
+ *
+ * @param number number of the publish, greater than every accepted one
+ * @param request identity of the publishing step, which a conflict names as the winner
+ * @param files files to replace, ordered by name
+ */
+public record Publish(long number, String request, List<PublishedFile> files) {
+  public Publish {
+    List<PublishedFile> sorted = new ArrayList<>(files);
+    sorted.sort(Comparator.comparing(PublishedFile::name));
+    files = List.copyOf(sorted);
+  }
+
+  /**
+   * SHA-256 of names and texts. Number and request are not part of it, so that a resend under
+   * another request identity is recognised.
+   */
+  public String digest() {
+    try {
+      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+      for (PublishedFile file : files) {
+        update(sha256, file.name());
+        update(sha256, file.text());
+      }
+      return HexFormat.of().formatHex(sha256.digest());
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform provides SHA-256", e);
+    }
+  }
+
+  /** The length before the bytes keeps two different lists of texts from having equal bytes. */
+  private static void update(MessageDigest digest, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    for (int shift = 24; shift >= 0; shift -= 8) {
+      digest.update((byte) (bytes.length >>> shift));
+    }
+    digest.update(bytes);
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/PublishAnswer.java
@@ -0,0 +1,39 @@
+package dev.caroblb.configuration;
+
+import dev.caroblb.configuration.teamfile.TeamFileError;
+import java.util.List;
+
+/**
+ * Answer to a publisher.
+ *
+ * @param number number of the publish
+ * @param outcome what became of it
+ * @param files names of its files
+ * @param detail explanation with the remedy, empty for an accepted publish
+ * @param errors mistakes of an invalid publish
+ */
+public record PublishAnswer(
+    long number,
+    PublishOutcome outcome,
+    List<String> files,
+    String detail,
+    List<TeamFileError> errors) {
+  public PublishAnswer {
+    files = List.copyOf(files);
+    errors = List.copyOf(errors);
+  }
+
+  static PublishAnswer of(Publish publish, PublishOutcome outcome, String detail) {
+    return new PublishAnswer(publish.number(), outcome, namesOf(publish), detail, List.of());
+  }
+
+  static PublishAnswer invalid(Publish publish, List<TeamFileError> errors) {
+    String detail = "nothing was accepted; correct the files and publish again";
+    return new PublishAnswer(
+        publish.number(), PublishOutcome.INVALID, namesOf(publish), detail, errors);
+  }
+
+  private static List<String> namesOf(Publish publish) {
+    return publish.files().stream().map(PublishedFile::name).toList();
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/RefusedPublish.java
@@ -0,0 +1,43 @@
+package dev.caroblb.configuration;
+
+/** Answers for publishes that were not accepted. */
+final class RefusedPublish {
+  private RefusedPublish() {}
+
+  static PublishAnswer answer(Publish publish, CommandResult result) {
+    if (result instanceof CommandResult.Conflict) {
+      return PublishAnswer.of(
+          publish, PublishOutcome.CONFLICT, detail((CommandResult.Conflict) result));
+    }
+    if (result instanceof CommandResult.Outdated) {
+      return PublishAnswer.of(
+          publish, PublishOutcome.OUTDATED, detail((CommandResult.Outdated) result));
+    }
+    if (result instanceof CommandResult.Refused) {
+      return PublishAnswer.invalid(publish, ((CommandResult.Refused) result).errors());
+    }
+    String detail =
+        "the answer of the control group has an unknown format;"
+            + " update all replicas to one software version, then send the publish again";
+    return PublishAnswer.of(publish, PublishOutcome.UNANSWERED, detail);
+  }
+
+  private static String detail(CommandResult.Conflict conflict) {
+    return "number "
+        + conflict.number()
+        + " was won by request "
+        + conflict.winnerRequest()
+        + " with digest "
+        + conflict.winnerDigest()
+        + "; publish under a greater number";
+  }
+
+  private static String detail(CommandResult.Outdated outdated) {
+    return "number "
+        + outdated.number()
+        + " is smaller than the current number "
+        + outdated.current()
+        + "; publish under a number greater than "
+        + outdated.current();
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/dev/caroblb/configuration/codec/ResultCodec.java
@@ -0,0 +1,66 @@
+package dev.caroblb.configuration.codec;
+
+import dev.caroblb.configuration.CommandResult;
+import dev.caroblb.core.MessageCodec;
+import dev.caroblb.core.Payload;
+import java.util.Optional;
+
+/** Encodes the results of commands, which pass from the state machine to the proposer. */
+public final class ResultCodec implements MessageCodec<CommandResult> {
+  private static final int ACCEPTED = 1;
+  private static final int CONFLICT = 2;
+  private static final int OUTDATED = 3;
+  private static final int REFUSED = 4;
+  private static final int BARRIER_PASSED = 5;
+  private static final int UNREADABLE = 6;
+
+  @Override
+  public Payload encode(CommandResult result) {
+    FieldWriter writer = new FieldWriter();
+    if (result instanceof CommandResult.Accepted) {
+      writer.number(ACCEPTED).number(((CommandResult.Accepted) result).number());
+    } else if (result instanceof CommandResult.Conflict) {
+      CommandResult.Conflict conflict = (CommandResult.Conflict) result;
+      writer.number(CONFLICT).number(conflict.number());
+      writer.text(conflict.winnerRequest()).text(conflict.winnerDigest());
+    } else if (result instanceof CommandResult.Outdated) {
+      CommandResult.Outdated outdated = (CommandResult.Outdated) result;
+      writer.number(OUTDATED).number(outdated.number()).number(outdated.current());
+    } else if (result instanceof CommandResult.Refused) {
+      writer.number(REFUSED);
+      writer.list(
+          ((CommandResult.Refused) result).errors(),
+          error -> CommonFields.writeError(writer, error));
+    } else if (result instanceof CommandResult.BarrierPassed) {
+      writer.number(BARRIER_PASSED).number(((CommandResult.BarrierPassed) result).number());
+    } else {
+      writer.number(UNREADABLE);
+    }
+    return writer.payload();
+  }
+
+  @Override
+  public Optional<CommandResult> decode(Payload bytes) {
+    return FieldReader.decode(bytes, ResultCodec::read);
+  }
+
+  private static CommandResult read(FieldReader reader) {
+    int kind = reader.smallNumber();
+    switch (kind) {
+      case ACCEPTED:
+        return new CommandResult.Accepted(reader.number());
+      case CONFLICT:
+        return new CommandResult.Conflict(reader.number(), reader.text(), reader.text());
+      case OUTDATED:
+        return new CommandResult.Outdated(reader.number(), reader.number());
+      case REFUSED:
+        return new CommandResult.Refused(reader.list(CommonFields::readError));
+      case BARRIER_PASSED:
+        return new CommandResult.BarrierPassed(reader.number());
+      case UNREADABLE:
+        return new CommandResult.Unreadable();
+      default:
+        throw new FieldReader.MalformedException("unknown kind " + kind);
+    }
+  }
+}
--- /dev/null
+++ b/configuration/src/test/java/dev/caroblb/configuration/SimulatedNode.java
@@ -0,0 +1,102 @@
+package dev.caroblb.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.InstanceId;
+import java.util.List;
+
+/** One process with its own clock rate; restarting it keeps the replicated state only. */
+final class SimulatedNode {
+  final InstanceId id;
+  final boolean replica;
+  private final Simulation simulation;
+  private final double clockRate;
+  private int restarts;
+  ConfigurationHandler handler;
+  ConfigurationState state = ConfigurationState.empty();
+  EntryView view;
+  int appliedCommands;
+  boolean isolated;
+  int refusedViews;
+  int lostStates;
+
+  SimulatedNode(Simulation simulation, String name, boolean replica, double clockRate) {
+    this.simulation = simulation;
+    this.id = new InstanceId(name);
+    this.replica = replica;
+    this.clockRate = clockRate;
+    start();
+  }
+
+  long nowMs() {
+    return (long) (simulation.timeMs * clockRate);
+  }
+
+  boolean admits() {
+    return view.admitsAt(nowMs());
+  }
+
+  void restart() {
+    restarts++;
+    start();
+  }
+
+  private void start() {
+    view = new EntryView(ConfigurationSnapshot.empty(), Long.MIN_VALUE);
+    ConfigurationOutlets outlets =
+        new ConfigurationOutlets(
+            message -> simulation.send(this, message), this::take, this::takeOwn);
+    handler =
+        new ConfigurationHandler(
+            id,
+            id + "-" + restarts,
+            List.of(new InstanceId("r0"), new InstanceId("r1"), new InstanceId("r2")),
+            outlets,
+            (command, reply) -> simulation.group.propose(this, command, reply),
+            new ConfigurationCounters());
+    handle(new ConfigurationMessage.StateApplied(state));
+  }
+
+  private boolean takeOwn(ConfigurationMessage message) {
+    handle(message);
+    return true;
+  }
+
+  private boolean take(EntryView next) {
+    if (refusedViews > 0) {
+      refusedViews--;
+      return false;
+    }
+    assertTrue(
+        next.snapshot().number() >= view.snapshot().number(), "the number of " + id + " went back");
+    view = next;
+    return true;
+  }
+
+  void handle(ConfigurationMessage message) {
+    handler.handle(message, nowMs());
+  }
+
+  void tickIfDue() {
+    if (handler.nextTickMs() <= nowMs()) {
+      handler.tick(nowMs());
+    }
+  }
+
+  /** Applies a committed command; a full ring can lose the message with the new state. */
+  CommandResult apply(ConfigurationCommand command) {
+    appliedCommands++;
+    CommandResult result = new CommandResult.BarrierPassed(state.number());
+    if (command instanceof ConfigurationCommand.Accept) {
+      ConfigurationState.Change change = state.accept((ConfigurationCommand.Accept) command);
+      state = change.state();
+      result = change.result();
+    }
+    if (lostStates > 0) {
+      lostStates--;
+    } else {
+      handle(new ConfigurationMessage.StateApplied(state));
+    }
+    return result;
+  }
+}
