Share the bounded MessagePack reader and count reports as work

Cause: the idempotency codec needs the same bounded reading as the membership codec. A trial that let a later announcement undo leaving passed, because the test double of placement did not take a load report of a target as a sign that it may get work.

Change: BoundedReader moves to dev.caroblb.transport.codec; the double treats every report as available.

--- a/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
@@ -7,6 +7,7 @@
 import dev.caroblb.membership.CacheEvent;
 import dev.caroblb.membership.TargetKind;
 import dev.caroblb.membership.TargetLoad;
+import dev.caroblb.transport.codec.BoundedReader;
 import java.io.IOException;
 import java.util.List;
 import org.msgpack.core.MessagePacker;
@@ -66,7 +67,7 @@
   }
 
   static AgedAnnouncement read(BoundedReader in) throws IOException {
-    return in.structure(FIELDS, () -> fields(in));
+    return in.structure(FIELDS, AnnouncementFormat::fields);
   }
 
   private static AgedAnnouncement fields(BoundedReader in) throws IOException {
@@ -79,12 +80,12 @@
             in.constant(KINDS),
             new FailureDomain(in.text(MAX_NAME_BYTES)),
             in.text(MAX_TEXT_BYTES),
-            in.list(Announcement.MAX_SERVES, () -> in.text(MAX_TEXT_BYTES)),
+            in.list(Announcement.MAX_SERVES, name -> name.text(MAX_TEXT_BYTES)),
             in.flag(),
-            in.structure(LOAD_FIELDS, () -> load(in)),
+            in.structure(LOAD_FIELDS, AnnouncementFormat::load),
             in.list(
                 Announcement.MAX_CACHE_EVENTS,
-                () -> in.structure(EVENT_FIELDS, () -> cacheEvent(in))));
+                event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)));
     return new AgedAnnouncement(announcement, ageMs);
   }
 
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -10,15 +10,14 @@
 import dev.caroblb.membership.InstanceState;
 import dev.caroblb.membership.PeerMessage;
 import dev.caroblb.membership.TargetSummary;
+import dev.caroblb.transport.codec.BoundedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
 public final class MembershipCodec implements MessageCodec<PeerMessage> {
@@ -111,38 +110,29 @@
 
   @Override
   public Optional<PeerMessage> decode(Payload bytes) {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes.toBytes())) {
-      int present = unpacker.unpackArrayHeader();
-      BoundedReader in = new BoundedReader(unpacker);
-      int type = (int) in.number();
-      int fields = fieldCount(type);
-      if (fields == 0 || present < 1 + fields) {
-        return Optional.empty();
-      }
-      PeerMessage message = read(in, type);
-      unpacker.skipValue(present - 1 - fields);
-      return Optional.of(message);
-    } catch (IOException | MessagePackException | IllegalArgumentException e) {
-      return Optional.empty();
-    }
+    return BoundedReader.decode(bytes, in -> in.variant(new Variants()));
   }
 
-  private static int fieldCount(int type) {
-    return switch (type) {
-      case TYPE_HEARTBEAT -> HEARTBEAT_FIELDS;
-      case TYPE_RECORDS -> RECORDS_FIELDS;
-      case TYPE_DIGEST, TYPE_REQUEST -> SUMMARIES_FIELDS;
-      default -> 0;
-    };
-  }
+  private static final class Variants implements BoundedReader.Variants<PeerMessage> {
+    @Override
+    public int fields(int type) {
+      return switch (type) {
+        case TYPE_HEARTBEAT -> HEARTBEAT_FIELDS;
+        case TYPE_RECORDS -> RECORDS_FIELDS;
+        case TYPE_DIGEST, TYPE_REQUEST -> SUMMARIES_FIELDS;
+        default -> -1;
+      };
+    }
 
-  private static PeerMessage read(BoundedReader in, int type) throws IOException {
-    return switch (type) {
-      case TYPE_HEARTBEAT -> heartbeat(in);
-      case TYPE_RECORDS -> records(in);
-      case TYPE_DIGEST -> new PeerMessage.Digest(summaries(in));
-      default -> new PeerMessage.Request(summaries(in));
-    };
+    @Override
+    public PeerMessage read(int type, BoundedReader in) throws IOException {
+      return switch (type) {
+        case TYPE_HEARTBEAT -> heartbeat(in);
+        case TYPE_RECORDS -> records(in);
+        case TYPE_DIGEST -> new PeerMessage.Digest(summaries(in));
+        default -> new PeerMessage.Request(summaries(in));
+      };
+    }
   }
 
   private static PeerMessage heartbeat(BoundedReader in) throws IOException {
@@ -157,25 +147,24 @@
   }
 
   private static PeerMessage records(BoundedReader in) throws IOException {
-    List<Echo> echo =
-        in.list(
-            1,
-            () -> in.structure(ECHO_FIELDS, () -> new Echo(in.number(), in.number(), in.number())));
-    List<AgedAnnouncement> records = in.list(MAX_RECORDS, () -> AnnouncementFormat.read(in));
-    return new PeerMessage.Records(echo.stream().findFirst(), records);
+    Optional<Echo> echo = in.optional(e -> e.structure(ECHO_FIELDS, MembershipCodec::echo));
+    List<AgedAnnouncement> records = in.list(MAX_RECORDS, AnnouncementFormat::read);
+    return new PeerMessage.Records(echo, records);
+  }
+
+  private static Echo echo(BoundedReader in) throws IOException {
+    return new Echo(in.number(), in.number(), in.number());
   }
 
   private static List<TargetSummary> summaries(BoundedReader in) throws IOException {
-    return in.list(
-        MAX_SUMMARIES,
-        () ->
-            in.structure(
-                SUMMARY_FIELDS,
-                () ->
-                    new TargetSummary(
-                        new TargetId(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
-                        in.number(),
-                        in.number(),
-                        in.flag())));
+    return in.list(MAX_SUMMARIES, s -> s.structure(SUMMARY_FIELDS, MembershipCodec::summary));
+  }
+
+  private static TargetSummary summary(BoundedReader in) throws IOException {
+    return new TargetSummary(
+        new TargetId(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
+        in.number(),
+        in.number(),
+        in.flag());
   }
 }
--- a/membership/src/test/java/dev/caroblb/membership/Node.java
+++ b/membership/src/test/java/dev/caroblb/membership/Node.java
@@ -51,7 +51,9 @@
       available.put(change.target(), a.latest().announcement().incarnation());
     } else if (change instanceof TargetChange.Restarted r) {
       available.put(change.target(), r.latest().announcement().incarnation());
-    } else if (!(change instanceof TargetChange.Reported)) {
+    } else if (change instanceof TargetChange.Reported r) {
+      available.put(change.target(), r.latest().announcement().incarnation());
+    } else {
       available.remove(change.target());
     }
     return true;
--- /dev/null
+++ b/transport/src/main/java/dev/caroblb/transport/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of MessagePack values from other instances, shared by the codecs of all slices. */
+package dev.caroblb.transport.codec;
