--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/FileAccess.java
@@ -0,0 +1,34 @@
+package dev.caroblb.agreement.journal;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+/** The file operations of the journal, so that tests can inject faults and crashes. */
+public interface FileAccess {
+  /** Creates a folder and its parents; does nothing when it exists. */
+  void createFolder(Path folder) throws IOException;
+
+  /** Names of the files and folders in a folder, sorted. */
+  List<String> list(Path folder) throws IOException;
+
+  /** Size of a file in bytes; empty when it does not exist. */
+  Optional<Long> size(Path file) throws IOException;
+
+  byte[] read(Path file) throws IOException;
+
+  /** Opens a file for writing at its end; creates it when it does not exist. */
+  WritableFile open(Path file) throws IOException;
+
+  /** Renames a file atomically; an existing file under the new name is replaced. */
+  void rename(Path from, Path to) throws IOException;
+
+  void delete(Path file) throws IOException;
+
+  /** Makes creations, renames and deletions in a folder durable. */
+  void syncFolder(Path folder) throws IOException;
+
+  /** Locks a file against all other processes; empty when another one holds it. */
+  Optional<AutoCloseable> lock(Path file) throws IOException;
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/GroupRecovery.java
@@ -0,0 +1,162 @@
+package dev.caroblb.agreement.journal;
+
+import dev.caroblb.agreement.Snapshot;
+import dev.caroblb.agreement.journal.JournalError.Kind;
+import dev.caroblb.core.GroupId;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Reads the folder of one group after a restart and removes what a crash left behind. */
+final class GroupRecovery {
+  /** Largest segment that writing can produce, with room for its header. */
+  private static final long MAX_SEGMENT_BYTES =
+      GroupLog.SEGMENT_BYTES + GroupLog.MAX_APPEND_BYTES + 4_096;
+
+  /** Bounds the memory that a damaged or foreign file can claim. */
+  private static final long MAX_SNAPSHOT_BYTES = 512L << 20;
+
+  private final FileAccess files;
+  private final Path folder;
+  private final GroupId group;
+  private final String incarnation;
+
+  GroupRecovery(FileAccess files, Path folder, GroupId group, String incarnation) {
+    this.files = files;
+    this.folder = folder;
+    this.group = group;
+    this.incarnation = incarnation;
+  }
+
+  RecoveredFiles recover() throws JournalException, IOException {
+    List<String> names = files.list(folder);
+    Optional<StoredSnapshot> stored = readSnapshot(names);
+    NavigableMap<Long, Path> segments = segments(names, stored);
+    long first = stored.map(StoredSnapshot::firstSegment).orElse(1L);
+    LogReplay replay = new LogReplay(group, incarnation, stored.map(StoredSnapshot::snapshot));
+    long activeBytes = 0;
+    for (var segment : segments.tailMap(first).entrySet()) {
+      boolean last = segment.getKey().equals(segments.lastKey());
+      byte[] bytes = readSegment(segment.getValue());
+      int intact = replay.replay(segment.getValue(), segment.getKey(), bytes, last);
+      if (intact < bytes.length) {
+        truncate(segment.getValue(), intact);
+      }
+      activeBytes = intact;
+    }
+    removeLeftovers(names, stored, List.copyOf(segments.headMap(first).values()));
+    return replay.result(activeBytes);
+  }
+
+  private Optional<StoredSnapshot> readSnapshot(List<String> names)
+      throws JournalException, IOException {
+    Optional<Long> newest =
+        names.stream()
+            .map(FileNames::snapshotIndex)
+            .flatMap(Optional::stream)
+            .max(Comparator.naturalOrder());
+    if (newest.isEmpty()) {
+      return Optional.empty();
+    }
+    Path file = folder.resolve(FileNames.snapshot(newest.get()));
+    checkSize(Kind.BAD_SNAPSHOT, file, MAX_SNAPSHOT_BYTES);
+    StoredSnapshot stored =
+        StoredSnapshot.decode(files.read(file))
+            .orElseThrow(
+                () -> new JournalException(Kind.BAD_SNAPSHOT, file, 0, "unreadable snapshot"));
+    Snapshot snapshot = stored.snapshot();
+    if (!stored.group().equals(group)
+        || !stored.incarnation().equals(incarnation)
+        || snapshot.lastIndex() != newest.get()) {
+      throw new JournalException(
+          Kind.BAD_SNAPSHOT,
+          file,
+          0,
+          "snapshot "
+              + snapshot.lastIndex()
+              + " of group "
+              + stored.group()
+              + " in folder "
+              + stored.incarnation()
+              + ", expected group "
+              + group
+              + " in folder "
+              + incarnation);
+    }
+    return Optional.of(stored);
+  }
+
+  /** The segments by number; the numbers from the first needed one on must be complete. */
+  private NavigableMap<Long, Path> segments(List<String> names, Optional<StoredSnapshot> stored)
+      throws JournalException {
+    NavigableMap<Long, Path> segments = new TreeMap<>();
+    for (String name : names) {
+      Optional<Long> number = FileNames.segmentNumber(name);
+      if (number.isPresent() && segments.put(number.get(), folder.resolve(name)) != null) {
+        throw new JournalException(
+            Kind.GAP, folder.resolve(name), 0, "second segment with number " + number.get());
+      }
+    }
+    long expected = stored.map(StoredSnapshot::firstSegment).orElse(1L);
+    if (!segments.containsKey(expected)) {
+      throw new JournalException(
+          Kind.GAP,
+          folder,
+          0,
+          "segment "
+              + expected
+              + " is missing"
+              + (stored.isPresent() ? " after the snapshot" : " and there is no snapshot"));
+    }
+    for (long number : segments.tailMap(expected).keySet()) {
+      if (number != expected) {
+        throw new JournalException(Kind.GAP, folder, 0, "segment " + expected + " is missing");
+      }
+      expected++;
+    }
+    return segments;
+  }
+
+  private byte[] readSegment(Path file) throws JournalException, IOException {
+    checkSize(Kind.BAD_RECORD, file, MAX_SEGMENT_BYTES);
+    return files.read(file);
+  }
+
+  private void checkSize(Kind kind, Path file, long max) throws JournalException, IOException {
+    long size = files.size(file).orElse(0L);
+    if (size > max) {
+      throw new JournalException(
+          kind, file, max, "file of " + size + " bytes, at most " + max + " are written");
+    }
+  }
+
+  private void truncate(Path file, long size) throws IOException {
+    try (WritableFile opened = files.open(file)) {
+      opened.truncate(size);
+      opened.sync();
+    }
+  }
+
+  private void removeLeftovers(
+      List<String> names, Optional<StoredSnapshot> stored, List<Path> oldSegments)
+      throws IOException {
+    boolean removed = false;
+    for (String name : names) {
+      Optional<Long> index = FileNames.snapshotIndex(name);
+      boolean oldSnapshot =
+          index.isPresent() && index.get() < stored.orElseThrow().snapshot().lastIndex();
+      if (oldSnapshot || name.endsWith(FileNames.ASIDE)) {
+        files.delete(folder.resolve(name));
+        removed = true;
+      }
+    }
+    if (removed) {
+      files.syncFolder(folder);
+    }
+    GroupLog.deleteDurably(files, oldSegments);
+  }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/JournalException.java
@@ -0,0 +1,19 @@
+package dev.caroblb.agreement.journal;
+
+import java.nio.file.Path;
+
+/** Carries a {@link JournalError} out of nested reads; it does not leave this package. */
+final class JournalException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final transient JournalError error;
+
+  JournalException(JournalError.Kind kind, Path file, long offset, String detail) {
+    super(detail);
+    this.error = new JournalError(kind, file, offset, detail);
+  }
+
+  JournalError error() {
+    return error;
+  }
+}
--- /dev/null
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/LogRecord.java
@@ -0,0 +1,64 @@
+package dev.caroblb.agreement.journal;
+
+import dev.caroblb.agreement.EntryKind;
+import dev.caroblb.agreement.LogEntry;
+import dev.caroblb.core.Payload;
+import java.util.Optional;
+
+/**
+ * Unit of the log files.
+ *
+ * @param type what the payload is
+ * @param last whether the record ends a group of records that count only together
+ * @param term term of the entry, or current term
+ * @param index index of the entry; first index of a segment; 0 for a vote
+ * @param payload contents by type
+ */
+record LogRecord(Type type, boolean last, long term, long index, Payload payload) {
+  /** Types of records; the code is part of the file format. */
+  enum Type {
+    SEGMENT(1, Optional.empty()),
+    VOTE(2, Optional.empty()),
+    COMMAND(3, Optional.of(EntryKind.COMMAND)),
+    MEMBERS(4, Optional.of(EntryKind.MEMBERS)),
+    NO_OP(5, Optional.of(EntryKind.NO_OP));
+
+    private final int code;
+    private final Optional<EntryKind> entryKind;
+
+    Type(int code, Optional<EntryKind> entryKind) {
+      this.code = code;
+      this.entryKind = entryKind;
+    }
+
+    int code() {
+      return code;
+    }
+
+    static Optional<Type> ofCode(int code) {
+      for (Type type : values()) {
+        if (type.code == code) {
+          return Optional.of(type);
+        }
+      }
+      return Optional.empty();
+    }
+
+    private static Type of(EntryKind kind) {
+      return switch (kind) {
+        case COMMAND -> COMMAND;
+        case MEMBERS -> MEMBERS;
+        case NO_OP -> NO_OP;
+      };
+    }
+  }
+
+  static LogRecord ofEntry(LogEntry entry, boolean last) {
+    return new LogRecord(Type.of(entry.kind()), last, entry.term(), entry.index(), entry.payload());
+  }
+
+  /** The log entry; empty for a segment header or a vote. */
+  Optional<LogEntry> entry() {
+    return type.entryKind.map(kind -> new LogEntry(index, term, kind, payload));
+  }
+}
