Add the admission slice

Cause: calls need bounded waiting, shares and a retry budget before placement. Change: queues by workspace and class, deficit round robin in tokens, a short and a long lane with a floor for long calls, deadlines, concurrency limits, refusals with a time to wait, budgeted retries in another failure domain. While a lane finds no room it asks placement for one call at a time. The floor test first failed twice: offers that came back counted as placed, and the last long call was not owed anything while its question to placement was outstanding; both are fixed. Conclusion: an empty lane sends a call to placement without waiting.

--- /dev/null
+++ b/admission/src/main/java/dev/caroblb/admission/AdmissionHandler.java
@@ -0,0 +1,311 @@
+package dev.caroblb.admission;
+
+import dev.caroblb.core.CallRequest;
+import dev.caroblb.core.DutyHandler;
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.Refusal;
+import dev.caroblb.core.RefusalKind;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.WorkspaceId;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+/**
+ * The admission duty. A call that finds an empty lane goes straight to placement; waiting calls are
+ * offered again when placement reports room. Every call ends in one dispatch that ends, one
+ * refusal, or its cancellation.
+ */
+public final class AdmissionHandler implements DutyHandler<AdmissionMessage> {
+  /** Time between checks of deadlines, backoffs and refused offers. */
+  public static final long TICK_MS = 50;
+
+  private final AdmissionSettings settings;
+  private final AdmissionOutlets outlets;
+  private final AdmissionCounts counts;
+  private final RetryPolicy retries;
+  private final RetryAfter retryAfter = new RetryAfter();
+  private final Map<Long, AdmittedCall> calls = new HashMap<>();
+  private final Map<String, LanePair> lanes = new HashMap<>();
+  private final Map<WorkspaceId, Integer> concurrent = new HashMap<>();
+  private final PriorityQueue<AdmittedCall> backingOff =
+      new PriorityQueue<>((a, b) -> Long.compare(a.retryAtMs, b.retryAtMs));
+  private final ArrayDeque<CallRefused> undelivered = new ArrayDeque<>();
+  private final ArrayDeque<PlacementCommand> unreleased = new ArrayDeque<>();
+  private long nextTickMs;
+
+  public AdmissionHandler(
+      AdmissionSettings settings, AdmissionOutlets outlets, AdmissionCounts counts, long seed) {
+    this.settings = settings;
+    this.outlets = outlets;
+    this.counts = counts;
+    this.retries = new BudgetedRetryPolicy(settings, seed);
+  }
+
+  @Override
+  public void handle(AdmissionMessage message, long nowMs) {
+    if (message instanceof AdmissionMessage.Submitted submitted) {
+      submit(submitted.request(), submitted.share(), nowMs);
+    } else if (message instanceof AdmissionMessage.TargetFound found) {
+      dispatch(found.call(), found.target(), nowMs);
+    } else if (message instanceof AdmissionMessage.NoRoom noRoom) {
+      noRoom(noRoom, nowMs);
+    } else if (message instanceof AdmissionMessage.RoomReported room) {
+      Optional.ofNullable(lanes.get(room.kind())).ifPresent(pair -> reopen(pair, nowMs));
+    } else if (message instanceof AdmissionMessage.DispatchFailed failed) {
+      retry(failed.call(), failed.reason(), failed.domain(), nowMs);
+    } else if (message instanceof AdmissionMessage.Ended ended) {
+      end(ended.call(), ended.tokens());
+    } else if (message instanceof AdmissionMessage.Cancelled cancelled) {
+      cancel(cancelled.call());
+    }
+  }
+
+  private void submit(CallRequest request, WorkspaceShare share, long nowMs) {
+    AdmittedCall call = new AdmittedCall(request, share);
+    if (nowMs >= request.deadlineMs()) {
+      refuse(call, Refusal.of(RefusalReason.DEADLINE_BEFORE_START));
+      return;
+    }
+    LanePair pair = pair(request);
+    int running = concurrent.getOrDefault(request.workspace(), 0);
+    if (running >= share.maxConcurrent()) {
+      long waitMs = retryAfter.estimateMs(1, nowMs);
+      refuse(call, Refusal.of(RefusalReason.WORKSPACE_LIMIT).retryAfter(waitMs));
+      return;
+    }
+    if (!pair.lane(request.policy().callClass()).add(call)) {
+      long waitMs = retryAfter.estimateMs(pair.size(), nowMs);
+      refuse(call, Refusal.of(RefusalReason.BACKLOG_FULL).retryAfter(waitMs));
+      return;
+    }
+    calls.put(request.id(), call);
+    concurrent.merge(request.workspace(), 1, Integer::sum);
+    offerToPlacement(pair, nowMs);
+  }
+
+  private LanePair pair(CallRequest request) {
+    return lanes.computeIfAbsent(
+        request.policy().targetKind(), kind -> new LanePair(settings.queueBound()));
+  }
+
+  private Lane lane(AdmittedCall call) {
+    return pair(call.request).lane(call.request.policy().callClass());
+  }
+
+  private void offerToPlacement(LanePair pair, long nowMs) {
+    Optional<Lane> next = pair.next(settings.outstanding(), nowMs);
+    while (next.isPresent()) {
+      Lane lane = next.get();
+      lane.next().ifPresent(call -> ask(call, lane, nowMs));
+      next = pair.next(settings.outstanding(), nowMs);
+    }
+  }
+
+  private void ask(AdmittedCall call, Lane lane, long nowMs) {
+    if (call.expired(nowMs)) {
+      drop(call);
+      refuse(call, Refusal.of(RefusalReason.DEADLINE_BEFORE_START));
+      return;
+    }
+    // The answer may arrive within offer when both duties run on one thread.
+    call.state = AdmittedCall.State.ASKED;
+    lane.asked(1);
+    boolean offered =
+        outlets
+            .placement()
+            .offer(new PlacementCommand.PlaceCall(call.request, call.attempt, call.avoid));
+    if (!offered) {
+      lane.asked(-1);
+      requeue(call, lane, nowMs);
+    }
+  }
+
+  private void requeue(AdmittedCall call, Lane lane, long nowMs) {
+    call.state = AdmittedCall.State.QUEUED;
+    lane.putBack(call);
+    lane.block(nowMs);
+  }
+
+  private Optional<AdmittedCall> answered(long id) {
+    AdmittedCall call = calls.get(id);
+    if (call == null || call.state != AdmittedCall.State.ASKED) {
+      return Optional.empty();
+    }
+    lane(call).asked(-1);
+    return Optional.of(call);
+  }
+
+  private void dispatch(long id, CallTarget target, long nowMs) {
+    Optional<AdmittedCall> answered = answered(id);
+    if (answered.isEmpty()) {
+      release(id);
+      return;
+    }
+    AdmittedCall call = answered.get();
+    pair(call.request).placed(call.request.policy().callClass());
+    if (call.cancelled || call.expired(nowMs)) {
+      release(id);
+      giveUp(call, Refusal.of(RefusalReason.DEADLINE_BEFORE_START));
+    } else if (outlets.dispatch().offer(new Dispatch(call.request, target, call.attempt))) {
+      call.state = AdmittedCall.State.DISPATCHED;
+      lane(call).settle(call);
+      retryAfter.started(nowMs);
+      if (call.attempt == 0) {
+        retries.firstAttempt();
+      }
+    } else {
+      release(id);
+      long waitMs = retryAfter.estimateMs(1, nowMs);
+      giveUp(call, Refusal.of(RefusalReason.RING_FULL).retryAfter(waitMs));
+    }
+    offerToPlacement(pair(call.request), nowMs);
+  }
+
+  private void noRoom(AdmissionMessage.NoRoom message, long nowMs) {
+    Optional<AdmittedCall> answered = answered(message.call());
+    if (answered.isEmpty()) {
+      return;
+    }
+    AdmittedCall call = answered.get();
+    if (call.cancelled) {
+      drop(call);
+    } else if (call.expired(nowMs)) {
+      giveUp(call, Refusal.of(RefusalReason.DEADLINE_BEFORE_START));
+    } else if (!message.targetsKnown()) {
+      giveUp(call, Refusal.of(RefusalReason.NO_TARGET).retryAfter(message.retryAfterMs()));
+    } else {
+      requeue(call, lane(call), nowMs);
+    }
+  }
+
+  private void reopen(LanePair pair, long nowMs) {
+    pair.unblock();
+    offerToPlacement(pair, nowMs);
+  }
+
+  private void retry(long id, RetryReason reason, FailureDomain domain, long nowMs) {
+    AdmittedCall call = calls.get(id);
+    if (call == null || call.state != AdmittedCall.State.DISPATCHED) {
+      return;
+    }
+    if (!retries.allows(call, reason)) {
+      giveUp(call, Refusal.of(failure(reason)));
+      return;
+    }
+    counts.retried(reason);
+    call.mayHaveRun |= reason == RetryReason.LOST_BEFORE_FIRST_TOKEN;
+    call.attempt++;
+    call.avoid = Optional.of(domain);
+    call.backoffMs = retries.backoffMs(call);
+    call.retryAtMs = nowMs + call.backoffMs;
+    call.state = AdmittedCall.State.BACKING_OFF;
+    backingOff.add(call);
+    nextTickMs = Math.min(nextTickMs, call.retryAtMs);
+  }
+
+  private static RefusalReason failure(RetryReason reason) {
+    return switch (reason) {
+      case CONNECT_FAILED -> RefusalReason.TARGET_UNREACHABLE;
+      case TARGET_REFUSED -> RefusalReason.TARGET_REFUSED;
+      default -> RefusalReason.CONNECTION_LOST;
+    };
+  }
+
+  private void end(long id, int tokens) {
+    AdmittedCall call = calls.get(id);
+    if (call == null || call.state != AdmittedCall.State.DISPATCHED) {
+      return;
+    }
+    lane(call).ended(call.request.workspace(), tokens);
+    drop(call);
+  }
+
+  private void cancel(long id) {
+    AdmittedCall call = calls.get(id);
+    if (call == null || call.state == AdmittedCall.State.DISPATCHED) {
+      return;
+    }
+    call.cancelled = true;
+    if (call.state == AdmittedCall.State.QUEUED) {
+      lane(call).remove(call);
+      drop(call);
+    } else if (call.state == AdmittedCall.State.BACKING_OFF) {
+      backingOff.remove(call);
+      drop(call);
+    }
+  }
+
+  private void drop(AdmittedCall call) {
+    lane(call).settle(call);
+    calls.remove(call.request.id());
+    concurrent.computeIfPresent(
+        call.request.workspace(), (workspace, count) -> count == 1 ? null : count - 1);
+  }
+
+  /** Ends an accepted call with a refusal, unless its caller cancelled it. */
+  private void giveUp(AdmittedCall call, Refusal refusal) {
+    drop(call);
+    if (!call.cancelled) {
+      refuse(call, refusal);
+    }
+  }
+
+  private void refuse(AdmittedCall call, Refusal wanted) {
+    // After an attempt that may have run, "not run" would be untrue whatever ends the call.
+    boolean untrue = call.mayHaveRun && wanted.reason().kind() == RefusalKind.NOT_RUN;
+    Refusal refusal = untrue ? Refusal.of(RefusalReason.CONNECTION_LOST) : wanted;
+    counts.refused(refusal.reason());
+    CallRefused refused = new CallRefused(call.request, refusal);
+    if (!undelivered.isEmpty() || !outlets.refusals().offer(refused)) {
+      undelivered.addLast(refused);
+    }
+  }
+
+  private void release(long id) {
+    PlacementCommand command = new PlacementCommand.ReleaseTarget(id);
+    if (!unreleased.isEmpty() || !outlets.placement().offer(command)) {
+      unreleased.addLast(command);
+    }
+  }
+
+  @Override
+  public void tick(long nowMs) {
+    nextTickMs = nowMs + TICK_MS;
+    while (!undelivered.isEmpty() && outlets.refusals().offer(undelivered.peekFirst())) {
+      undelivered.removeFirst();
+    }
+    while (!unreleased.isEmpty() && outlets.placement().offer(unreleased.peekFirst())) {
+      unreleased.removeFirst();
+    }
+    for (LanePair pair : lanes.values()) {
+      expire(pair.shortLane, nowMs);
+      expire(pair.longLane, nowMs);
+    }
+    while (!backingOff.isEmpty() && backingOff.peek().retryAtMs <= nowMs) {
+      AdmittedCall call = backingOff.remove();
+      call.state = AdmittedCall.State.QUEUED;
+      lane(call).putBack(call);
+    }
+    lanes.values().forEach(pair -> reopen(pair, nowMs));
+  }
+
+  private void expire(Lane lane, long nowMs) {
+    for (AdmittedCall call : lane.removeExpired(nowMs)) {
+      giveUp(call, Refusal.of(RefusalReason.DEADLINE_BEFORE_START));
+    }
+  }
+
+  @Override
+  public long nextTickMs() {
+    return nextTickMs;
+  }
+
+  /** Calls that wait, for metrics. */
+  public int waiting() {
+    return lanes.values().stream().mapToInt(LanePair::size).sum();
+  }
+}
--- /dev/null
+++ b/admission/src/main/java/dev/caroblb/admission/CallTarget.java
@@ -0,0 +1,8 @@
+package dev.caroblb.admission;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+
+/** Target that placement chose for a call. */
+public record CallTarget(
+    TargetId target, long incarnation, FailureDomain domain, String address, int enginePriority) {}
--- /dev/null
+++ b/admission/src/main/java/dev/caroblb/admission/DecorrelatedJitter.java
@@ -0,0 +1,21 @@
+package dev.caroblb.admission;
+
+import java.util.SplittableRandom;
+
+/** Waits before retries: uniform between a base and three times the previous wait, with a cap. */
+final class DecorrelatedJitter {
+  // About one round trip within a region, so that a first retry costs little.
+  private static final long BASE_MS = 10;
+  private static final long CAP_MS = 2_000;
+
+  private final SplittableRandom random;
+
+  DecorrelatedJitter(long seed) {
+    this.random = new SplittableRandom(seed);
+  }
+
+  long next(long previousMs) {
+    long upper = Math.max(BASE_MS, previousMs) * 3;
+    return Math.min(CAP_MS, random.nextLong(BASE_MS, upper + 1));
+  }
+}
--- /dev/null
+++ b/admission/src/main/java/dev/caroblb/admission/Lane.java
@@ -0,0 +1,183 @@
+package dev.caroblb.admission;
+
+import dev.caroblb.core.WorkspaceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Calls of one class for one kind of target. Workspaces take turns by deficit round robin: a turn
+ * adds the workspace's weight to its deficit, and each call takes the cost of a typical call of the
+ * workspace from it.
+ */
+final class Lane {
+  // Length of a typical call is followed over about this many calls.
+  private static final double COST_WEIGHT = 0.05;
+  private static final double MIN_COST = 0.25;
+  private static final double MAX_COST = 4;
+
+  private final int queueBound;
+  private final Map<WorkspaceId, WorkspaceQueue> queues = new HashMap<>();
+  private final ArrayDeque<WorkspaceId> turns = new ArrayDeque<>();
+  private final Map<WorkspaceId, Double> typicalTokens = new HashMap<>();
+  private double laneTokens;
+  private int size;
+  private int asked;
+
+  // Questions to placement at once: one while there is no room, doubled with each call placed.
+  private int window = Integer.MAX_VALUE / 2;
+  private boolean blocked;
+  private long blockedSinceMs;
+
+  Lane(int queueBound) {
+    this.queueBound = queueBound;
+  }
+
+  /** Adds a call at the end of its workspace's queue; false when that is full. */
+  boolean add(AdmittedCall call) {
+    WorkspaceQueue queue = queue(call);
+    if (queue.calls.size() + queue.reserved >= queueBound) {
+      return false;
+    }
+    queue.calls.addLast(call);
+    size++;
+    return true;
+  }
+
+  /** Puts a call that found no room, or is retried, back at the front; never refused. */
+  void putBack(AdmittedCall call) {
+    settle(call);
+    WorkspaceQueue queue = queue(call);
+    queue.calls.addFirst(call);
+    queue.deficit += cost(call.request.workspace());
+    size++;
+  }
+
+  /** Takes in that a call taken from its queue counts no longer for the bound. */
+  void settle(AdmittedCall call) {
+    if (call.reserved) {
+      call.reserved = false;
+      queue(call).reserved--;
+    }
+  }
+
+  private WorkspaceQueue queue(AdmittedCall call) {
+    WorkspaceId workspace = call.request.workspace();
+    WorkspaceQueue known = queues.get(workspace);
+    if (known != null) {
+      return known;
+    }
+    WorkspaceQueue created = new WorkspaceQueue(call.share.weight());
+    queues.put(workspace, created);
+    turns.addLast(workspace);
+    return created;
+  }
+
+  /** Takes the next call by deficit round robin. */
+  Optional<AdmittedCall> next() {
+    while (size > 0) {
+      WorkspaceId workspace = turns.peekFirst();
+      WorkspaceQueue queue = queues.get(workspace);
+      if (queue.calls.isEmpty()) {
+        turns.removeFirst();
+        keepOrRemove(workspace, queue);
+        continue;
+      }
+      double cost = cost(workspace);
+      if (queue.deficit >= cost) {
+        queue.deficit -= cost;
+        size--;
+        AdmittedCall call = queue.calls.removeFirst();
+        call.reserved = true;
+        queue.reserved++;
+        return Optional.of(call);
+      }
+      queue.deficit += queue.weight;
+      turns.addLast(turns.removeFirst());
+    }
+    return Optional.empty();
+  }
+
+  private void keepOrRemove(WorkspaceId workspace, WorkspaceQueue queue) {
+    queue.deficit = 0;
+    if (queue.reserved > 0) {
+      turns.addLast(workspace);
+      return;
+    }
+    queues.remove(workspace);
+  }
+
+  private double cost(WorkspaceId workspace) {
+    Double tokens = typicalTokens.get(workspace);
+    if (tokens == null || laneTokens <= 0) {
+      return 1;
+    }
+    return Math.max(MIN_COST, Math.min(MAX_COST, tokens / laneTokens));
+  }
+
+  /** Takes in the length of an answer, so that shares hold in tokens and not in calls. */
+  void ended(WorkspaceId workspace, int tokens) {
+    typicalTokens.merge(
+        workspace, (double) tokens, (old, latest) -> old + COST_WEIGHT * (latest - old));
+    laneTokens = laneTokens == 0 ? tokens : laneTokens + COST_WEIGHT * (tokens - laneTokens);
+  }
+
+  /** Removes the calls whose deadline passed. */
+  List<AdmittedCall> removeExpired(long nowMs) {
+    List<AdmittedCall> expired = new ArrayList<>();
+    for (WorkspaceQueue queue : queues.values()) {
+      queue.calls.removeIf(call -> call.expired(nowMs) && expired.add(call));
+    }
+    size -= expired.size();
+    return expired;
+  }
+
+  boolean remove(AdmittedCall call) {
+    WorkspaceQueue queue = queues.get(call.request.workspace());
+    boolean removed = queue != null && queue.calls.remove(call);
+    size -= removed ? 1 : 0;
+    return removed;
+  }
+
+  void asked(int change) {
+    asked += change;
+  }
+
+  /** Whether a call waits that may be offered to placement now. */
+  boolean ready(int maxOutstanding) {
+    return size > 0 && !blocked && asked < Math.min(window, maxOutstanding);
+  }
+
+  void block(long nowMs) {
+    blockedSinceMs = blocked || blockedSinceMs > 0 ? blockedSinceMs : nowMs;
+    blocked = true;
+    window = 1;
+  }
+
+  void unblock() {
+    blocked = false;
+  }
+
+  /** Takes in that a call found room. */
+  void placed() {
+    blockedSinceMs = 0;
+    window = Math.min(window, Integer.MAX_VALUE / 4) * 2;
+  }
+
+  /** Whether calls wait and none found room for the given time. */
+  boolean overdue(long patienceMs, long nowMs) {
+    return size > 0 && blockedSinceMs > 0 && nowMs - blockedSinceMs > patienceMs;
+  }
+
+  /** Calls that wait, those offered to placement included. */
+  int unplaced() {
+    return size + asked;
+  }
+
+  int size() {
+    return size;
+  }
+}
--- /dev/null
+++ b/admission/src/test/java/dev/caroblb/admission/AdmissionHandlerTest.java
@@ -0,0 +1,209 @@
+package dev.caroblb.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.CallClass;
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.RefusalKind;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AdmissionHandlerTest {
+  private static final long FAR = 1_000_000;
+
+  private final AdmissionHarness harness = new AdmissionHarness(4, AdmissionSettings.defaults());
+
+  private static long oldest(AdmissionHarness harness) {
+    return Collections.min(harness.running);
+  }
+
+  /** Guards against calls that are lost, or answered by both a dispatch and a refusal. */
+  @Property(seed = "21", tries = 300)
+  void everyCallIsAnsweredOnce(
+      @ForAll @IntRange(min = 1, max = 6) int slots,
+      @ForAll @Size(max = 200) List<@IntRange(min = 0, max = 9) Integer> steps) {
+    AdmissionHarness h = new AdmissionHarness(slots, new AdmissionSettings(4, 3, 0.1, 3));
+    Set<Long> failed = new HashSet<>();
+    int submitted = 0;
+    for (int step : steps) {
+      if (step < 5) {
+        CallClass callClass = step < 2 ? CallClass.LONG : CallClass.SHORT;
+        h.submit("ws" + step, callClass, h.nowMs + 400L * (step + 1));
+        submitted++;
+      } else if (step < 7 && !h.running.isEmpty()) {
+        h.end(oldest(h));
+      } else if (step == 7 && !h.running.isEmpty()) {
+        long call = oldest(h);
+        h.running.remove(call);
+        failed.add(call);
+        FailureDomain domain = new FailureDomain("a");
+        h.send(new AdmissionMessage.DispatchFailed(call, RetryReason.CONNECT_FAILED, domain));
+      } else {
+        h.advance(100);
+      }
+    }
+    while (!h.running.isEmpty() || h.handler.waiting() > 0) {
+      h.advance(200);
+      new ArrayList<>(h.running).forEach(h::end);
+    }
+    h.advance(10_000);
+    Set<Long> ended = new HashSet<>();
+    h.dispatched.forEach(dispatch -> ended.add(dispatch.request().id()));
+    Set<Long> refused = new HashSet<>();
+    for (CallRefused refusal : h.refused) {
+      assertTrue(refused.add(refusal.request().id()), "refused twice");
+      boolean dispatched = ended.contains(refusal.request().id());
+      assertTrue(!dispatched || failed.contains(refusal.request().id()), "refused and dispatched");
+    }
+    ended.addAll(refused);
+    assertEquals(submitted, ended.size());
+  }
+
+  /** Guards against a queue that grows with the offered load. */
+  @Property(seed = "22", tries = 100)
+  void queueBoundHolds(@ForAll @IntRange(min = 1, max = 20) int bound) {
+    AdmissionHarness h = new AdmissionHarness(2, new AdmissionSettings(bound, 5, 0.1, 3));
+    for (int i = 0; i < 100; i++) {
+      h.submit("ws", CallClass.SHORT, FAR);
+      assertTrue(h.handler.waiting() <= bound);
+    }
+    assertEquals(98 - bound, h.counts.refusals(RefusalReason.BACKLOG_FULL));
+  }
+
+  /** Guards against a large workspace that takes the share of a small one. */
+  @Property(seed = "23", tries = 50)
+  void smallWorkspaceKeepsItsShare(@ForAll @IntRange(min = 2, max = 5) int large) {
+    AdmissionHarness h = new AdmissionHarness(4, AdmissionSettings.defaults());
+    int small = 0;
+    for (int round = 0; round < 600; round++) {
+      for (int i = 0; i < large; i++) {
+        h.submit("large" + i, CallClass.SHORT, FAR);
+        h.submit("large" + i, CallClass.SHORT, FAR);
+      }
+      h.submit("small", CallClass.SHORT, FAR);
+      h.end(oldest(h));
+    }
+    for (Dispatch dispatch : h.dispatched) {
+      small += dispatch.request().workspace().name().equals("small") ? 1 : 0;
+    }
+    int fair = h.dispatched.size() / (large + 1);
+    assertTrue(small >= fair * 0.9, "got " + small + " of a fair " + fair);
+  }
+
+  @Nested
+  class WhenThereIsRoom {
+    /** Guards against a wait that admission adds below capacity. */
+    @Test
+    void dispatchesAtOnce() {
+      harness.submit("ws", CallClass.LONG, FAR);
+      assertEquals(1, harness.dispatched.size());
+    }
+  }
+
+  @Nested
+  class WhenThereIsNoRoom {
+    /** Guards against long calls that starve behind a stream of short ones. */
+    @Test
+    void longCallsGetAQuarter() {
+      for (int i = 0; i < 40; i++) {
+        harness.submit("ws", CallClass.LONG, FAR);
+      }
+      for (int i = 0; i < 200; i++) {
+        harness.submit("ws", CallClass.SHORT, FAR);
+        harness.end(oldest(harness));
+      }
+      long longs =
+          harness.dispatched.stream()
+              .filter(dispatch -> dispatch.request().policy().callClass() == CallClass.LONG)
+              .count();
+      assertTrue(longs >= 40, "long calls dispatched: " + longs);
+    }
+
+    /** Guards against a dispatch after the deadline, which wastes room. */
+    @Test
+    void refusesWhatExpired() {
+      for (int i = 0; i < 5; i++) {
+        harness.submit("ws", CallClass.SHORT, i < 4 ? FAR : 500);
+      }
+      harness.advance(600);
+      harness.end(oldest(harness));
+      assertEquals(4, harness.dispatched.size());
+      assertEquals(1, harness.counts.refusals(RefusalReason.DEADLINE_BEFORE_START));
+    }
+
+    /** Guards against a workspace that holds more calls than its limit. */
+    @Test
+    void limitsConcurrentCalls() {
+      for (int i = 0; i < 7; i++) {
+        harness.submit("ws", CallClass.SHORT, FAR, new WorkspaceShare(1, 6), true);
+      }
+      assertEquals(1, harness.counts.refusals(RefusalReason.WORKSPACE_LIMIT));
+      assertTrue(harness.refused.get(0).refusal().retryAfterMs() > 0);
+    }
+  }
+
+  @Nested
+  class WhenACallFails {
+    private final FailureDomain domain = new FailureDomain("a");
+
+    private void fail(long call, RetryReason reason) {
+      harness.running.remove(call);
+      harness.send(new AdmissionMessage.DispatchFailed(call, reason, domain));
+    }
+
+    /** Guards against a retry in the failure domain that just failed. */
+    @Test
+    void avoidsItsFailureDomain() {
+      fail(harness.submit("ws", CallClass.SHORT, FAR), RetryReason.CONNECT_FAILED);
+      harness.advance(2_000);
+      assertEquals(Optional.of(domain), harness.asked.get(1).avoid());
+      assertEquals(2, harness.dispatched.size());
+      assertEquals(1, harness.counts.retries(RetryReason.CONNECT_FAILED));
+    }
+
+    /** Guards against running a call twice that may not repeat. */
+    @Test
+    void doesNotRepeatWhatMayHaveRun() {
+      long call = harness.submit("ws", CallClass.SHORT, FAR, new WorkspaceShare(1, 10), false);
+      fail(call, RetryReason.LOST_BEFORE_FIRST_TOKEN);
+      assertEquals(RefusalKind.OUTCOME_UNKNOWN, harness.refused.get(0).refusal().reason().kind());
+    }
+
+    /** Guards against "not run" for a call whose first attempt may have run. */
+    @Test
+    void tellsTheTruthAfterARetryExpires() {
+      long call = harness.submit("ws", CallClass.SHORT, 5_000);
+      harness.slots = 0;
+      fail(call, RetryReason.LOST_BEFORE_FIRST_TOKEN);
+      harness.advance(6_000);
+      assertNotEquals(RefusalKind.NOT_RUN, harness.refused.get(0).refusal().reason().kind());
+    }
+
+    /** Guards against retries that multiply an overload. */
+    @Test
+    void staysWithinTheBudget() {
+      for (int i = 0; i < 300; i++) {
+        long call = harness.submit("ws", CallClass.SHORT, FAR);
+        fail(call, RetryReason.CONNECT_FAILED);
+      }
+      long retries = harness.counts.retries(RetryReason.CONNECT_FAILED);
+      assertTrue(retries <= 10 + 30, "retries " + retries);
+      assertFalse(harness.refused.isEmpty());
+    }
+  }
+}
