Add the engine model of the stand-ins

Cause: placement must be weighed against engines that run out of memory. Change: continuous batching, block memory, preemption by priority, prefix cache, lagging announcements, resume and cancel, with time passed in. Conclusion: deterministic; the same model serves experiments and the process.

--- /dev/null
+++ b/standins/src/main/java/dev/caroblb/standins/engine/AnnouncementFeed.java
@@ -0,0 +1,53 @@
+package dev.caroblb.standins.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Reports of an engine: load with a lag, cache events late and with gaps. */
+public final class AnnouncementFeed {
+  private record Pending(EngineEvent.Cache event, long atUs) {}
+
+  private final AnnouncementSettings settings;
+  private final SplittableRandom random;
+  private final ArrayDeque<EngineLoad> loads = new ArrayDeque<>();
+  private final ArrayDeque<Pending> cacheEvents = new ArrayDeque<>();
+
+  public AnnouncementFeed(AnnouncementSettings settings, long seed) {
+    this.settings = settings;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** Takes in the load of this moment. */
+  public void sample(EngineLoad load) {
+    loads.addLast(load);
+  }
+
+  /** Takes in a cache event of this moment, or loses it. */
+  public void cacheEvent(EngineEvent.Cache event, long nowUs) {
+    if (random.nextDouble() >= settings.cacheLoss()) {
+      cacheEvents.addLast(new Pending(event, nowUs));
+    }
+  }
+
+  /** Latest load that is old enough to be sent. */
+  public Optional<EngineLoad> load(long nowUs) {
+    Optional<EngineLoad> latest = Optional.empty();
+    while (!loads.isEmpty() && loads.peekFirst().atUs() <= nowUs - settings.loadLagUs()) {
+      latest = Optional.of(loads.removeFirst());
+    }
+    return latest;
+  }
+
+  /** Cache events that are old enough to be sent, each once. */
+  public List<EngineEvent.Cache> cacheEvents(long nowUs) {
+    List<EngineEvent.Cache> due = new ArrayList<>();
+    while (!cacheEvents.isEmpty()
+        && cacheEvents.peekFirst().atUs() <= nowUs - settings.cacheLagUs()) {
+      due.add(cacheEvents.removeFirst().event());
+    }
+    return due;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/caroblb/standins/engine/BatchingEngine.java
@@ -0,0 +1,224 @@
+package dev.caroblb.standins.engine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Continuous batching with memory in blocks. Each step admits waiting generations while their
+ * prompts fit, computes a chunk of prompts and one token for every generation past its prompt. A
+ * generation that needs a block when none is free preempts the one of lowest priority, latest
+ * arrival first; that one waits and is computed again from its prompt.
+ */
+public final class BatchingEngine implements EngineModel {
+  private final EngineSettings settings;
+  private final PrefixCache cache;
+  private final Map<Long, Sequence> sequences = new HashMap<>();
+  private final TreeSet<Sequence> waiting = new TreeSet<>(Sequence::byAdmission);
+  private final List<Sequence> running = new ArrayList<>();
+  private final List<EngineEvent> events = new ArrayList<>();
+  private int freeBlocks;
+  private int prefillInStep;
+  private long stepEndsAtUs = -1;
+  private long preemptions;
+  private long orders;
+
+  public BatchingEngine(EngineSettings settings) {
+    this.settings = settings;
+    this.cache = new PrefixCache(settings.cacheTokens());
+    this.freeBlocks = settings.totalBlocks();
+  }
+
+  @Override
+  public boolean submit(long generation, EngineRequest request, long nowUs) {
+    Sequence sequence = new Sequence(generation, request, orders++);
+    if (sequences.putIfAbsent(generation, sequence) != null) {
+      return false;
+    }
+    waiting.add(sequence);
+    if (stepEndsAtUs < 0) {
+      startStep(nowUs);
+    }
+    return true;
+  }
+
+  @Override
+  public OptionalLong stepEndsAtUs() {
+    return stepEndsAtUs < 0 ? OptionalLong.empty() : OptionalLong.of(stepEndsAtUs);
+  }
+
+  @Override
+  public void step(long nowUs) {
+    if (stepEndsAtUs < 0 || nowUs < stepEndsAtUs) {
+      return;
+    }
+    finishPrefill();
+    decode();
+    startStep(stepEndsAtUs);
+  }
+
+  private void startStep(long nowUs) {
+    admit();
+    if (running.isEmpty()) {
+      stepEndsAtUs = -1;
+      return;
+    }
+    int decoding = 0;
+    long context = 0;
+    prefillInStep = 0;
+    for (Sequence sequence : running) {
+      decoding += sequence.prefillLeft == 0 ? 1 : 0;
+      context += sequence.contextTokens();
+      prefillInStep += sequence.prefillLeft;
+    }
+    prefillInStep = Math.min(prefillInStep, settings.prefillChunk());
+    stepEndsAtUs = nowUs + settings.stepUs(decoding, context, prefillInStep);
+  }
+
+  private void admit() {
+    while (!waiting.isEmpty() && running.size() < settings.maxBatch()) {
+      Sequence next = waiting.first();
+      int needed = settings.blocks(next.contextTokens() + 1);
+      int reserve = running.isEmpty() ? 0 : settings.watermarkBlocks();
+      if (needed + reserve > freeBlocks) {
+        return;
+      }
+      waiting.pollFirst();
+      next.blocks = needed;
+      freeBlocks -= needed;
+      next.prefillLeft = Math.max(1, next.contextTokens() - cache.hit(next.request.prefix()));
+      running.add(next);
+    }
+  }
+
+  private void finishPrefill() {
+    int budget = prefillInStep;
+    for (Sequence sequence : running) {
+      if (budget == 0) {
+        return;
+      }
+      if (sequence.prefillLeft > 0) {
+        int part = Math.min(budget, sequence.prefillLeft);
+        budget -= part;
+        sequence.prefillLeft -= part;
+        if (sequence.prefillLeft == 0) {
+          cache.store(sequence.request.prefix(), sequence.request.prefixTokens(), events::add);
+        }
+      }
+    }
+  }
+
+  private void decode() {
+    for (Sequence sequence : new ArrayList<>(running)) {
+      // A preempted one has no blocks; it must not decode in this step any more.
+      if (sequence.prefillLeft > 0 || sequence.blocks == 0 || !reserveNextToken(sequence)) {
+        continue;
+      }
+      sequence.tokens++;
+      events.add(new EngineEvent.Token(sequence.generation, sequence.tokens));
+      if (sequence.tokens >= sequence.request.outputTokens()) {
+        events.add(new EngineEvent.Done(sequence.generation, sequence.tokens));
+        running.remove(sequence);
+        release(sequence);
+        sequences.remove(sequence.generation);
+      }
+    }
+  }
+
+  /** Whether the sequence holds memory for one more token; preempts until it does. */
+  private boolean reserveNextToken(Sequence sequence) {
+    if (settings.blocks(sequence.contextTokens() + 1) <= sequence.blocks) {
+      return true;
+    }
+    while (freeBlocks == 0) {
+      Sequence victim = victim();
+      if (victim == sequence && running.size() == 1) {
+        // It can never fit; ending it is all an engine can do.
+        endEarly(sequence);
+        return false;
+      }
+      preempt(victim);
+      if (victim == sequence) {
+        return false;
+      }
+    }
+    freeBlocks--;
+    sequence.blocks++;
+    return true;
+  }
+
+  private Sequence victim() {
+    Sequence victim = running.get(0);
+    for (Sequence candidate : running) {
+      victim = Sequence.byAdmission(candidate, victim) > 0 ? candidate : victim;
+    }
+    return victim;
+  }
+
+  private void preempt(Sequence victim) {
+    running.remove(victim);
+    release(victim);
+    victim.preemptions++;
+    preemptions++;
+    waiting.add(victim);
+    events.add(new EngineEvent.Preempted(victim.generation));
+  }
+
+  private void endEarly(Sequence sequence) {
+    events.add(new EngineEvent.Done(sequence.generation, sequence.tokens));
+    running.remove(sequence);
+    release(sequence);
+    sequences.remove(sequence.generation);
+  }
+
+  private void release(Sequence sequence) {
+    freeBlocks += sequence.blocks;
+    sequence.blocks = 0;
+  }
+
+  @Override
+  public boolean cancel(long generation) {
+    Sequence sequence = sequences.remove(generation);
+    if (sequence == null) {
+      return false;
+    }
+    if (!waiting.remove(sequence)) {
+      running.remove(sequence);
+      release(sequence);
+    }
+    return true;
+  }
+
+  @Override
+  public boolean resume(long generation, int after) {
+    Sequence sequence = sequences.get(generation);
+    if (sequence == null) {
+      return false;
+    }
+    for (int token = after + 1; token <= sequence.tokens; token++) {
+      events.add(new EngineEvent.Token(generation, token));
+    }
+    return true;
+  }
+
+  @Override
+  public void drainEvents(Consumer<EngineEvent> consumer) {
+    events.forEach(consumer);
+    events.clear();
+  }
+
+  @Override
+  public EngineLoad load(long nowUs) {
+    return new EngineLoad(
+        running.size(),
+        waiting.size(),
+        settings.totalBlocks() - freeBlocks,
+        settings.totalBlocks(),
+        preemptions,
+        nowUs);
+  }
+}
