Wire the daemon and add the demo with real processes

Cause: the slices existed but no process ran them together. Change: caroblbd reads its settings, opens the data folder, connects the duties by their rings and serves callers; the system test harness starts instances and stand-ins on loopback addresses of their own; ./demo runs the main job. Conclusion: the path from caller to target exists as separate processes.

--- a/callers/src/main/java/dev/caroblb/callers/PublishRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/PublishRoute.java
@@ -40,7 +40,7 @@
       refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED));
       return;
     }
-    PublishSink.Publish publish;
+    PublishSink.SubmittedPublish publish;
     try {
       publish = decode(request);
     } catch (MalformedBodyException e) {
@@ -57,14 +57,15 @@
     Answers.refuse(reply, refusal);
   }
 
-  private static PublishSink.Publish decode(IncomingRequest request) throws MalformedBodyException {
+  private static PublishSink.SubmittedPublish decode(IncomingRequest request)
+      throws MalformedBodyException {
     JsonBody body = JsonBody.parse(request.body());
-    List<PublishSink.PublishedFile> files = new ArrayList<>();
+    List<PublishSink.SubmittedFile> files = new ArrayList<>();
     for (JsonNode node : body.array("files")) {
       JsonBody file = JsonBody.object(node, "each of \"files\"");
-      files.add(new PublishSink.PublishedFile(file.text("name"), file.text("text")));
+      files.add(new PublishSink.SubmittedFile(file.text("name"), file.text("text")));
     }
-    return new PublishSink.Publish(body.integer("number"), body.text("request"), files);
+    return new PublishSink.SubmittedPublish(body.integer("number"), body.text("request"), files);
   }
 
   private static int status(PublishSink.Answer answer) {
--- a/callers/src/main/java/dev/caroblb/callers/PublishSink.java
+++ b/callers/src/main/java/dev/caroblb/callers/PublishSink.java
@@ -7,17 +7,17 @@
 /** Takes publishes of team files. */
 public interface PublishSink {
   /** Hands over a publish; false when there was no room for it and nothing was done. */
-  boolean publish(Publish publish, Consumer<Answer> reply);
+  boolean publish(SubmittedPublish publish, Consumer<Answer> reply);
 
   /** One publish of an operator. */
-  record Publish(long number, String request, List<PublishedFile> files) {
-    public Publish {
+  record SubmittedPublish(long number, String request, List<SubmittedFile> files) {
+    public SubmittedPublish {
       files = List.copyOf(files);
     }
   }
 
   /** A team file; empty text removes the file of that name. */
-  record PublishedFile(String name, String text) {}
+  record SubmittedFile(String name, String text) {}
 
   /** What became of a publish. */
   record Answer(
--- a/callers/src/main/java/dev/caroblb/callers/TargetRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/TargetRoute.java
@@ -44,18 +44,28 @@
       refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED));
       return;
     }
-    TargetSink.Announcement announcement;
+    TargetSink.AnnouncedTarget announcement;
     try {
       announcement = decode(JsonBody.parse(request.body()));
     } catch (MalformedBodyException e) {
       refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()));
       return;
     }
-    if (!sink.announce(announcement)) {
+    if (accepted(announcement, reply)) {
+      Answers.json(reply, OK, EntriesRoute.encode(directory));
+    }
+  }
+
+  private boolean accepted(TargetSink.AnnouncedTarget announcement, Reply reply) {
+    try {
+      if (sink.announce(announcement)) {
+        return true;
+      }
       refuse(reply, Refusal.of(RefusalReason.RING_FULL));
-      return;
+    } catch (IllegalArgumentException e) {
+      refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()));
     }
-    Answers.json(reply, OK, EntriesRoute.encode(directory));
+    return false;
   }
 
   private void refuse(Reply reply, Refusal refusal) {
@@ -63,8 +73,8 @@
     Answers.refuse(reply, refusal);
   }
 
-  private static TargetSink.Announcement decode(JsonBody body) throws MalformedBodyException {
-    return new TargetSink.Announcement(
+  private static TargetSink.AnnouncedTarget decode(JsonBody body) throws MalformedBodyException {
+    return new TargetSink.AnnouncedTarget(
         name(body, "target"),
         body.integer("incarnation"),
         body.integer("sequence"),
@@ -125,7 +135,7 @@
             fields.integer("reported_at_ms")));
   }
 
-  private static List<TargetSink.CacheEvent> cacheEvents(JsonBody body)
+  private static List<TargetSink.AnnouncedCacheEvent> cacheEvents(JsonBody body)
       throws MalformedBodyException {
     if (!body.has("cache_events")) {
       return List.of();
@@ -135,11 +145,11 @@
       throw new MalformedBodyException(
           "\"cache_events\" may have at most " + MAX_CACHE_EVENTS + " events");
     }
-    List<TargetSink.CacheEvent> events = new ArrayList<>();
+    List<TargetSink.AnnouncedCacheEvent> events = new ArrayList<>();
     for (JsonNode node : array) {
       JsonBody event = JsonBody.object(node, "each of \"cache_events\"");
       events.add(
-          new TargetSink.CacheEvent(
+          new TargetSink.AnnouncedCacheEvent(
               event.integer("sequence"), event.text("prefix"), event.flag("cached")));
     }
     return events;
--- a/callers/src/main/java/dev/caroblb/callers/TargetSink.java
+++ b/callers/src/main/java/dev/caroblb/callers/TargetSink.java
@@ -6,7 +6,7 @@
 /** Takes announcements of targets. */
 public interface TargetSink {
   /** Hands over an announcement; false when there was no room for it. */
-  boolean announce(Announcement announcement);
+  boolean announce(AnnouncedTarget announcement);
 
   /**
    * What a target says about itself.
@@ -14,7 +14,7 @@
    * @param kind {@code engine} or {@code service}
    * @param serves models of an engine or names of services
    */
-  record Announcement(
+  record AnnouncedTarget(
       String target,
       long incarnation,
       long sequence,
@@ -24,8 +24,8 @@
       List<String> serves,
       boolean leaving,
       Optional<Load> load,
-      List<CacheEvent> cacheEvents) {
-    public Announcement {
+      List<AnnouncedCacheEvent> cacheEvents) {
+    public AnnouncedTarget {
       serves = List.copyOf(serves);
       cacheEvents = List.copyOf(cacheEvents);
     }
@@ -41,5 +41,5 @@
       long reportedAtMs) {}
 
   /** A prompt prefix that an engine cached or evicted. */
-  record CacheEvent(long sequence, String prefix, boolean cached) {}
+  record AnnouncedCacheEvent(long sequence, String prefix, boolean cached) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/DrainControl.java
@@ -0,0 +1,90 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.LogLine;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.membership.DrainStage;
+import dev.caroblb.streams.StreamsMessage;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
+
+/** Carries out the stages of a planned stop and tells the main thread when the process may exit. */
+final class DrainControl implements Outlet<DrainStage> {
+  private static final System.Logger LOGGER = System.getLogger(DrainControl.class.getName());
+  private static final long CHECK_NANOS = 50_000_000;
+
+  /** Time for the final events after the drain bound to reach their callers. */
+  private static final long FINAL_EVENTS_NANOS = 2_000_000_000;
+
+  private final ConfigurationGate gate;
+  private final Outlet<StreamsMessage> streams;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition changed = lock.newCondition();
+  private DrainStage stage;
+  private boolean failed;
+
+  DrainControl(ConfigurationGate gate, Outlet<StreamsMessage> streams) {
+    this.gate = gate;
+    this.streams = streams;
+  }
+
+  @Override
+  public boolean offer(DrainStage reached) {
+    LOGGER.log(
+        System.Logger.Level.INFO, LogLine.of("drain.stage").with("stage", reached).toString());
+    if (reached == DrainStage.REFUSE_NEW_CALLS) {
+      gate.refuseNewCalls();
+    }
+    if (reached == DrainStage.LIMIT_REACHED) {
+      gate.refuseNewCalls();
+      streams.offer(new StreamsMessage.StopAll());
+    }
+    lock.lock();
+    try {
+      stage = reached;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+    return true;
+  }
+
+  /** Ends the wait because durable state failed. */
+  void fail() {
+    lock.lock();
+    try {
+      failed = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  boolean failed() {
+    lock.lock();
+    try {
+      return failed;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Waits for the end of the drain; {@code idle} tells whether every answer is complete. */
+  void await(BooleanSupplier idle) throws InterruptedException {
+    lock.lock();
+    try {
+      while (!failed && (stage == null || stage == DrainStage.ANNOUNCED)) {
+        changed.await();
+      }
+      long remainingNanos = FINAL_EVENTS_NANOS;
+      while (!failed && remainingNanos > 0 && !idle.getAsBoolean()) {
+        long leftNanos = changed.awaitNanos(CHECK_NANOS);
+        if (stage == DrainStage.LIMIT_REACHED) {
+          remainingNanos -= CHECK_NANOS - leftNanos;
+        }
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/InstanceStatus.java
@@ -0,0 +1,83 @@
+package dev.caroblb.daemon;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.caroblb.agreement.GroupStatus;
+import dev.caroblb.callers.StatusSource;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.membership.InstanceRecord;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/** Describes the instance to operators. */
+final class InstanceStatus implements StatusSource, Outlet<List<GroupStatus>> {
+  private final InstanceId self;
+  private final ConfigurationGate gate;
+  private final Entries entries;
+  private final TargetDirectory targets;
+  private final IntSupplier running;
+  private final Supplier<String> metrics;
+  private volatile List<GroupStatus> groups = List.of();
+
+  InstanceStatus(
+      InstanceId self,
+      ConfigurationGate gate,
+      Entries entries,
+      TargetDirectory targets,
+      IntSupplier running,
+      Supplier<String> metrics) {
+    this.self = self;
+    this.gate = gate;
+    this.entries = entries;
+    this.targets = targets;
+    this.running = running;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public boolean offer(List<GroupStatus> latest) {
+    groups = latest;
+    return true;
+  }
+
+  @Override
+  public String status() {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("instance", self.name());
+    body.put("configuration", gate.snapshot().number());
+    body.put("workspaces", gate.snapshot().workspaceCount());
+    body.put("admits", gate.admits());
+    body.put("running_calls", running.getAsInt());
+    body.put("targets", targets.size());
+    ArrayNode instances = body.putArray("instances");
+    for (InstanceRecord instance : entries.view().instances()) {
+      instances
+          .addObject()
+          .put("instance", instance.id().name())
+          .put("domain", instance.domain().name())
+          .put("state", instance.state().name().toLowerCase(Locale.ROOT))
+          .put("configuration", instance.configuration());
+    }
+    ArrayNode groupNodes = body.putArray("groups");
+    for (GroupStatus group : groups) {
+      ObjectNode node = groupNodes.addObject();
+      node.put("group", group.group().name());
+      node.put("role", group.role().name().toLowerCase(Locale.ROOT));
+      node.put("term", group.term());
+      node.put("leader", group.leader().map(InstanceId::name).orElse(""));
+      node.put("committed", group.commitIndex());
+      ArrayNode members = node.putArray("members");
+      group.members().forEach(member -> members.add(member.instance().name()));
+    }
+    return body.toString();
+  }
+
+  @Override
+  public String metrics() {
+    return metrics.get();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/LateOutlet.java
@@ -0,0 +1,17 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.Outlet;
+
+/** Outlet whose destination is set after its user was created; duties refer to each other. */
+final class LateOutlet<T> implements Outlet<T> {
+  private volatile Outlet<T> destination = message -> false;
+
+  void bind(Outlet<T> destination) {
+    this.destination = destination;
+  }
+
+  @Override
+  public boolean offer(T message) {
+    return destination.offer(message);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/LogFormat.java
@@ -0,0 +1,70 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.LogLine;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Writes each log record as one line of key=value pairs to the standard error stream. */
+final class LogFormat extends Formatter {
+  private LogFormat() {}
+
+  /** Replaces the handlers of the platform's logger. */
+  static void install(System.Logger.Level level) {
+    LogManager.getLogManager().reset();
+    Handler handler = new ConsoleHandler();
+    handler.setFormatter(new LogFormat());
+    handler.setLevel(Level.ALL);
+    Logger root = Logger.getLogger("");
+    root.setLevel(Level.INFO);
+    root.addHandler(handler);
+    Logger own = Logger.getLogger("dev.caroblb");
+    own.setLevel(levelOf(level));
+  }
+
+  private static Level levelOf(System.Logger.Level level) {
+    return switch (level) {
+      case ALL -> Level.ALL;
+      case TRACE -> Level.FINER;
+      case DEBUG -> Level.FINE;
+      case INFO -> Level.INFO;
+      case WARNING -> Level.WARNING;
+      case ERROR -> Level.SEVERE;
+      case OFF -> Level.OFF;
+    };
+  }
+
+  @Override
+  public String format(LogRecord record) {
+    StringBuilder line = new StringBuilder(256);
+    line.append("time=").append(Instant.ofEpochMilli(record.getMillis()));
+    line.append(" level=").append(record.getLevel().getName());
+    line.append(' ').append(eventOf(record));
+    if (record.getThrown() != null) {
+      line.append(
+          LogLine.of("").with("stack", stackOf(record.getThrown())).toString().substring(6));
+    }
+    return line.append('\n').toString();
+  }
+
+  /** Libraries log free text; it becomes one value so that every line keeps its form. */
+  private static String eventOf(LogRecord record) {
+    String message = String.valueOf(record.getMessage());
+    return message.startsWith("event=")
+        ? message
+        : LogLine.of("log").with("text", message).toString();
+  }
+
+  private static String stackOf(Throwable thrown) {
+    StringWriter text = new StringWriter();
+    thrown.printStackTrace(new PrintWriter(text));
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code caroblbd}: wires the duties of one instance together. */
+package dev.caroblb.daemon;
--- a/engines/src/main/java/dev/caroblb/engines/EngineRequests.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineRequests.java
@@ -29,7 +29,7 @@
     body.put("workspace", call.workspace().name());
     body.put("call", call.policy().call());
     body.put("model", call.policy().model().map(ModelId::toString).orElse(""));
-    body.put("priority", call.policy().priority());
+    body.put("priority", command.priority());
     body.put("prompt", call.body().text());
     return new OutgoingRequest(
         "POST",
--- a/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -10,13 +10,13 @@
 import dev.caroblb.http.HttpListener;
 import dev.caroblb.http.RequestHandler;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /** Starts one stand-in; prints {@code ready address=host:port} when it listens. */
@@ -76,7 +76,10 @@
     }
     HttpListener listener =
         HttpListener.start(
-            new InetSocketAddress("127.0.0.1", port), HttpLimits.DEFAULTS, handler, status -> {});
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            HttpLimits.DEFAULTS,
+            handler,
+            status -> {});
     String address = "127.0.0.1:" + listener.address().getPort();
     HttpConnector connector = new HttpConnector(1, CONNECT_TIMEOUT_MS, IDLE_MS);
     Announcer announcer = new Announcer(connector, token, identity(address), state, entries);
@@ -97,11 +100,10 @@
 
   private static void schedule(Announcer announcer, StandinState state, SystemMillisClock clock) {
     ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
-    List<ScheduledFuture<?>> tasks = new ArrayList<>();
-    tasks.add(
-        timer.scheduleAtFixedRate(announcer::announce, 0, ANNOUNCE_MS, TimeUnit.MILLISECONDS));
-    tasks.add(
+    var unusedAnnounce =
+        timer.scheduleAtFixedRate(announcer::announce, 0, ANNOUNCE_MS, TimeUnit.MILLISECONDS);
+    var unusedTick =
         timer.scheduleAtFixedRate(
-            () -> state.tick(clock.nowMs()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS));
+            () -> state.tick(clock.nowMs()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 }
--- a/streams/src/main/java/dev/caroblb/streams/EngineCommand.java
+++ b/streams/src/main/java/dev/caroblb/streams/EngineCommand.java
@@ -8,7 +8,8 @@
 /** Requests to the adapter that holds the links to targets. */
 public sealed interface EngineCommand {
   /** Starts a generation on a new link. */
-  record Generate(long link, Endpoint endpoint, GenerationId generation, CallRequest call)
+  record Generate(
+      long link, Endpoint endpoint, GenerationId generation, int priority, CallRequest call)
       implements EngineCommand {}
 
   /** Continues a generation after the token {@code afterSequence} on a new link. */
--- a/streams/src/main/java/dev/caroblb/streams/GenerationCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/GenerationCall.java
@@ -17,11 +17,14 @@
  * by a resume of the same generation, never by another generation once a token was delivered.
  */
 final class GenerationCall implements RunningCall {
+  private static final long PROGRESS_MS = 100;
+
   private final long id;
   private final Optional<CallRequest> call;
   private final WorkspaceId workspace;
   private final Endpoint endpoint;
   private final GenerationId generation;
+  private final int enginePriority;
   private final long deadlineMs;
   private final StreamScope scope;
   private final CallerBuffer caller;
@@ -37,6 +40,7 @@
   private boolean finished;
   private long lastEngineMs;
   private long lastTokenMs;
+  private long lastProgressMs;
   private Optional<Long> abandonedAtMs = Optional.empty();
 
   /** A new generation for a call. */
@@ -48,6 +52,7 @@
         start.call().workspace(),
         start.endpoint(),
         generation,
+        start.enginePriority(),
         0,
         start.call().deadlineMs(),
         start.caller(),
@@ -63,6 +68,7 @@
         resume.workspace(),
         resume.endpoint(),
         resume.generation(),
+        0,
         resume.afterSequence(),
         resume.deadlineMs(),
         resume.caller(),
@@ -76,6 +82,7 @@
       WorkspaceId workspace,
       Endpoint endpoint,
       GenerationId generation,
+      int enginePriority,
       long afterSequence,
       long deadlineMs,
       Outlet<CallerEvent> caller,
@@ -86,6 +93,7 @@
     this.workspace = workspace;
     this.endpoint = endpoint;
     this.generation = generation;
+    this.enginePriority = enginePriority;
     this.firstSequence = afterSequence;
     this.deadlineMs = deadlineMs;
     this.scope = scope;
@@ -112,7 +120,7 @@
       return;
     }
     link = scope.links().open(this);
-    scope.send(new EngineCommand.Generate(link, endpoint, generation, call.get()));
+    scope.send(new EngineCommand.Generate(link, endpoint, generation, enginePriority, call.get()));
   }
 
   @Override
@@ -130,9 +138,18 @@
       return;
     }
     batchHeld = fromLink == link;
+    reportProgress(nowMs);
     deliver(nowMs);
   }
 
+  private void reportProgress(long nowMs) {
+    if (call.isEmpty() || nowMs - lastProgressMs < PROGRESS_MS) {
+      return;
+    }
+    lastProgressMs = nowMs;
+    scope.progress(id, sequence.last());
+  }
+
   /** Processes one event; false when the rest of the batch belongs to a link that was given up. */
   private boolean onEngineEvent(EngineEvent event, long nowMs) {
     if (event instanceof EngineEvent.Token token) {
--- a/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
@@ -28,6 +28,7 @@
   private long link;
   private Optional<Refusal> releaseRefusal = Optional.empty();
   private Optional<KeyCommand> unsentKeyCommand = Optional.empty();
+  private boolean reported;
   private boolean finished;
 
   ServiceCall(StreamsMessage.Start start, StreamScope scope, long nowMs) {
@@ -122,7 +123,7 @@
       sendKeyCommand(
           new KeyCommand.StoreOutcome(call, answer.status(), answer.contentType(), answer.body()));
     }
-    scope.report(outcome(Optional.empty(), false));
+    report(Optional.empty(), false);
     answer(
         new CallerEvent.Answer(answer.status(), answer.contentType(), answer.body(), false), nowMs);
   }
@@ -146,13 +147,13 @@
       handBack(reason);
       return;
     }
-    scope.report(outcome(Optional.of(reason), false));
+    report(Optional.of(reason), false);
     release(Refusal.of(reason, cause));
   }
 
   private void handBack(RefusalReason reason) {
     finished = true;
-    scope.report(outcome(Optional.of(reason), true));
+    report(Optional.of(reason), true);
   }
 
   private void release(Refusal refusal) {
@@ -163,12 +164,17 @@
 
   private void refuse(Refusal refusal, long nowMs) {
     scope.log("call.refused", id(), endpoint, refusal.reason(), refusal.message());
-    scope.report(outcome(Optional.of(refusal.reason()), false));
+    report(Optional.of(refusal.reason()), false);
     answer(new CallerEvent.Refused(refusal), nowMs);
   }
 
-  private CallOutcome outcome(Optional<RefusalReason> reason, boolean retry) {
-    return new CallOutcome(Optional.of(call), endpoint, 0, reason, retry);
+  /** Reports the end of the attempt once, whatever ends it first. */
+  private void report(Optional<RefusalReason> reason, boolean retry) {
+    if (reported) {
+      return;
+    }
+    reported = true;
+    scope.report(new CallOutcome(Optional.of(call), endpoint, 0, reason, retry));
   }
 
   private void sendKeyCommand(KeyCommand command) {
@@ -177,6 +183,11 @@
 
   private void answer(CallerEvent event, long nowMs) {
     state = State.ANSWERED;
+    report(
+        event instanceof CallerEvent.Refused refused
+            ? Optional.of(refused.refusal().reason())
+            : Optional.empty(),
+        false);
     caller.add(event);
     deliver(nowMs);
   }
--- a/streams/src/main/java/dev/caroblb/streams/StreamScope.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamScope.java
@@ -43,6 +43,11 @@
     outlets.outcomes().offer(outcome);
   }
 
+  /** Only a hint for placement; the next one replaces a lost one. */
+  void progress(long call, long tokens) {
+    outlets.progress().offer(new CallProgress(call, tokens));
+  }
+
   void log(String event, long call, Endpoint endpoint, RefusalReason reason, String cause) {
     LOGGER.log(
         System.Logger.Level.INFO,
--- a/streams/src/main/java/dev/caroblb/streams/StreamsMessage.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamsMessage.java
@@ -10,8 +10,8 @@
 
 /** Messages to the streams duty. */
 public sealed interface StreamsMessage {
-  /** A call was placed on a target. */
-  record Start(CallRequest call, Endpoint endpoint, Outlet<CallerEvent> caller)
+  /** A call was placed on a target; the engine priority decides whom the engine preempts first. */
+  record Start(CallRequest call, Endpoint endpoint, int enginePriority, Outlet<CallerEvent> caller)
       implements StreamsMessage {}
 
   /** A caller continues a generation, possibly one that another entry instance started. */
--- /dev/null
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
@@ -0,0 +1,81 @@
+package dev.caroblb.systemtests;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A child process whose output goes to a file. */
+final class ManagedProcess implements AutoCloseable {
+  private static final long KILL_WAIT_MS = 10_000;
+
+  private final String name;
+  private final Process process;
+  private final Path output;
+
+  private ManagedProcess(String name, Process process, Path output) {
+    this.name = name;
+    this.process = process;
+    this.output = output;
+  }
+
+  static ManagedProcess start(String name, List<String> command, Path folder) throws IOException {
+    Path output = folder.resolve(name + ".log");
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+            .start();
+    process.getOutputStream().close();
+    return new ManagedProcess(name, process, output);
+  }
+
+  String name() {
+    return name;
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  String output() throws IOException {
+    return Files.readString(output);
+  }
+
+  /** Sends the ordinary termination signal. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Ends the process without any chance to clean up. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly();
+    process.waitFor(KILL_WAIT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops the process from running until {@link #resume()}. */
+  void freeze() throws IOException, InterruptedException {
+    signal("-STOP");
+  }
+
+  void resume() throws IOException, InterruptedException {
+    signal("-CONT");
+  }
+
+  private void signal(String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** Exit code once the process has ended by itself within the given time. */
+  java.util.OptionalInt awaitExit(long timeoutMs) throws InterruptedException {
+    return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)
+        ? java.util.OptionalInt.of(process.exitValue())
+        : java.util.OptionalInt.empty();
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    kill();
+  }
+}
--- /dev/null
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
@@ -0,0 +1,222 @@
+package dev.caroblb.systemtests;
+
+import dev.caroblb.callers.Tokens;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+/** A system of real processes: instances in three failure domains and stand-in targets. */
+public final class TestCluster implements AutoCloseable {
+  static final String OPERATOR_TOKEN = "example-operator-token";
+  static final String TARGET_TOKEN = "example-target-token";
+
+  private static final AtomicInteger CREATED = new AtomicInteger();
+  private static final int DOMAINS = 3;
+  private static final int CALLERS_PORT = 7_100;
+  private static final int PEERS_PORT = 7_200;
+  private static final long START_TIMEOUT_MS = 60_000;
+
+  private final Path folder;
+  private final int replicas;
+  private final List<String> names = new ArrayList<>();
+  private final Map<String, ManagedProcess> instances = new LinkedHashMap<>();
+  private final Map<String, ManagedProcess> standins = new LinkedHashMap<>();
+  private final Map<String, String> standinAddresses = new LinkedHashMap<>();
+  private final String addressPrefix;
+
+  /**
+   * Writes the settings of the instances.
+   *
+   * @param size number of instances
+   * @param replicas how many of them have a data folder
+   */
+  public TestCluster(int size, int replicas) throws IOException {
+    this.folder = Files.createTempDirectory("caroblb");
+    this.replicas = replicas;
+    // Every process tree has loopback addresses of its own, so that fixed ports never collide.
+    long unique = ProcessHandle.current().pid() * 16 + CREATED.getAndIncrement();
+    addressPrefix = "127." + (64 + unique / 250 % 128) + "." + (1 + unique % 250) + ".";
+    for (int i = 1; i <= size; i++) {
+      names.add("entry-" + i);
+    }
+    for (String name : names) {
+      Files.writeString(settingsFile(name), settings(name));
+    }
+  }
+
+  private Path settingsFile(String name) {
+    return folder.resolve(name + ".toml");
+  }
+
+  private int number(String name) {
+    return names.indexOf(name) + 1;
+  }
+
+  private String domain(String name) {
+    return "domain-" + (1 + (number(name) - 1) % DOMAINS);
+  }
+
+  private boolean replica(String name) {
+    return number(name) <= replicas;
+  }
+
+  /** Address of an instance for callers. */
+  String address(String name) {
+    return addressPrefix + number(name) + ":" + CALLERS_PORT;
+  }
+
+  List<String> names() {
+    return List.copyOf(names);
+  }
+
+  List<String> addresses() {
+    return names.stream().map(this::address).toList();
+  }
+
+  Path dataFolder(String name) {
+    return folder.resolve("data-" + name);
+  }
+
+  private String settings(String name) {
+    StringBuilder text = new StringBuilder();
+    text.append("cluster = \"test\"\ncluster_token = \"example-cluster-token\"\n");
+    text.append("instance = \"").append(name).append("\"\n");
+    text.append("domain = \"").append(domain(name)).append("\"\nregion = \"test-region\"\n");
+    text.append("callers_address = \"").append(address(name)).append("\"\n");
+    text.append("peers_address = \"").append(peersAddress(name)).append("\"\n");
+    if (replica(name)) {
+      text.append("data_folder = \"").append(dataFolder(name)).append("\"\n");
+    }
+    text.append("key_groups = 2\n");
+    text.append("operator_token_sha256 = \"").append(Tokens.sha256(OPERATOR_TOKEN)).append("\"\n");
+    text.append("target_token_sha256 = \"").append(Tokens.sha256(TARGET_TOKEN)).append("\"\n");
+    for (String peer : names) {
+      text.append("\n[[peers]]\ninstance = \"").append(peer).append("\"\n");
+      text.append("domain = \"").append(domain(peer)).append("\"\n");
+      text.append("peers_address = \"").append(peersAddress(peer)).append("\"\n");
+      text.append("callers_address = \"").append(address(peer)).append("\"\n");
+      text.append("replica = ").append(replica(peer)).append('\n');
+    }
+    return text.toString();
+  }
+
+  private String peersAddress(String name) {
+    return addressPrefix + number(name) + ":" + PEERS_PORT;
+  }
+
+  /** Starts all instances without waiting. */
+  void startAll() throws IOException {
+    for (String name : names) {
+      start(name);
+    }
+  }
+
+  /** Starts one instance, also again after it ended. */
+  void start(String name) throws IOException {
+    List<String> command =
+        new ArrayList<>(Repository.java("daemon", "dev.caroblb.daemon.Caroblbd"));
+    command.add("--settings");
+    command.add(settingsFile(name).toString());
+    instances.put(name, ManagedProcess.start(name, command, folder));
+  }
+
+  ManagedProcess instance(String name) {
+    return instances.get(name);
+  }
+
+  /** Deletes the data folder of an instance that is not running. */
+  void deleteData(String name) throws IOException {
+    deleteTree(dataFolder(name));
+  }
+
+  /** Starts an engine that serves the given models. */
+  String startEngine(String target, String domain, String... models) throws Exception {
+    return startStandin("engine", target, domain, List.of(models), List.of());
+  }
+
+  /** Starts a plain service. */
+  String startService(String target, String domain, String... services) throws Exception {
+    return startStandin("service", target, domain, List.of(services), List.of());
+  }
+
+  private String startStandin(
+      String kind, String target, String domain, List<String> serves, List<String> extra)
+      throws Exception {
+    List<String> command =
+        new ArrayList<>(Repository.java("standins", "dev.caroblb.standins.process.StandinMain"));
+    command.addAll(List.of("--kind", kind, "--target", target, "--domain", domain));
+    command.addAll(List.of("--serves", String.join(",", serves)));
+    command.addAll(List.of("--entries", String.join(",", addresses())));
+    command.addAll(List.of("--token", TARGET_TOKEN));
+    command.addAll(extra);
+    ManagedProcess process = ManagedProcess.start(target, command, folder);
+    standins.put(target, process);
+    Wait.until(
+        target + " listens", START_TIMEOUT_MS, () -> process.output().contains("ready address="));
+    String output = process.output();
+    String address = output.substring(output.indexOf("ready address=") + 14).lines().findFirst()
+        .orElseThrow();
+    standinAddresses.put(target, address);
+    return address;
+  }
+
+  ManagedProcess standin(String target) {
+    return standins.get(target);
+  }
+
+  String standinAddress(String target) {
+    return standinAddresses.get(target);
+  }
+
+  /** Output of every process that logged an error, for the message of a failed test. */
+  String errors() throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (ManagedProcess process : instances.values()) {
+      process
+          .output()
+          .lines()
+          .filter(line -> line.contains("level=SEVERE"))
+          .limit(3)
+          .forEach(line -> text.append(process.name()).append(": ").append(line).append('\n'));
+    }
+    return text.toString();
+  }
+
+  /** Number of processes that still run. */
+  long running() {
+    return Stream.concat(instances.values().stream(), standins.values().stream())
+        .filter(ManagedProcess::alive)
+        .count();
+  }
+
+  @Override
+  public void close() throws IOException, InterruptedException {
+    for (ManagedProcess process : instances.values()) {
+      process.close();
+    }
+    for (ManagedProcess process : standins.values()) {
+      process.close();
+    }
+    deleteTree(folder);
+  }
+
+  private static void deleteTree(Path tree) throws IOException {
+    if (!Files.exists(tree)) {
+      return;
+    }
+    List<Path> paths;
+    try (Stream<Path> walk = Files.walk(tree)) {
+      paths = walk.sorted(Comparator.reverseOrder()).toList();
+    }
+    for (Path path : paths) {
+      Files.delete(path);
+    }
+  }
+}
