Add the idempotency duty and its specification

Cause: postings and bookings may not run twice, also when an entry or the leader of a key group fails.

Two membership tests are added for rules whose removal no test noticed: a leave notice that arrives after a later announcement, and late old announcements.

--- /dev/null
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/CallKey.java
@@ -0,0 +1,43 @@
+package dev.caroblb.idempotency;
+
+import dev.caroblb.core.WorkspaceId;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Idempotency key of a caller in the form {@code <unix ms>-<8 to 64 characters>}, scoped by its
+ * workspace.
+ *
+ * @param workspace workspace of the call; equal keys of two workspaces are different
+ * @param text the key as the caller sent it
+ */
+public record CallKey(WorkspaceId workspace, String text) {
+  public static final int MAX_LENGTH = 78;
+
+  /** Thirteen digits reach to the year 2286. */
+  private static final Pattern FORM = Pattern.compile("([0-9]{1,13})-[A-Za-z0-9_.:-]{8,64}");
+
+  public CallKey {
+    if (!FORM.matcher(text).matches()) {
+      throw new IllegalArgumentException(
+          "idempotency key is malformed; send <unix ms>-<8 to 64 letters, digits or _.:->");
+    }
+  }
+
+  /** The key, or empty when the text has another form. */
+  public static Optional<CallKey> parse(WorkspaceId workspace, String text) {
+    return FORM.matcher(text).matches()
+        ? Optional.of(new CallKey(workspace, text))
+        : Optional.empty();
+  }
+
+  /** Time that the caller put into the key. */
+  public long createdAtMs() {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      throw new IllegalStateException("the constructor admits well-formed keys only");
+    }
+    return Long.parseLong(matcher.group(1));
+  }
+}
--- /dev/null
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/UnsentAttempts.java
@@ -0,0 +1,29 @@
+package dev.caroblb.idempotency;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The latest attempts that ended here without having been written to a target. If a late copy of
+ * their reservation is granted after all, it can be released, so that the key is not stuck.
+ */
+final class UnsentAttempts {
+  private static final int MAX_ATTEMPTS = 10_000;
+
+  private final Map<Long, CallKey> keys =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, CallKey> eldest) {
+          return size() > MAX_ATTEMPTS;
+        }
+      };
+
+  void add(Attempt attempt, CallKey key) {
+    keys.put(attempt.call(), key);
+  }
+
+  Optional<CallKey> key(Attempt attempt) {
+    return Optional.ofNullable(keys.get(attempt.call()));
+  }
+}
--- /dev/null
+++ b/idempotency/src/test/java/dev/caroblb/idempotency/IdempotencyHandlerTest.java
@@ -0,0 +1,219 @@
+package dev.caroblb.idempotency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.ProposalOutcome;
+import dev.caroblb.core.Refusal;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.idempotency.codec.KeyStateMachine;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class IdempotencyHandlerTest {
+  private static final InstanceId R0 = new InstanceId("r0");
+  private static final InstanceId R1 = new InstanceId("r1");
+  private static final Attempt ATTEMPT = new Attempt(new InstanceId("e"), 7, 1);
+  private static final Attempt OTHER = new Attempt(new InstanceId("x"), 3, 9);
+  private static final KeyMessage.Step RESERVE = KeyMessage.Step.RESERVE;
+
+  private final KeyNode node = new KeyNode("e", 7, List.of(R0, R1), 0);
+
+  private void begin(Optional<String> key) {
+    node.begin(Calls.of(1, key, "body", 5_000), 0);
+  }
+
+  private void begin() {
+    begin(Optional.of(Calls.key(1)));
+  }
+
+  private void advance(long fromMs, long toMs) {
+    for (long ms = fromMs; ms <= toMs; ms += 10) {
+      node.step(ms);
+    }
+  }
+
+  private RefusalReason refusal() {
+    Refusal refusal = ((KeyDecision.Refused) node.decisions.get(0)).refusal();
+    return refusal.reason();
+  }
+
+  private void answer(InstanceId from, KeyMessage.Step step, KeyResult result, long nowMs) {
+    node.from(from, new KeyMessage.Answer(ATTEMPT, step, result), nowMs);
+  }
+
+  @Nested
+  class Entry {
+    /** Guards against a call without a key, or with a malformed one, that reaches a target. */
+    @Test
+    void refusesBadKeys() {
+      begin(Optional.empty());
+      assertEquals(RefusalReason.KEY_REQUIRED, refusal());
+      node.decisions.clear();
+      begin(Optional.of("yesterday"));
+      assertEquals(RefusalReason.MALFORMED, refusal());
+    }
+
+    /** Guards against an entry that waits for a replica that does not answer. */
+    @Test
+    void asksTheReplicasInTurnWithTheSameAttempt() {
+      begin();
+      InstanceId first = node.sent.peek().peer();
+      advance(10, 350);
+      Addressed<KeyMessage> second = node.sent.peekLast();
+      assertEquals(2, node.sent.size());
+      assertTrue(!second.peer().equals(first) && second.message().attempt().equals(ATTEMPT));
+    }
+
+    /** Guards against replicas that name each other and an entry that follows them for ever. */
+    @Test
+    void followsAFewHintsAtOnce() {
+      begin();
+      for (int i = 0; i < 10; i++) {
+        Addressed<KeyMessage> asked = node.sent.peekLast();
+        Optional<InstanceId> hint = Optional.of(asked.peer().equals(R0) ? R1 : R0);
+        node.from(asked.peer(), new KeyMessage.Elsewhere(ATTEMPT, RESERVE, hint), 20);
+      }
+      assertEquals(4, node.sent.size());
+    }
+
+    /** Guards against a key that stays reserved by a call that was given up. */
+    @Test
+    void releasesWhatNobodyAnswered() {
+      begin();
+      advance(10, 5_050);
+      assertEquals(RefusalReason.DEADLINE_AFTER_START, refusal());
+      assertTrue(node.sent.peekLast().message() instanceof KeyMessage.Release);
+    }
+
+    /** Guards against "not run" without a committed release. */
+    @Test
+    void tellsNotRunOnlyAfterTheRelease() {
+      begin();
+      answer(R0, RESERVE, new KeyResult.Granted(), 10);
+      node.handle(new IdempotencyMessage.NothingSent(1), 20);
+      assertEquals(List.of(new KeyDecision.Granted(1)), node.decisions);
+      answer(R0, KeyMessage.Step.RELEASE, new KeyResult.Released(), 30);
+      assertEquals(new KeyDecision.Released(1, true), node.decisions.get(1));
+    }
+
+    /** Guards against a caller who waits for ever, or is told "not run", without a leader. */
+    @Test
+    void tellsOutcomeUnknownWithoutARelease() {
+      begin();
+      answer(R0, RESERVE, new KeyResult.Granted(), 10);
+      node.handle(new IdempotencyMessage.NothingSent(1), 20);
+      advance(30, 7_600);
+      assertEquals(new KeyDecision.Released(1, false), node.decisions.get(1));
+    }
+
+    /** Guards against an answer to an earlier run of this instance that starts a call. */
+    @Test
+    void ignoresAnswersToAnEarlierRun() {
+      begin();
+      Attempt earlier = new Attempt(ATTEMPT.entry(), 6, 1);
+      node.from(R0, new KeyMessage.Answer(earlier, RESERVE, new KeyResult.Granted()), 10);
+      assertEquals(List.of(), node.decisions);
+    }
+
+    /** Guards against a key that is stuck after a late copy of a reservation was granted. */
+    @Test
+    void releasesALateGrant() {
+      begin();
+      node.handle(new IdempotencyMessage.NothingSent(1), 10);
+      answer(R0, KeyMessage.Step.RELEASE, new KeyResult.Released(), 20);
+      node.sent.clear();
+      answer(R0, RESERVE, new KeyResult.Granted(), 30);
+      assertTrue(node.sent.peek().message() instanceof KeyMessage.Release);
+      assertEquals(List.of(new KeyDecision.Released(1, true)), node.decisions);
+    }
+  }
+
+  @Nested
+  class Leader {
+    private final KeyStateMachine records = new KeyStateMachine(KeyLimits.DEFAULT);
+    private final CallKey key =
+        CallKey.parse(Calls.of(1, Optional.empty(), "", 0).workspace(), Calls.key(1)).orElseThrow();
+
+    private void ask(KeyMessage.Request request) {
+      node.from(R1, request, 10);
+      commit();
+    }
+
+    private void commit() {
+      while (!node.proposals.isEmpty()) {
+        KeyNode.Proposal proposal = node.proposals.remove(0);
+        Payload result = records.apply(proposal.command());
+        proposal.reply().offer(new ProposalOutcome.Applied(result));
+        node.step(10);
+      }
+    }
+
+    private void reserve(Attempt attempt) {
+      ask(new KeyMessage.Reserve(key, attempt, new Hash128(1, 1), 1_000));
+    }
+
+    private KeyMessage lastSent() {
+      return node.sent.peekLast().message();
+    }
+
+    private KeyMessage answerTo(Attempt attempt, KeyResult result) {
+      return new KeyMessage.Answer(attempt, RESERVE, result);
+    }
+
+    /** Guards against a grant by an instance that does not lead. */
+    @Test
+    void namesTheLeaderWhenItIsAnother() {
+      node.lease(1, R0, 0);
+      reserve(ATTEMPT);
+      assertEquals(new KeyMessage.Elsewhere(ATTEMPT, RESERVE, Optional.of(R0)), lastSent());
+    }
+
+    /** Guards against a resend that is told nothing, or something else than the outcome. */
+    @Test
+    void answersWaitingResendsWithTheOutcome() {
+      node.lease(1, node.id, 0);
+      reserve(ATTEMPT);
+      reserve(OTHER);
+      assertEquals(new KeyMessage.Waiting(OTHER), lastSent());
+      StoredOutcome outcome = StoredOutcome.of(200, "", Payload.ofText("done"));
+      ask(new KeyMessage.RecordOutcome(key, ATTEMPT, outcome));
+      assertEquals(answerTo(OTHER, new KeyResult.Stored(outcome)), lastSent());
+    }
+
+    /** Guards against a resend that is not run although the first send was released. */
+    @Test
+    void grantsAWaitingResendAfterARelease() {
+      node.lease(1, node.id, 0);
+      reserve(ATTEMPT);
+      reserve(OTHER);
+      ask(new KeyMessage.Release(key, ATTEMPT));
+      assertEquals(answerTo(OTHER, new KeyResult.Granted()), lastSent());
+    }
+
+    /** Guards against a resend that waits for an entry that cannot record an outcome any more. */
+    @Test
+    void answersAtOnceWhenTheHolderIsGone() {
+      node.lease(1, node.id, 0);
+      reserve(ATTEMPT);
+      reserve(OTHER);
+      node.handle(new IdempotencyMessage.InstanceGone(ATTEMPT.entry(), 7), 10);
+      assertEquals(answerTo(OTHER, new KeyResult.Held(ATTEMPT)), lastSent());
+    }
+
+    /** Guards against a resend that waits beyond its deadline. */
+    @Test
+    void answersAtTheDeadline() {
+      node.lease(1, node.id, 0);
+      reserve(ATTEMPT);
+      reserve(OTHER);
+      advance(20, 1_100);
+      assertEquals(answerTo(OTHER, new KeyResult.Held(ATTEMPT)), lastSent());
+    }
+  }
+}
--- /dev/null
+++ b/idempotency/src/test/java/dev/caroblb/idempotency/IdempotencySequencesTest.java
@@ -0,0 +1,63 @@
+package dev.caroblb.idempotency;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+
+/** Sequences of calls and faults; the checks are in {@link KeyWorld}. */
+class IdempotencySequencesTest {
+  private enum Kind {
+    CALL,
+    CRASH,
+    CHANGE_LEADER,
+    NET,
+    WAIT
+  }
+
+  private record Action(Kind kind, int node, int key, KeyWorld.Net net, int waitMs) {
+    void perform(KeyWorld world) {
+      switch (kind) {
+        case CALL -> world.call(node, key, waitMs % 10 == 0 ? 1 : 0, 200 + waitMs * 2L);
+        case CRASH -> world.crash(node);
+        case CHANGE_LEADER -> world.changeLeader(node);
+        case NET -> world.net(net);
+        case WAIT -> world.advance(waitMs);
+      }
+      world.advance(waitMs % 50);
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Action>> actions() {
+    return Combinators.combine(
+            Arbitraries.frequency(
+                Tuple.of(6, Kind.CALL),
+                Tuple.of(1, Kind.CRASH),
+                Tuple.of(1, Kind.CHANGE_LEADER),
+                Tuple.of(1, Kind.NET),
+                Tuple.of(2, Kind.WAIT)),
+            Arbitraries.integers().between(0, KeyWorld.NODES - 1),
+            Arbitraries.integers().between(0, 2),
+            Arbitraries.of(KeyWorld.Net.class),
+            Arbitraries.integers().between(0, 2_000))
+        .as(Action::new)
+        .list()
+        .ofMaxSize(40);
+  }
+
+  /**
+   * Guards against a key that the target sees twice, "not run" for a call that was dispatched, a
+   * stored outcome that changes, a call without an end, and replicas that differ.
+   */
+  @Property(tries = 500, seed = "20272")
+  void everyCallRunsAtMostOnceAndEnds(@ForAll("actions") List<Action> actions, @ForAll long seed) {
+    KeyWorld world = new KeyWorld(seed);
+    actions.forEach(action -> action.perform(world));
+    world.settle();
+  }
+}
--- /dev/null
+++ b/idempotency/src/test/java/dev/caroblb/idempotency/codec/KeyCodecsTest.java
@@ -0,0 +1,124 @@
+package dev.caroblb.idempotency.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.WorkspaceId;
+import dev.caroblb.idempotency.Attempt;
+import dev.caroblb.idempotency.CallKey;
+import dev.caroblb.idempotency.Hash128;
+import dev.caroblb.idempotency.KeyCommand;
+import dev.caroblb.idempotency.KeyLimits;
+import dev.caroblb.idempotency.KeyMessage;
+import dev.caroblb.idempotency.KeyRefusal;
+import dev.caroblb.idempotency.KeyResult;
+import dev.caroblb.idempotency.StoredOutcome;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class KeyCodecsTest {
+  private static final CallKey KEY =
+      new CallKey(new WorkspaceId("receipts"), "1800000000000-abcdefgh");
+  private static final Attempt ATTEMPT = new Attempt(new InstanceId("e1"), -3, Long.MAX_VALUE);
+  private static final Hash128 DIGEST = new Hash128(Long.MIN_VALUE, 7);
+  private static final StoredOutcome OUTCOME =
+      StoredOutcome.of(201, "text/plain", Payload.ofText("größe"));
+  private static final KeyMessage.Step STEP = KeyMessage.Step.RELEASE;
+  private static final List<KeyMessage> MESSAGES =
+      List.of(
+          new KeyMessage.Reserve(KEY, ATTEMPT, DIGEST, 5_000),
+          new KeyMessage.RecordOutcome(KEY, ATTEMPT, OUTCOME),
+          new KeyMessage.Release(KEY, ATTEMPT),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Granted()),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Stored(OUTCOME)),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Held(ATTEMPT)),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Refused(KeyRefusal.FULL)),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Recorded()),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.Released()),
+          new KeyMessage.Answer(ATTEMPT, STEP, new KeyResult.NotHolder()),
+          new KeyMessage.Waiting(ATTEMPT),
+          new KeyMessage.Elsewhere(ATTEMPT, STEP, Optional.empty()),
+          new KeyMessage.Elsewhere(ATTEMPT, STEP, Optional.of(new InstanceId("r1"))));
+
+  private final KeyMessageCodec codec = new KeyMessageCodec();
+  private final KeyCommandFormat format = new KeyCommandFormat();
+
+  @Nested
+  class Messages {
+    /** Guards against fields that are lost or exchanged. */
+    @Test
+    void areReadAsWritten() {
+      for (KeyMessage message : MESSAGES) {
+        assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
+      }
+    }
+
+    /** Guards against a truncated message that is taken for a whole one. */
+    @Test
+    void areRefusedWhenCut() {
+      for (KeyMessage message : MESSAGES) {
+        byte[] bytes = codec.encode(message).toBytes();
+        for (int length = 0; length < bytes.length; length++) {
+          Payload prefix = Payload.copyOf(Arrays.copyOf(bytes, length));
+          assertEquals(Optional.empty(), codec.decode(prefix));
+        }
+      }
+    }
+  }
+
+  @Nested
+  class StateMachine {
+    private final KeyStateMachine machine = new KeyStateMachine(KeyLimits.DEFAULT);
+
+    /** Guards against a replica that skips a command and differs from the others. */
+    @Test
+    void stopsAtAnUnknownCommand() {
+      assertThrows(IllegalStateException.class, () -> machine.apply(Payload.ofText("later")));
+    }
+
+    /** Guards against a snapshot that loses records. */
+    @Test
+    void answersTheSameAfterASnapshot() {
+      Payload reserve =
+          format.encode(new KeyCommand.Reserve(KEY, ATTEMPT, DIGEST, 1_800_000_000_000L));
+      machine.apply(reserve);
+      machine.apply(format.encode(new KeyCommand.RecordOutcome(KEY, ATTEMPT, OUTCOME)));
+      KeyStateMachine restored = new KeyStateMachine(KeyLimits.DEFAULT);
+      restored.restore(machine.snapshot());
+      assertEquals(
+          Optional.of(new KeyResult.Stored(OUTCOME)), format.decodeResult(restored.apply(reserve)));
+      assertEquals(machine.snapshot(), restored.snapshot());
+    }
+
+    /** Guards against a replica that goes on with half a snapshot. */
+    @Test
+    void refusesACutSnapshot() {
+      machine.apply(
+          format.encode(new KeyCommand.Reserve(KEY, ATTEMPT, DIGEST, 1_800_000_000_000L)));
+      byte[] bytes = machine.snapshot().toBytes();
+      Payload cut = Payload.copyOf(Arrays.copyOf(bytes, bytes.length - 1));
+      assertThrows(IllegalStateException.class, () -> machine.restore(cut));
+    }
+  }
+
+  /** Guards against bytes that make a decoder throw. */
+  @Property(tries = 2_000, seed = "20271")
+  void arbitraryBytesNeverThrow(@ForAll @Size(max = 64) byte[] bytes, @ForAll int type) {
+    byte[] framed = new byte[bytes.length + 2];
+    framed[0] = (byte) 0x95;
+    framed[1] = (byte) (1 + Math.floorMod(type, 6));
+    System.arraycopy(bytes, 0, framed, 2, bytes.length);
+    codec.decode(Payload.copyOf(bytes));
+    codec.decode(Payload.copyOf(framed));
+    format.decodeResult(Payload.copyOf(framed));
+    format.decodeCommand(Payload.copyOf(framed));
+  }
+}
--- a/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -84,6 +84,21 @@
     }
   }
 
+  @Nested
+  class LeaveNoticeAfterALaterAnnouncement {
+    /** Guards against instances that disagree when a notice arrives late and only at one. */
+    @Test
+    void reachesTheOthersByTheDigest() {
+      announce(first, alive(1, 3));
+      cluster.advance(50);
+      cluster.allLinks(Cluster.Link.DROPS);
+      announce(first, leaving(1, 2));
+      cluster.allLinks(Cluster.Link.GOOD);
+      cluster.advance(1_100);
+      assertEquals(Map.of(), second.available);
+    }
+  }
+
   @Nested
   class RestartUnderTheSameAddress {
     /** Guards against generations of the old run that are taken for living ones. */
@@ -148,12 +163,14 @@
       assertEquals(Map.of(), second.available);
     }
 
-    /** Guards against a resent copy of the last announcement that counts as a new one. */
+    /** Guards against a late copy of the last or an earlier announcement that counts as new. */
     @Test
-    void repeatedAnnouncementDoesNotKeepItAlive() {
-      announce(first, alive(1, 1));
+    void oldAnnouncementsDoNotKeepItAlive() {
+      announce(first, alive(1, 2));
       cluster.advance(3_000);
+      announce(first, alive(1, 2));
       announce(first, alive(1, 1));
+      assertEquals(1, first.changes.size());
       cluster.advance(700);
       assertEquals(Map.of(), first.available);
     }
