Show the figures of an instance as Prometheus text

Cause: both teams measure stall time, preemptions and the tail of the times between tokens, and every refusal and retry must be countable from the start. Change: InstanceMetrics registers all meters at construction; recording uses them directly. Histograms have buckets at 32 ms and 610 ms. Rings, duties and other totals are read when the text is rendered.

--- /dev/null
+++ b/metrics/src/main/java/dev/caroblb/metrics/InstanceMetrics.java
@@ -0,0 +1,176 @@
+package dev.caroblb.metrics;
+
+import dev.caroblb.core.Duty;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.Ring;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.stream.LongStream;
+
+/**
+ * Meters of one instance. All of them are registered before the first event, so that recording
+ * looks up and allocates nothing and every reason is shown with 0 from the start. Recording is safe
+ * from any thread.
+ */
+public final class InstanceMetrics {
+  /** A gap between two tokens that is longer counts as stall time. */
+  public static final long STALL_GAP_MS = 200;
+
+  private static final double MS_PER_SECOND = 1_000.0;
+
+  /** Includes 610 ms, the promise for 95 in 100 calls. */
+  private static final long[] FIRST_TOKEN_BUCKETS_MS = {
+    25, 50, 100, 200, 400, 610, 1_000, 2_000, 5_000, 10_000, 30_000
+  };
+
+  /** Includes 32 ms, the promise for 95 in 100 tokens, and the stall bound. */
+  private static final long[] BETWEEN_TOKENS_BUCKETS_MS = {
+    4, 8, 16, 24, 32, 48, 64, 100, STALL_GAP_MS, 500, 1_000, 5_000
+  };
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+  private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
+  private final Timer firstToken;
+  private final Timer betweenTokens;
+  private final Counter stallSeconds;
+  private final Counter preemptions;
+
+  /** The registry refers to the sources of function counters only weakly. */
+  private final List<LongSupplier> sources = new ArrayList<>();
+
+  public InstanceMetrics() {
+    for (RefusalReason reason : RefusalReason.values()) {
+      refusals.put(
+          reason,
+          Counter.builder("caroblb.refusals")
+              .description("Calls that did not complete, by reason")
+              .tag("kind", reason.kind().wireName())
+              .tag("reason", reason.wireName())
+              .register(registry));
+    }
+    for (RetryReason reason : RetryReason.values()) {
+      retries.put(
+          reason,
+          Counter.builder("caroblb.retries")
+              .description("Calls and resumes sent again, by reason")
+              .tag("reason", reason.wireName())
+              .register(registry));
+    }
+    firstToken = timer("caroblb.first.token", "Time to the first token", FIRST_TOKEN_BUCKETS_MS);
+    betweenTokens =
+        timer("caroblb.between.tokens", "Time between tokens", BETWEEN_TOKENS_BUCKETS_MS);
+    stallSeconds =
+        Counter.builder("caroblb.stall.seconds")
+            .description("Sum of the gaps between tokens above " + STALL_GAP_MS + " ms")
+            .register(registry);
+    preemptions =
+        Counter.builder("caroblb.preemptions")
+            .description("Preemptions reported by engines")
+            .register(registry);
+  }
+
+  private Timer timer(String name, String description, long[] bucketsMs) {
+    return Timer.builder(name)
+        .description(description)
+        .serviceLevelObjectives(
+            LongStream.of(bucketsMs).mapToObj(Duration::ofMillis).toArray(Duration[]::new))
+        .register(registry);
+  }
+
+  /** Counts a call that did not complete. */
+  public void refused(RefusalReason reason) {
+    refusals.get(reason).increment();
+  }
+
+  /** Counts a call or resume that is sent again. */
+  public void retried(RetryReason reason) {
+    retries.get(reason).increment();
+  }
+
+  /** Records the time from the arrival of a call to its first token. */
+  public void firstToken(long elapsedMs) {
+    firstToken.record(elapsedMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Records the time between two tokens of a stream; a long one adds to the stall time. */
+  public void betweenTokens(long elapsedMs) {
+    betweenTokens.record(elapsedMs, TimeUnit.MILLISECONDS);
+    if (elapsedMs > STALL_GAP_MS) {
+      stallSeconds.increment(elapsedMs / MS_PER_SECOND);
+    }
+  }
+
+  /** Adds preemptions that engines reported since their last report. */
+  public void preempted(long count) {
+    preemptions.increment((double) count);
+  }
+
+  /** Shows the depth and the refusals of a ring. */
+  public void addRing(Ring<?> ring) {
+    Gauge.builder("caroblb.ring.depth", ring, Ring::depth)
+        .description("Messages that wait in a ring")
+        .tag("ring", ring.name())
+        .strongReference(true)
+        .register(registry);
+    addTotal(
+        "caroblb.ring.refusals",
+        "Messages refused by a full ring",
+        "ring",
+        ring.name(),
+        ring::refused);
+  }
+
+  /** Shows the ring and the faults of a duty. */
+  public void addDuty(Duty<?> duty) {
+    addRing(duty.ring());
+    addTotal(
+        "caroblb.duty.faults", "Exceptions of a duty", "duty", duty.ring().name(), duty::faults);
+  }
+
+  /** Shows the number of the configuration in force at this instance. */
+  public void showConfigurationNumber(LongSupplier number) {
+    addGauge("caroblb.configuration.number", "Number of the configuration in force", number);
+  }
+
+  /** Shows how many streams run at this instance. */
+  public void showStreams(LongSupplier running) {
+    addGauge("caroblb.streams.running", "Streams that run", running);
+  }
+
+  /** Shows a value that a slice keeps itself. */
+  public void addGauge(String name, String description, LongSupplier value) {
+    Gauge.builder(name, value, LongSupplier::getAsLong)
+        .description(description)
+        .strongReference(true)
+        .register(registry);
+  }
+
+  /** Shows a growing total that a slice keeps itself, with one tag. */
+  public void addTotal(
+      String name, String description, String tag, String tagValue, LongSupplier total) {
+    sources.add(total);
+    FunctionCounter.builder(name, total, LongSupplier::getAsLong)
+        .description(description)
+        .tag(tag, tagValue)
+        .register(registry);
+  }
+
+  /** All meters in the Prometheus text format. */
+  public String text() {
+    return registry.scrape();
+  }
+}
--- /dev/null
+++ b/metrics/src/main/java/dev/caroblb/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Figures of an instance as Prometheus text. */
+package dev.caroblb.metrics;
