--- a/core/src/main/java/dev/caroblb/core/Duty.java
+++ b/core/src/main/java/dev/caroblb/core/Duty.java
@@ -23,7 +23,10 @@
   private final MillisClock clock;
   private final ExecutorService executor;
   private final LongAdder faults = new LongAdder();
-  private volatile boolean stopped;
+  private final Object waitLock = new Object();
+  private boolean stopped;
+  private boolean waiting;
+  private Thread thread;
 
   public Duty(String name, int capacity, DutyHandler<M> handler, MillisClock clock) {
     this.ring = new Ring<>(name, capacity);
@@ -53,18 +56,46 @@
 
   private void run() {
     List<M> batch = new ArrayList<>(MAX_BATCH);
-    while (!stopped) {
+    while (enterWait()) {
       try {
         waitForMessages(batch);
       } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
         return;
+      } finally {
+        leaveWait();
       }
       processBatch(batch);
       batch.clear();
     }
   }
 
+  private boolean enterWait() {
+    synchronized (waitLock) {
+      thread = Thread.currentThread();
+      waiting = !stopped;
+      return waiting;
+    }
+  }
+
+  private void leaveWait() {
+    synchronized (waitLock) {
+      waiting = false;
+    }
+  }
+
+  /**
+   * Interrupts the thread only while it waits for messages: an interrupt during a file operation
+   * closes the file.
+   */
+  private void requestStop() {
+    synchronized (waitLock) {
+      stopped = true;
+      if (waiting) {
+        thread.interrupt();
+      }
+    }
+  }
+
   private void waitForMessages(List<M> batch) throws InterruptedException {
     long waitMs = Math.max(0, Math.min(handler.nextTickMs() - clock.nowMs(), MAX_WAIT_MS));
     Optional<M> first = ring.poll(waitMs);
@@ -102,8 +133,8 @@
 
   @Override
   public void close() {
-    stopped = true;
-    executor.shutdownNow();
+    requestStop();
+    executor.shutdown();
     try {
       if (!executor.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
         LOGGER.log(
--- a/systemtests/src/main/java/dev/caroblb/systemtests/Demo.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/Demo.java
@@ -98,8 +98,7 @@
     String outcome = answer.body().path("outcome").asText();
     report(outcome.equals("in_force"), "publish 1 of two team files: " + answer.body());
     for (String name : cluster.names()) {
-      Wait.until(
-          name + " has the configuration and the targets", START_MS, () -> ready(name));
+      Wait.until(name + " has the configuration and the targets", START_MS, () -> ready(name));
     }
   }
 
@@ -128,7 +127,12 @@
     count(stream.status(), held);
     report(
         held,
-        call + " streamed " + stream.tokens().size() + " of " + tokens + " tokens "
+        call
+            + " streamed "
+            + stream.tokens().size()
+            + " of "
+            + tokens
+            + " tokens "
             + stream.finalEvent().map(JsonNode::toString).orElse(stream.refusal().toString()));
   }
 
@@ -178,7 +182,9 @@
     count(stream.status(), stream.complete());
     report(
         held,
-        name + " was asked to stop during a plan: " + stream.tokens().size()
+        name
+            + " was asked to stop during a plan: "
+            + stream.tokens().size()
             + " tokens, final event "
             + stream.finalEvent().map(event -> event.path("status").asText()).orElse("missing")
             + ", exit code "
--- a/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
@@ -75,7 +75,11 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
-    kill();
+  public void close() {
+    try {
+      kill();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
@@ -122,13 +122,10 @@
   }
 
   /** Makes a streaming call and hears the sequence number of each token as it arrives. */
-  Stream stream(
-      String address, String workspace, String call, String prompt, LongConsumer onToken)
+  Stream stream(String address, String workspace, String call, String prompt, LongConsumer onToken)
       throws IOException, InterruptedException {
     return read(
-        call(address, workspace, call)
-            .POST(HttpRequest.BodyPublishers.ofString(prompt))
-            .build(),
+        call(address, workspace, call).POST(HttpRequest.BodyPublishers.ofString(prompt)).build(),
         onToken);
   }
 
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
@@ -161,8 +161,8 @@
     Wait.until(
         target + " listens", START_TIMEOUT_MS, () -> process.output().contains("ready address="));
     String output = process.output();
-    String address = output.substring(output.indexOf("ready address=") + 14).lines().findFirst()
-        .orElseThrow();
+    String address =
+        output.substring(output.indexOf("ready address=") + 14).lines().findFirst().orElseThrow();
     standinAddresses.put(target, address);
     return address;
   }
@@ -197,7 +197,7 @@
   }
 
   @Override
-  public void close() throws IOException, InterruptedException {
+  public void close() throws IOException {
     for (ManagedProcess process : instances.values()) {
       process.close();
     }
--- a/systemtests/src/main/java/dev/caroblb/systemtests/Wait.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/Wait.java
@@ -25,8 +25,7 @@
       }
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MS));
     }
-    TimeoutException timeout =
-        new TimeoutException("not within " + timeoutMs + " ms: " + what);
+    TimeoutException timeout = new TimeoutException("not within " + timeoutMs + " ms: " + what);
     if (last != null) {
       timeout.addSuppressed(last);
     }
