--- /dev/null
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaLossTest.java
@@ -0,0 +1,169 @@
+package dev.caroblb.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.GroupId;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ReplicaLossTest {
+  private static final GroupId GROUP = SimulatedCluster.GROUP;
+  private static final long LIMIT_MS = 30_000;
+
+  private static SimulatedCluster settled(int size, long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(size, seed);
+    assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "not settled");
+    cluster.propose(GROUP, "before");
+    cluster.run(500);
+    assertEquals(1, cluster.acknowledged().size());
+    return cluster;
+  }
+
+  private static int leaderIndex(SimulatedCluster cluster) {
+    return cluster.replicas().indexOf(cluster.leader(GROUP).orElseThrow());
+  }
+
+  private static void lose(SimulatedCluster cluster, int index) {
+    cluster.replica(index).loseDisk();
+  }
+
+  private static List<Member> members(SimulatedCluster cluster, int index) {
+    return cluster.replica(index).status(GROUP).orElseThrow().members();
+  }
+
+  private static void expectRecovery(SimulatedCluster cluster) {
+    assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "not settled again");
+    cluster.propose(GROUP, "after");
+    cluster.run(1_000);
+    for (SimulatedReplica replica : cluster.replicas()) {
+      assertEquals(2, replica.machine(GROUP).applied().size());
+    }
+  }
+
+  @Nested
+  class WhenOneDiskIsLost {
+    /** Guards against an empty folder that stays out of the group or counts as the old member. */
+    @Test
+    void isReplaced() {
+      SimulatedCluster cluster = settled(3, 11);
+      int lost = (leaderIndex(cluster) + 1) % 3;
+      Member old = cluster.replica(lost).member();
+      lose(cluster, lost);
+      cluster.start(lost);
+      expectRecovery(cluster);
+      assertFalse(members(cluster, 0).contains(old));
+    }
+
+    /** Guards against a replacement that needs the old leader. */
+    @Test
+    void isReplacedWhenItWasTheLeader() {
+      SimulatedCluster cluster = settled(3, 12);
+      int lost = leaderIndex(cluster);
+      lose(cluster, lost);
+      cluster.start(lost);
+      expectRecovery(cluster);
+    }
+
+    /** Guards against members that are removed although their folder may still exist. */
+    @Test
+    void staysAMemberUntilTheSlotReports() {
+      SimulatedCluster cluster = settled(3, 13);
+      int lost = (leaderIndex(cluster) + 1) % 3;
+      lose(cluster, lost);
+      cluster.run(LIMIT_MS);
+      assertEquals(3, members(cluster, leaderIndex(cluster)).size());
+    }
+  }
+
+  @Nested
+  class WhenASecondDiskIsLostAfterTheFirstRemoval {
+    /** Guards against a lone survivor that holds everything committed but cannot lead. */
+    @Test
+    void theSurvivorLeads() {
+      SimulatedCluster cluster = settled(3, 14);
+      int survivor = loseTwo(cluster);
+      cluster.start((survivor + 1) % 3);
+      cluster.start((survivor + 2) % 3);
+      expectRecovery(cluster);
+    }
+
+    /** Guards against a survivor that forgets in a restart that the removal is committed. */
+    @Test
+    void theSurvivorLeadsAfterARestart() {
+      SimulatedCluster cluster = settled(3, 15);
+      int survivor = loseTwo(cluster);
+      cluster.crash(survivor);
+      cluster.start(survivor);
+      cluster.start((survivor + 1) % 3);
+      cluster.start((survivor + 2) % 3);
+      expectRecovery(cluster);
+    }
+
+    /** Loses a follower, waits for its removal, then loses the other two slots but one. */
+    private int loseTwo(SimulatedCluster cluster) {
+      int leader = leaderIndex(cluster);
+      int first = (leader + 1) % 3;
+      int survivor = (leader + 2) % 3;
+      lose(cluster, first);
+      cluster.start(first);
+      BooleanSupplier removed = () -> members(cluster, survivor).size() == 2;
+      assertTrue(cluster.runUntil(LIMIT_MS, removed));
+      cluster.crash(first);
+      cluster.run(300);
+      assertEquals(2, members(cluster, survivor).size(), "the removal is the last change");
+      lose(cluster, leader);
+      return survivor;
+    }
+  }
+
+  @Nested
+  class WhenTwoOfThreeDisksAreLostAtOnce {
+    /** Guards against a survivor that may lack committed entries but leads. */
+    @Test
+    void nothingIsElectedOrFormedAgain() {
+      SimulatedCluster cluster = settled(3, 16);
+      int survivor = leaderIndex(cluster);
+      lose(cluster, (survivor + 1) % 3);
+      lose(cluster, (survivor + 2) % 3);
+      cluster.start((survivor + 1) % 3);
+      cluster.start((survivor + 2) % 3);
+      cluster.run(5_000);
+      assertFalse(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()));
+    }
+  }
+
+  @Nested
+  class WhenTwoOfFiveDisksAreLostAtOnce {
+    /** Guards against replacements that block each other. */
+    @Test
+    void bothAreReplaced() {
+      SimulatedCluster cluster = settled(5, 17);
+      int leader = leaderIndex(cluster);
+      lose(cluster, leader);
+      lose(cluster, (leader + 1) % 5);
+      cluster.start(leader);
+      cluster.start((leader + 1) % 5);
+      expectRecovery(cluster);
+    }
+  }
+
+  @Nested
+  class WhenAnOldReportArrivesLate {
+    /** Guards against a delayed report that passes for the loss of a live member. */
+    @Test
+    void noMemberIsRemoved() {
+      SimulatedCluster cluster = settled(3, 18);
+      int leader = leaderIndex(cluster);
+      int other = (leader + 1) % 3;
+      PeerMessage late =
+          new PeerMessage.Report(GROUP, "00000000000000000000000000000000", 42, true);
+      cluster.deliver(leader, cluster.replica(other).instance(), late);
+      cluster.run(2_000);
+      assertEquals(3, members(cluster, leader).size());
+    }
+  }
+}
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
@@ -109,6 +109,10 @@
         trueUs);
   }
 
+  void handle(SimulatedReplica replica, AgreementMessage message) {
+    replica.handle(message, trueUs);
+  }
+
   /** Delivers a message now, as if a replica had sent it. */
   void deliver(int to, InstanceId from, PeerMessage message) {
     replicas.get(to).handle(new AgreementMessage.FromPeer(new Addressed<>(from, message)), trueUs);
