Add the bench: policies on the same arrivals, nine deciding instances

Cause: the policy must be weighed against its baselines on crowded engines. Change: workloads, arrivals, event loop, figures, table, CSV, decision cost. The script is bench/run, because ./bench is the folder of the module.

--- /dev/null
+++ b/bench/src/main/java/dev/caroblb/bench/ArrivalPlan.java
@@ -0,0 +1,103 @@
+package dev.caroblb.bench;
+
+import dev.caroblb.standins.engine.EngineRequest;
+import dev.caroblb.standins.engine.EngineSettings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Draws the arrivals of a run; all policies get the same ones. */
+final class ArrivalPlan {
+  private static final int TEMPLATES = 4;
+  private static final int CAPACITY_SAMPLES = 20_000;
+  private static final long CAPACITY_SEED = 42;
+
+  private ArrivalPlan() {}
+
+  static List<Arrival> draw(Workload workload, double load, long seed) {
+    SplittableRandom random = new SplittableRandom(seed * 1_000_003 + workload.label().hashCode());
+    double perUs = capacityPerSecond(workload) / 1e6;
+    List<Arrival> arrivals = new ArrayList<>();
+    for (Workload.Part part : workload.parts()) {
+      CallType callType = part.type();
+      double rate = perUs * workload.share(part) / callType.batch();
+      double atUs = 0;
+      while (true) {
+        double factor = workload.rateFactor(load, (long) atUs);
+        atUs += -Math.log(1 - random.nextDouble()) / (rate * factor);
+        if (atUs >= workload.endUs()) {
+          break;
+        }
+        addBatch(arrivals, workload, callType, (long) atUs, random);
+      }
+    }
+    arrivals.sort(Comparator.comparingLong(Arrival::atUs));
+    return arrivals;
+  }
+
+  private static void addBatch(
+      List<Arrival> arrivals,
+      Workload workload,
+      CallType type,
+      long atUs,
+      SplittableRandom random) {
+    int workspace = draw(workload.workspaceShares(), random);
+    int entry = random.nextInt(Simulation.ENTRIES);
+    int template = random.nextInt(TEMPLATES);
+    for (int i = 0; i < type.batch(); i++) {
+      EngineRequest request = request(type, workspace, template, random);
+      arrivals.add(new Arrival(atUs, type, workspace, entry, request));
+    }
+  }
+
+  private static EngineRequest request(
+      CallType type, int workspace, int template, SplittableRandom random) {
+    int prompt = type.drawPrompt(random);
+    long prefix = type.policy().call().hashCode() * 1_000L + workspace * 10L + template + 1;
+    int output = type.drawOutput(random);
+    return new EngineRequest(prompt, prefix, type.prefixTokens(), type.policy().priority(), output);
+  }
+
+  private static int draw(double[] shares, SplittableRandom random) {
+    double left = random.nextDouble();
+    for (int i = 0; i < shares.length - 1; i++) {
+      left -= shares[i];
+      if (left < 0) {
+        return i;
+      }
+    }
+    return shares.length - 1;
+  }
+
+  /**
+   * Calls per second at which the mean demand for memory equals the memory of all engines, with the
+   * steps of full engines and prefixes cached. Perfect packing would be needed to serve it.
+   */
+  static double capacityPerSecond(Workload workload) {
+    SplittableRandom random = new SplittableRandom(CAPACITY_SEED);
+    EngineSettings settings = EngineSettings.defaults();
+    double tokenSteps = 0;
+    double outputs = 0;
+    double prefill = 0;
+    for (Workload.Part part : workload.parts()) {
+      for (int i = 0; i < CAPACITY_SAMPLES; i++) {
+        double weight = workload.share(part) / CAPACITY_SAMPLES;
+        EngineRequest request = request(part.type(), 0, 0, random);
+        double output = request.outputTokens();
+        tokenSteps += weight * output * (request.promptTokens() + output / 2);
+        outputs += weight * output;
+        prefill += weight * (request.promptTokens() - request.prefixTokens());
+      }
+    }
+    double memory = settings.totalBlocks() * (double) settings.blockTokens();
+    double fixedUs = settings.baseStepUs() + memory * settings.contextTokenNs() / 1_000;
+    double batch = memory / tokenSteps * outputs;
+    double callsPerStep = memory / tokenSteps;
+    double stepUs =
+        fixedUs
+            + batch * settings.sequenceStepUs()
+            + callsPerStep * prefill * settings.prefillTokenUs();
+    return Simulation.ENGINES * callsPerStep / stepUs * 1e6;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/caroblb/bench/DecisionCost.java
@@ -0,0 +1,115 @@
+package dev.caroblb.bench;
+
+import com.sun.management.ThreadMXBean;
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.core.WorkspaceId;
+import dev.caroblb.placement.Fleet;
+import dev.caroblb.placement.LoadReport;
+import dev.caroblb.placement.PlacementHandler;
+import dev.caroblb.placement.PlacementMessage;
+import dev.caroblb.placement.PlacementPolicy;
+import dev.caroblb.placement.PlacementRequest;
+import dev.caroblb.placement.PolicyKind;
+import dev.caroblb.placement.PromptShape;
+import dev.caroblb.placement.TargetState;
+import dev.caroblb.placement.TargetView;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Time and allocation of a decision on one core, with running calls at every target. */
+final class DecisionCost {
+  private static final int WARMUP = 60_000;
+  private static final int DECISIONS = 20_000;
+  private static final int RUNNING_PER_TARGET = 2;
+  private static final int[] FLEETS = {12, 1_000};
+
+  private DecisionCost() {}
+
+  static void print(PrintStream out, Iterable<PolicyKind> policies) {
+    out.printf(
+        Locale.ROOT,
+        "%n%-18s %8s %12s %12s %12s %12s %8s%n",
+        "decision cost",
+        "targets",
+        "median ns",
+        "p99 ns",
+        "per second",
+        "bytes each",
+        "placed");
+    for (PolicyKind policy : policies) {
+      for (int targets : FLEETS) {
+        measure(out, policy, targets);
+      }
+    }
+  }
+
+  private static void measure(PrintStream out, PolicyKind kind, int targets) {
+    Fleet fleet = new Fleet();
+    PlacementPolicy policy = kind.create(fleet, 1);
+    PlacementHandler handler = new PlacementHandler(fleet, policy, outcome -> true);
+    for (int i = 0; i < targets; i++) {
+      handler.handle(new PlacementMessage.TargetSeen(view(i)), 0);
+    }
+    for (int i = 0; i < targets * RUNNING_PER_TARGET; i++) {
+      handler.handle(new PlacementMessage.PlaceCall(request(i)), i);
+    }
+    handler.tick(1_000);
+    PlacementRequest request = request(-1);
+    int placed = 0;
+    for (int i = 0; i < WARMUP; i++) {
+      placed += policy.place(request, 1_000).isPresent() ? 1 : 0;
+    }
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    double[] times = new double[DECISIONS];
+    long bytes = threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+    long start = System.nanoTime();
+    long before = start;
+    for (int i = 0; i < DECISIONS; i++) {
+      placed += policy.place(request, 1_000).isPresent() ? 1 : 0;
+      long now = System.nanoTime();
+      times[i] = now - before;
+      before = now;
+    }
+    long spent = before - start;
+    bytes = threads.getThreadAllocatedBytes(Thread.currentThread().getId()) - bytes;
+    Arrays.sort(times);
+    out.printf(
+        Locale.ROOT,
+        "%-18s %8d %12.0f %12.0f %12.0f %12d %8.2f%n",
+        kind.label(),
+        targets,
+        Report.quantile(times, 0.5),
+        Report.quantile(times, 0.99),
+        DECISIONS / (spent / 1e9),
+        bytes / DECISIONS,
+        placed / (double) (WARMUP + DECISIONS));
+  }
+
+  private static TargetView view(int number) {
+    return new TargetView(
+        new TargetId("engine-" + number),
+        1,
+        new FailureDomain("domain-" + number % 3),
+        "127.0.0.1:1",
+        List.of("llm"),
+        TargetState.AVAILABLE,
+        Optional.of(new LoadReport(8, 0, 400 + number % 200, 981, 0, 100)));
+  }
+
+  private static PlacementRequest request(long call) {
+    return new PlacementRequest(
+        call,
+        "llm",
+        "reading",
+        new WorkspaceId("ws-" + Math.floorMod(call, 10)),
+        5,
+        new PromptShape(600, 1 + Math.floorMod(call, 40), 400),
+        0,
+        Optional.empty());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/caroblb/bench/Entry.java
@@ -0,0 +1,123 @@
+package dev.caroblb.bench;
+
+import dev.caroblb.admission.AdmissionCounts;
+import dev.caroblb.admission.AdmissionHandler;
+import dev.caroblb.admission.AdmissionMessage;
+import dev.caroblb.admission.AdmissionOutlets;
+import dev.caroblb.admission.AdmissionSettings;
+import dev.caroblb.admission.CallRefused;
+import dev.caroblb.admission.CallTarget;
+import dev.caroblb.admission.Dispatch;
+import dev.caroblb.admission.PlacementCommand;
+import dev.caroblb.core.CallRequest;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.placement.CallFailure;
+import dev.caroblb.placement.Fleet;
+import dev.caroblb.placement.Placement;
+import dev.caroblb.placement.PlacementHandler;
+import dev.caroblb.placement.PlacementMessage;
+import dev.caroblb.placement.PlacementOutcome;
+import dev.caroblb.placement.PlacementRequest;
+import dev.caroblb.placement.PolicyKind;
+import dev.caroblb.placement.PromptShape;
+import dev.caroblb.standins.engine.EngineRequest;
+import java.util.ArrayDeque;
+import java.util.function.LongFunction;
+
+/** One deciding instance: admission and placement, joined by queues as the daemon joins them. */
+final class Entry {
+  private final AdmissionHandler admission;
+  private final PlacementHandler placement;
+  private final LongFunction<EngineRequest> requests;
+  private final ArrayDeque<AdmissionMessage> toAdmission = new ArrayDeque<>();
+  private final ArrayDeque<PlacementMessage> toPlacement = new ArrayDeque<>();
+  private boolean pumping;
+
+  Entry(
+      PolicyKind policy,
+      long seed,
+      LongFunction<EngineRequest> requests,
+      Outlet<Dispatch> dispatches,
+      Outlet<CallRefused> refusals) {
+    Fleet fleet = new Fleet();
+    this.requests = requests;
+    this.placement = new PlacementHandler(fleet, policy.create(fleet, seed), this::answer);
+    AdmissionOutlets outlets = new AdmissionOutlets(this::command, dispatches, refusals);
+    this.admission =
+        new AdmissionHandler(AdmissionSettings.defaults(), outlets, new AdmissionCounts(), seed);
+  }
+
+  void admit(AdmissionMessage message, long nowMs) {
+    toAdmission.addLast(message);
+    pump(nowMs);
+  }
+
+  void tell(PlacementMessage message, long nowMs) {
+    toPlacement.addLast(message);
+    pump(nowMs);
+  }
+
+  void tick(long nowMs) {
+    if (admission.nextTickMs() <= nowMs) {
+      admission.tick(nowMs);
+    }
+    if (placement.nextTickMs() <= nowMs) {
+      placement.tick(nowMs);
+    }
+    pump(nowMs);
+  }
+
+  private void pump(long nowMs) {
+    if (pumping) {
+      return;
+    }
+    pumping = true;
+    while (!toAdmission.isEmpty() || !toPlacement.isEmpty()) {
+      if (!toPlacement.isEmpty()) {
+        placement.handle(toPlacement.removeFirst(), nowMs);
+      } else {
+        admission.handle(toAdmission.removeFirst(), nowMs);
+      }
+    }
+    pumping = false;
+  }
+
+  private boolean command(PlacementCommand command) {
+    if (command instanceof PlacementCommand.PlaceCall place) {
+      toPlacement.addLast(new PlacementMessage.PlaceCall(request(place)));
+    } else if (command instanceof PlacementCommand.ReleaseTarget release) {
+      toPlacement.addLast(new PlacementMessage.Failed(release.call(), CallFailure.CANCELLED));
+    }
+    return true;
+  }
+
+  private PlacementRequest request(PlacementCommand.PlaceCall place) {
+    CallRequest call = place.request();
+    EngineRequest shape = requests.apply(call.id());
+    return new PlacementRequest(
+        call.id(),
+        call.policy().targetKind(),
+        call.policy().call(),
+        call.workspace(),
+        call.policy().priority(),
+        new PromptShape(shape.promptTokens(), shape.prefix(), shape.prefixTokens()),
+        place.attempt(),
+        place.avoid());
+  }
+
+  private boolean answer(PlacementOutcome outcome) {
+    if (outcome instanceof PlacementOutcome.Placed placed) {
+      Placement at = placed.placement();
+      CallTarget target =
+          new CallTarget(
+              at.target(), at.incarnation(), at.domain(), at.address(), at.enginePriority());
+      toAdmission.addLast(new AdmissionMessage.TargetFound(placed.call(), target));
+    } else if (outcome instanceof PlacementOutcome.NoCapacity none) {
+      toAdmission.addLast(
+          new AdmissionMessage.NoRoom(none.call(), none.targetsKnown(), none.retryAfterMs()));
+    } else if (outcome instanceof PlacementOutcome.RoomReported room) {
+      toAdmission.addLast(new AdmissionMessage.RoomReported(room.kind()));
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/caroblb/bench/EventQueue.java
@@ -0,0 +1,41 @@
+package dev.caroblb.bench;
+
+import java.util.PriorityQueue;
+
+/** Events in order of time, and of insertion where times are equal. */
+final class EventQueue {
+  private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(atUs, other.atUs);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private long inserted;
+  private long nowUs;
+
+  void at(long atUs, Runnable action) {
+    events.add(new Event(Math.max(atUs, nowUs), inserted++, action));
+  }
+
+  /** Runs the next event; false when there is none. */
+  boolean runNext() {
+    Event next = events.poll();
+    if (next == null) {
+      return false;
+    }
+    nowUs = next.atUs();
+    next.action().run();
+    return true;
+  }
+
+  long nowUs() {
+    return nowUs;
+  }
+
+  long nowMs() {
+    return nowUs / 1_000;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/dev/caroblb/bench/Options.java
@@ -0,0 +1,89 @@
+package dev.caroblb.bench;
+
+import dev.caroblb.placement.PolicyKind;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** What to run, from the command line. */
+record Options(
+    Set<Workload> workloads,
+    List<Double> loads,
+    long firstSeed,
+    int seeds,
+    Set<PolicyKind> policies,
+    int threads,
+    Path csv,
+    boolean decisions) {
+  private static final List<Double> LOADS = List.of(0.60, 0.85, 1.00, 1.30);
+  private static final int SEEDS = 10;
+  private static final int THREADS = 4;
+
+  /** Seeds from here on are for the final figures only. */
+  static final long HELD_OUT_SEED = 1_000;
+
+  static final String USAGE =
+      """
+      usage: bench/run [--workload NAME[,NAME]] [--load 0.85[,1.0]] [--seeds COUNT]
+                       [--first-seed NUMBER] [--held-out] [--policy NAME[,NAME]]
+                       [--threads COUNT] [--csv FILE] [--no-decisions]
+      workloads: receipts staffing mix burst loss stale
+      policies: round_robin least_outstanding lowest_load two_choices prefix_affinity predictive
+      """;
+
+  static Options parse(List<String> arguments) {
+    Set<Workload> workloads = EnumSet.allOf(Workload.class);
+    List<Double> loads = LOADS;
+    long firstSeed = 1;
+    int seeds = SEEDS;
+    Set<PolicyKind> policies = EnumSet.allOf(PolicyKind.class);
+    int threads = THREADS;
+    Path csv = Path.of("bench", "target", "bench.csv");
+    boolean decisions = true;
+    for (int i = 0; i < arguments.size(); i++) {
+      String option = arguments.get(i);
+      if (option.equals("--held-out")) {
+        firstSeed = HELD_OUT_SEED;
+        continue;
+      }
+      if (option.equals("--no-decisions")) {
+        decisions = false;
+        continue;
+      }
+      if (i + 1 == arguments.size()) {
+        throw new IllegalArgumentException("option " + option + " is unknown or needs a value");
+      }
+      String value = arguments.get(++i);
+      switch (option) {
+        case "--workload" -> workloads = names(Workload.class, value);
+        case "--policy" -> policies = names(PolicyKind.class, value);
+        case "--load" -> loads = numbers(value);
+        case "--seeds" -> seeds = Integer.parseInt(value);
+        case "--first-seed" -> firstSeed = Long.parseLong(value);
+        case "--threads" -> threads = Integer.parseInt(value);
+        case "--csv" -> csv = Path.of(value);
+        default -> throw new IllegalArgumentException("option " + option + " is unknown");
+      }
+    }
+    return new Options(workloads, loads, firstSeed, seeds, policies, threads, csv, decisions);
+  }
+
+  private static <E extends Enum<E>> Set<E> names(Class<E> type, String value) {
+    Set<E> chosen = EnumSet.noneOf(type);
+    for (String name : value.split(",", -1)) {
+      chosen.add(Enum.valueOf(type, name.toUpperCase(Locale.ROOT)));
+    }
+    return chosen;
+  }
+
+  private static List<Double> numbers(String value) {
+    List<Double> numbers = new ArrayList<>();
+    for (String number : value.split(",", -1)) {
+      numbers.add(Double.parseDouble(number));
+    }
+    return numbers;
+  }
+}
