Add the command line program

Cause: operators act only through publishing and need the state of instances, the list of entries and a way to put load on the system. A publish whose answer is lost goes unchanged to the next entry. load starts calls at a fixed rate, times them from when they were due and checks that tokens are consecutive. Conclusion: check has its interface but waits for the team file parser.

--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/CheckCommand.java
@@ -0,0 +1,42 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Checks team files without publishing them. */
+@Parameters(commandDescription = "Check team files without publishing them")
+final class CheckCommand implements Subcommand {
+  private final TeamFileChecker checker;
+
+  @Parameter(description = "FILE...", required = true)
+  private List<String> files;
+
+  CheckCommand(TeamFileChecker checker) {
+    this.checker = checker;
+  }
+
+  @Override
+  public String name() {
+    return "check";
+  }
+
+  @Override
+  public String examples() {
+    return "caroblb check receipts.toml staffing.toml";
+  }
+
+  @Override
+  public ExitCode run(Console console) {
+    boolean valid = true;
+    for (String file : files) {
+      List<String> mistakes =
+          checker.mistakes(Path.of(file).getFileName().toString(), InputFiles.text(file));
+      mistakes.forEach(console::print);
+      console.print((mistakes.isEmpty() ? "valid " : "invalid ") + file);
+      valid &= mistakes.isEmpty();
+    }
+    return valid ? ExitCode.DONE : ExitCode.REFUSED;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/EntryAddress.java
@@ -0,0 +1,37 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.IStringConverter;
+import com.beust.jcommander.ParameterException;
+import java.net.URI;
+import java.util.regex.Pattern;
+
+/** Address of an entry as {@code host:port}. */
+record EntryAddress(String text) {
+  private static final Pattern FORM =
+      Pattern.compile("(?:[A-Za-z0-9.-]+|\\[[0-9A-Fa-f:.]+]):[0-9]{1,5}");
+
+  static boolean valid(String text) {
+    return FORM.matcher(text).matches();
+  }
+
+  URI uri(String path) {
+    return URI.create("http://" + text + path);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+
+  /** Converts the value of {@code --entry}. */
+  static final class Converter implements IStringConverter<EntryAddress> {
+    @Override
+    public EntryAddress convert(String text) {
+      if (!valid(text)) {
+        throw new ParameterException(
+            "entry \"" + text + "\" is no address; use host:port such as 127.0.0.1:7001");
+      }
+      return new EntryAddress(text);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/EntryClient.java
@@ -0,0 +1,59 @@
+package dev.caroblb.cli;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Sends single requests to entries. A request is sent once; sending again is the caller's choice.
+ */
+final class EntryClient {
+  private static final Duration CONNECT_LIMIT = Duration.ofSeconds(2);
+
+  private final HttpClient http = newHttpClient();
+  private final Optional<String> token;
+  private final Duration answerLimit;
+
+  EntryClient(Optional<String> token, long answerLimitMs) {
+    this.token = token;
+    this.answerLimit = Duration.ofMillis(answerLimitMs);
+  }
+
+  static HttpClient newHttpClient() {
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(CONNECT_LIMIT)
+        .build();
+  }
+
+  /** The answer, or the reason why there is none. */
+  Either<String, Answer> get(EntryAddress entry, String path) throws InterruptedException {
+    return send(HttpRequest.newBuilder(entry.uri(path)).GET(), entry);
+  }
+
+  /** The answer, or the reason why there is none; the request may have been processed. */
+  Either<String, Answer> post(EntryAddress entry, String path, String json)
+      throws InterruptedException {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(entry.uri(path))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(json));
+    return send(request, entry);
+  }
+
+  private Either<String, Answer> send(HttpRequest.Builder request, EntryAddress entry)
+      throws InterruptedException {
+    token.ifPresent(text -> request.header("Authorization", "Bearer " + text));
+    try {
+      HttpResponse<String> response =
+          http.send(request.timeout(answerLimit).build(), HttpResponse.BodyHandlers.ofString());
+      return Either.right(new Answer(response.statusCode(), response.body()));
+    } catch (IOException e) {
+      return Either.left("no answer from " + entry + " (" + e + ")");
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/EntryList.java
@@ -0,0 +1,57 @@
+package dev.caroblb.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Entries that callers may use, as an entry returned them.
+ *
+ * @param entries the entries
+ * @param keepMs time for which the list may be kept
+ */
+record EntryList(List<Entry> entries, long keepMs) {
+  static final String PATH = "/v1/entries";
+
+  /** One entry. */
+  record Entry(EntryAddress address, String instance, String domain) {}
+
+  EntryList {
+    entries = List.copyOf(entries);
+  }
+
+  /** Reads a list; empty when the text is none or an address is invalid. */
+  static Optional<EntryList> parse(String text) {
+    Optional<JsonNode> json = Json.object(text).filter(node -> node.path("entries").isArray());
+    if (json.isEmpty()) {
+      return Optional.empty();
+    }
+    List<Entry> entries = new ArrayList<>();
+    for (JsonNode entry : json.get().get("entries")) {
+      String address = entry.path("address").asText();
+      if (!EntryAddress.valid(address)) {
+        return Optional.empty();
+      }
+      entries.add(
+          new Entry(
+              new EntryAddress(address),
+              entry.path("instance").asText(),
+              entry.path("domain").asText()));
+    }
+    return Optional.of(new EntryList(entries, json.get().path("keep_ms").asLong()));
+  }
+
+  /** Asks the given entries in turn; empty when none gives a list. */
+  static Optional<EntryList> ask(EntryClient client, List<EntryAddress> from)
+      throws InterruptedException {
+    for (EntryAddress entry : from) {
+      Optional<EntryList> list =
+          client.get(entry, PATH).toJavaOptional().flatMap(answer -> parse(answer.body()));
+      if (list.isPresent()) {
+        return list;
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/Json.java
@@ -0,0 +1,36 @@
+package dev.caroblb.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Optional;
+
+/** Reads and writes JSON; unknown fields are ignored, so that newer entries can add some. */
+final class Json {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Json() {}
+
+  /** A JSON object; empty when the text is none. */
+  static Optional<JsonNode> object(String text) {
+    try {
+      return Optional.ofNullable(MAPPER.readTree(text)).filter(JsonNode::isObject);
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+
+  static String write(Object value) {
+    return write(value, false);
+  }
+
+  static String write(Object value, boolean indented) {
+    try {
+      return indented
+          ? MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value)
+          : MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("value cannot be written as JSON: " + value, e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/LoadCommand.java
@@ -0,0 +1,98 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import dev.caroblb.core.Names;
+import java.util.List;
+import java.util.Optional;
+
+/** Sends calls at a rate for a time and reports how they ended. */
+@Parameters(commandDescription = "Send calls at a rate for a time and report ends and latencies")
+final class LoadCommand implements Subcommand {
+  private static final long ANSWER_LIMIT_MS = 5_000;
+  private static final double MAX_RATE = 100_000;
+
+  @Parameter(
+      names = "--entry",
+      description = "Entry to start with, host:port; may be repeated",
+      required = true,
+      converter = EntryAddress.Converter.class)
+  private List<EntryAddress> entries;
+
+  @Parameter(names = "--workspace", description = "Workspace", required = true)
+  private String workspace;
+
+  @Parameter(names = "--call", description = "Name of the call", required = true)
+  private String call;
+
+  @Parameter(names = "--rate", description = "Calls started each second")
+  private double rate = 10;
+
+  @Parameter(names = "--seconds", description = "Time for which calls are started")
+  private long seconds = 10;
+
+  @Parameter(names = "--drain-seconds", description = "Time that running calls get to finish")
+  private long drainSeconds = 60;
+
+  @Parameter(names = "--max-running", description = "Calls that may run at once")
+  private int maxRunning = 10_000;
+
+  @Parameter(names = "--body-file", description = "File with the body of each call (default: {})")
+  private String bodyFile;
+
+  @Parameter(names = "--token-file", description = "File with the token of the workspace")
+  private String tokenFile;
+
+  @Parameter(names = "--deadline-ms", description = "Deadline sent with each call")
+  private Long deadlineMs;
+
+  @Parameter(names = "--idempotency-keys", description = "Give each call a new idempotency key")
+  private boolean idempotencyKeys;
+
+  @Override
+  public String name() {
+    return "load";
+  }
+
+  @Override
+  public String examples() {
+    return "caroblb load --entry 10.0.0.1:7001 --workspace receipts-1 --call reading --rate 50"
+        + " --seconds 60 --token-file workspace.token";
+  }
+
+  @Override
+  public ExitCode run(Console console) throws InterruptedException {
+    check();
+    LoadPlan plan =
+        new LoadPlan(
+            "/v1/workspaces/" + workspace + "/calls/" + call,
+            bodyFile == null ? "{}" : InputFiles.text(bodyFile),
+            InputFiles.token(tokenFile),
+            rate,
+            seconds,
+            drainSeconds,
+            Optional.ofNullable(deadlineMs),
+            idempotencyKeys,
+            maxRunning);
+    EntryClient client = new EntryClient(Optional.empty(), ANSWER_LIMIT_MS);
+    LoadReport report = new LoadRun(plan, entries, client).run();
+    report.print(console);
+    long bad =
+        report.count(CallEnd.Kind.LOST) + report.count(CallEnd.Kind.WRONG) + report.unfinished();
+    return bad == 0 ? ExitCode.DONE : ExitCode.REFUSED;
+  }
+
+  private void check() {
+    if (!(rate > 0 && rate <= MAX_RATE) || seconds < 1 || drainSeconds < 0 || maxRunning < 1) {
+      throw new InputException(
+          "--rate must be above 0 and at most "
+              + (long) MAX_RATE
+              + ", --seconds and --max-running at least 1, --drain-seconds at least 0");
+    }
+    for (String name : List.of(workspace, call)) {
+      if (!Names.valid(name)) {
+        throw new InputException("\"" + name + "\" is no name of a workspace or call");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/LoadReport.java
@@ -0,0 +1,95 @@
+package dev.caroblb.cli;
+
+import dev.caroblb.core.LogLine;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Counts and times of a load run; safe from any thread. */
+final class LoadReport {
+  private static final long MAX_MICROS = 3_600_000_000L;
+  private static final int DIGITS = 3;
+  private static final long NANOS_PER_MICRO = 1_000;
+  private static final double MICROS_PER_MS = 1_000.0;
+
+  private final Map<String, LongAdder> ends = new ConcurrentSkipListMap<>();
+  private final Histogram firstToken = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+  private final Histogram betweenTokens = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+  private final LongAdder sent = new LongAdder();
+  private final LongAdder tokens = new LongAdder();
+
+  void sent() {
+    sent.increment();
+  }
+
+  void ended(CallEnd end) {
+    ends.computeIfAbsent(end.kind().wireName() + " " + end.reason(), key -> new LongAdder())
+        .increment();
+  }
+
+  void firstToken(long nanos) {
+    tokens.increment();
+    record(firstToken, nanos);
+  }
+
+  void nextToken(long nanos) {
+    tokens.increment();
+    record(betweenTokens, nanos);
+  }
+
+  private static void record(Histogram histogram, long nanos) {
+    histogram.recordValue(Math.min(Math.max(0, nanos / NANOS_PER_MICRO), MAX_MICROS));
+  }
+
+  long count(CallEnd.Kind kind) {
+    return ends.entrySet().stream()
+        .filter(end -> end.getKey().startsWith(kind.wireName() + " "))
+        .mapToLong(end -> end.getValue().sum())
+        .sum();
+  }
+
+  /** Calls without an end. */
+  long unfinished() {
+    return sent.sum() - ends.values().stream().mapToLong(LongAdder::sum).sum();
+  }
+
+  void print(Console console) {
+    LogLine totals = LogLine.of("load.result").with("sent", sent.sum());
+    for (CallEnd.Kind kind : CallEnd.Kind.values()) {
+      totals.with(kind.wireName(), count(kind));
+    }
+    console.print(totals.with("unfinished", unfinished()).with("tokens", tokens.sum()).toString());
+    ends.forEach(
+        (end, count) -> {
+          String[] parts = end.split(" ", 2);
+          if (!parts[1].isEmpty()) {
+            console.print(
+                LogLine.of("load.end")
+                    .with("kind", parts[0])
+                    .with("reason", parts[1])
+                    .with("count", count.sum())
+                    .toString());
+          }
+        });
+    printTimes(console, "first_token", firstToken);
+    printTimes(console, "between_tokens", betweenTokens);
+  }
+
+  private static void printTimes(Console console, String name, Histogram histogram) {
+    console.print(
+        LogLine.of("load.times")
+            .with("name", name)
+            .with("count", histogram.getTotalCount())
+            .with("p50_ms", ms(histogram.getValueAtPercentile(50)))
+            .with("p95_ms", ms(histogram.getValueAtPercentile(95)))
+            .with("p99_ms", ms(histogram.getValueAtPercentile(99)))
+            .with("max_ms", ms(histogram.getMaxValue()))
+            .toString());
+  }
+
+  private static String ms(long micros) {
+    return String.format("%.3f", micros / MICROS_PER_MS);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/LoadRun.java
@@ -0,0 +1,151 @@
+package dev.caroblb.cli;
+
+import java.net.ConnectException;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Starts calls at a fixed rate, whether or not earlier ones have ended, and times each call from
+ * the moment it was due, so that a stalled system does not hide its own delay. Calls are not
+ * repeated.
+ */
+final class LoadRun {
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final long MIN_REFRESH_MS = 100;
+
+  private final HttpClient http = EntryClient.newHttpClient();
+  private final LoadPlan plan;
+  private final EntryClient client;
+  private final LoadReport report = new LoadReport();
+  private final Semaphore running;
+  private final AtomicLong started = new AtomicLong();
+  private volatile List<EntryAddress> entries;
+
+  LoadRun(LoadPlan plan, List<EntryAddress> entries, EntryClient client) {
+    this.plan = plan;
+    this.entries = List.copyOf(entries);
+    this.client = client;
+    this.running = new Semaphore(plan.maxRunning());
+  }
+
+  LoadReport run() throws InterruptedException {
+    ScheduledExecutorService starter = Executors.newSingleThreadScheduledExecutor();
+    ExecutorService refresher = Executors.newSingleThreadExecutor();
+    try {
+      refresher.execute(this::refreshEntries);
+      long periodNanos = (long) (NANOS_PER_SECOND / plan.ratePerSecond());
+      long firstNanos = System.nanoTime();
+      ScheduledFuture<?> starts =
+          starter.scheduleAtFixedRate(
+              () -> startNext(firstNanos, periodNanos), 0, periodNanos, TimeUnit.NANOSECONDS);
+      TimeUnit.SECONDS.sleep(plan.seconds());
+      if (!starts.cancel(false)) {
+        throw new IllegalStateException("starting calls ended early after " + started + " calls");
+      }
+      starter.shutdown();
+      // Calls that have not ended after this wait show as unfinished in the report.
+      boolean unused =
+          starter.awaitTermination(1, TimeUnit.SECONDS)
+              && running.tryAcquire(plan.maxRunning(), plan.drainSeconds(), TimeUnit.SECONDS);
+      return report;
+    } finally {
+      starter.shutdownNow();
+      refresher.shutdownNow();
+    }
+  }
+
+  /** Asks for the list of entries whenever the previous one has aged, as callers do. */
+  private void refreshEntries() {
+    try {
+      while (true) {
+        Optional<EntryList> list =
+            EntryList.ask(client, entries).filter(found -> !found.entries().isEmpty());
+        if (list.isPresent()) {
+          entries = list.get().entries().stream().map(EntryList.Entry::address).toList();
+        }
+        long keepMs = list.map(EntryList::keepMs).orElse(MIN_REFRESH_MS);
+        TimeUnit.MILLISECONDS.sleep(Math.max(MIN_REFRESH_MS, keepMs));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void startNext(long firstNanos, long periodNanos) {
+    long number = started.getAndIncrement();
+    report.sent();
+    if (!running.tryAcquire()) {
+      report.ended(new CallEnd(CallEnd.Kind.UNREACHABLE, "too_many_running"));
+      return;
+    }
+    List<EntryAddress> current = entries;
+    EntryAddress entry = current.get((int) (number % current.size()));
+    send(entry, firstNanos + number * periodNanos);
+  }
+
+  private void send(EntryAddress entry, long dueNanos) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(entry.uri(plan.path()))
+            .timeout(Duration.ofSeconds(plan.seconds() + plan.drainSeconds()))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(plan.body()));
+    plan.token().ifPresent(token -> request.header("Authorization", "Bearer " + token));
+    plan.deadlineMs()
+        .ifPresent(limit -> request.header("Caroblb-Deadline-Ms", Long.toString(limit)));
+    if (plan.idempotencyKeys()) {
+      request.header("Idempotency-Key", System.currentTimeMillis() + "-" + UUID.randomUUID());
+    }
+    var unused =
+        http.sendAsync(request.build(), info -> body(info, dueNanos))
+            .handle(
+                (response, error) -> {
+                  report.ended(error == null ? response.body() : failed(error));
+                  running.release();
+                  return null;
+                });
+  }
+
+  private HttpResponse.BodySubscriber<CallEnd> body(HttpResponse.ResponseInfo info, long dueNanos) {
+    String type = info.headers().firstValue("Content-Type").orElse("");
+    if (type.startsWith("text/event-stream")) {
+      return HttpResponse.BodySubscribers.fromLineSubscriber(
+          new TokenSubscriber(report, dueNanos),
+          TokenSubscriber::end,
+          StandardCharsets.UTF_8,
+          null);
+    }
+    return HttpResponse.BodySubscribers.mapping(
+        HttpResponse.BodySubscribers.ofString(StandardCharsets.UTF_8),
+        text -> {
+          CallEnd end = CallEnd.ofAnswer(new Answer(info.statusCode(), text));
+          if (end.equals(CallEnd.COMPLETE)) {
+            report.firstToken(System.nanoTime() - dueNanos);
+          }
+          return end;
+        });
+  }
+
+  private static CallEnd failed(Throwable error) {
+    Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+    boolean unreachable =
+        cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
+    return new CallEnd(
+        unreachable ? CallEnd.Kind.UNREACHABLE : CallEnd.Kind.LOST,
+        cause.getClass().getSimpleName());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/LocateCommand.java
@@ -0,0 +1,44 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.List;
+import java.util.Optional;
+
+/** Prints the addresses that callers should use. */
+@Parameters(commandDescription = "Print the entries that callers should use")
+final class LocateCommand implements Subcommand {
+  private static final long ANSWER_LIMIT_MS = 5_000;
+
+  @Parameter(
+      names = "--entry",
+      description = "Entry to ask, host:port; may be repeated, the next one is asked if one fails",
+      required = true,
+      converter = EntryAddress.Converter.class)
+  private List<EntryAddress> entries;
+
+  @Override
+  public String name() {
+    return "locate";
+  }
+
+  @Override
+  public String examples() {
+    return "caroblb locate --entry 10.0.0.1:7001";
+  }
+
+  @Override
+  public ExitCode run(Console console) throws InterruptedException {
+    EntryClient client = new EntryClient(Optional.empty(), ANSWER_LIMIT_MS);
+    Optional<EntryList> list = EntryList.ask(client, entries);
+    if (list.isEmpty()) {
+      console.problem("no entry gave a list; name other entries with --entry");
+      return ExitCode.UNKNOWN;
+    }
+    for (EntryList.Entry entry : list.get().entries()) {
+      console.print(entry.address() + " " + entry.instance() + " " + entry.domain());
+    }
+    console.print("keep_ms=" + list.get().keepMs());
+    return ExitCode.DONE;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/PublishCommand.java
@@ -0,0 +1,82 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import dev.caroblb.core.SystemMillisClock;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+
+/** Publishes team files. */
+@Parameters(commandDescription = "Publish team files")
+final class PublishCommand implements Subcommand {
+  private static final long ANSWER_LIMIT_MS = 15_000;
+
+  @Parameter(description = "FILE...", required = true)
+  private List<String> files;
+
+  @Parameter(
+      names = "--number",
+      description = "Publish number, greater than the one in force",
+      required = true)
+  private Long number;
+
+  @Parameter(
+      names = "--request",
+      description = "Identity of the publish; repeat it to publish again (default: random)")
+  private String request;
+
+  @Parameter(
+      names = "--entry",
+      description = "Entry address host:port; may be repeated",
+      required = true,
+      converter = EntryAddress.Converter.class)
+  private List<EntryAddress> entries;
+
+  @Parameter(names = "--token-file", description = "File with the operator token", required = true)
+  private String tokenFile;
+
+  @Parameter(names = "--time-limit-ms", description = "Time for all attempts together")
+  private long timeLimitMs = 30_000;
+
+  @Override
+  public String name() {
+    return "publish";
+  }
+
+  @Override
+  public String examples() {
+    return "caroblb publish --number 42 --entry 10.0.0.1:7001 --entry 10.0.1.1:7001"
+        + " --token-file operator.token receipts.toml staffing.toml";
+  }
+
+  @Override
+  public ExitCode run(Console console) throws InterruptedException {
+    if (number < 1) {
+      throw new InputException("--number " + number + " is too small; use 1 or more");
+    }
+    String identity = request == null ? UUID.randomUUID().toString() : request;
+    PublishRequest publish = new PublishRequest(number, identity, readFiles());
+    EntryClient client = new EntryClient(InputFiles.token(tokenFile), ANSWER_LIMIT_MS);
+    console.print("number=" + number + " request=" + identity);
+    return new Publisher(client, entries, new SystemMillisClock(), console)
+        .publish(publish, timeLimitMs);
+  }
+
+  private List<PublishRequest.File> readFiles() {
+    Set<String> names = new HashSet<>();
+    List<PublishRequest.File> read = new ArrayList<>();
+    for (String file : files) {
+      String name = Path.of(file).getFileName().toString();
+      if (!names.add(name)) {
+        throw new InputException(
+            "two files are named " + name + "; a publish replaces files by name, rename one");
+      }
+      read.add(new PublishRequest.File(name, InputFiles.text(file)));
+    }
+    return read;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/Publisher.java
@@ -0,0 +1,95 @@
+package dev.caroblb.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.caroblb.core.MillisClock;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends a publish until an entry gives a final answer. The same number, identity and files get the
+ * recorded answer from any entry, so a publish whose answer was lost is sent again unchanged.
+ */
+final class Publisher {
+  private static final String PATH = "/v1/publishes";
+  private static final long PAUSE_MS = 200;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int TOO_MANY_REQUESTS = 429;
+
+  private final EntryClient client;
+  private final List<EntryAddress> entries;
+  private final MillisClock clock;
+  private final Console console;
+
+  Publisher(EntryClient client, List<EntryAddress> entries, MillisClock clock, Console console) {
+    this.client = client;
+    this.entries = entries;
+    this.clock = clock;
+    this.console = console;
+  }
+
+  ExitCode publish(PublishRequest request, long limitMs) throws InterruptedException {
+    String body = Json.write(request);
+    long endMs = clock.nowMs() + limitMs;
+    Optional<PublishAnswer> accepted = Optional.empty();
+    for (int attempt = 0; attempt == 0 || clock.nowMs() < endMs; attempt++) {
+      EntryAddress entry = entries.get(attempt % entries.size());
+      Either<String, Answer> sent = client.post(entry, PATH, body);
+      Optional<PublishAnswer> answer =
+          sent.toJavaOptional().flatMap(reply -> PublishAnswer.parse(reply.body()));
+      if (answer.isPresent() && answer.get().outcome() != PublishAnswer.Outcome.ACCEPTED) {
+        answer.get().print(console);
+        return answer.get().success() ? ExitCode.DONE : ExitCode.REFUSED;
+      }
+      if (answer.isPresent()) {
+        accepted = answer;
+      } else if (sent.isRight() && !worthAnotherEntry(sent.get())) {
+        console.problem("refused by " + entry + ": " + describe(sent.get()));
+        return ExitCode.REFUSED;
+      } else {
+        console.problem(sent.fold(lost -> lost, reply -> entry + ": " + describe(reply)));
+      }
+      pause(attempt, accepted.isPresent());
+    }
+    return atTimeLimit(request, accepted);
+  }
+
+  /** Waits after each round of entries, and between questions whether it is in force. */
+  private void pause(int attempt, boolean accepted) throws InterruptedException {
+    if (accepted || (attempt + 1) % entries.size() == 0) {
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+    }
+  }
+
+  private ExitCode atTimeLimit(PublishRequest request, Optional<PublishAnswer> accepted) {
+    if (accepted.isPresent()) {
+      accepted.get().print(console);
+      console.problem("accepted, but not yet confirmed to be in force at every entry");
+      return ExitCode.DONE;
+    }
+    console.problem(
+        "outcome unknown; publish the same files again with --number "
+            + request.number()
+            + " --request "
+            + request.request());
+    return ExitCode.UNKNOWN;
+  }
+
+  private static boolean worthAnotherEntry(Answer answer) {
+    return answer.status() >= FIRST_SERVER_ERROR || answer.status() == TOO_MANY_REQUESTS;
+  }
+
+  private static String describe(Answer answer) {
+    Optional<JsonNode> json = Json.object(answer.body());
+    if (json.isEmpty()) {
+      return "status " + answer.status();
+    }
+    return "status "
+        + answer.status()
+        + ", "
+        + json.get().path("reason").asText("no reason")
+        + ": "
+        + json.get().path("message").asText();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/StatusCommand.java
@@ -0,0 +1,57 @@
+package dev.caroblb.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+
+/** Shows the state of instances. */
+@Parameters(commandDescription = "Show the state of each given instance as JSON")
+final class StatusCommand implements Subcommand {
+  private static final long ANSWER_LIMIT_MS = 5_000;
+  private static final int OK = 200;
+
+  @Parameter(
+      names = "--entry",
+      description = "Entry address host:port; may be repeated",
+      required = true,
+      converter = EntryAddress.Converter.class)
+  private List<EntryAddress> entries;
+
+  @Parameter(names = "--token-file", description = "File with the operator token")
+  private String tokenFile;
+
+  @Override
+  public String name() {
+    return "status";
+  }
+
+  @Override
+  public String examples() {
+    return "caroblb status --entry 10.0.0.1:7001 --entry 10.0.1.1:7001";
+  }
+
+  @Override
+  public ExitCode run(Console console) throws InterruptedException {
+    EntryClient client = new EntryClient(InputFiles.token(tokenFile), ANSWER_LIMIT_MS);
+    ExitCode result = ExitCode.DONE;
+    for (EntryAddress entry : entries) {
+      Either<String, Answer> answer = client.get(entry, "/v1/status");
+      if (answer.isLeft()) {
+        console.problem(answer.getLeft());
+        result = ExitCode.UNKNOWN;
+        continue;
+      }
+      Optional<JsonNode> state = Json.object(answer.get().body());
+      if (answer.get().status() != OK || state.isEmpty()) {
+        console.problem(entry + " answered with status " + answer.get().status());
+        result = result == ExitCode.DONE ? ExitCode.REFUSED : result;
+        continue;
+      }
+      console.print(entry + " " + Json.write(state.get(), true));
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line program {@code caroblb} for operators and publishing steps. */
+package dev.caroblb.cli;
--- /dev/null
+++ b/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
@@ -0,0 +1,261 @@
+package dev.caroblb.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class CaroblbTest {
+  private static final String STREAM =
+      "event: token\nid: e1.1.g/1\ndata: {}\n\n: keep-alive\n\nevent: token\nid: e1.1.g/2\ndata: {}\n\n";
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  @TempDir private Path folder;
+
+  private ExitCode run(String... args) throws InterruptedException {
+    Console console =
+        new Console(
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8));
+    TeamFileChecker checker =
+        (name, text) -> text.contains("bad") ? List.of(name + ":1: bad") : List.of();
+    return new Caroblb(
+            console,
+            List.of(
+                new PublishCommand(),
+                new StatusCommand(),
+                new LocateCommand(),
+                new LoadCommand(),
+                new CheckCommand(checker)))
+        .run(args);
+  }
+
+  private String out() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private String file(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text).toString();
+  }
+
+  @Nested
+  class Arguments {
+    /** Guards against scripts that take a typing error for success. */
+    @Test
+    void mistakesGiveTheUsageCode() throws Exception {
+      assertEquals(ExitCode.USAGE, run());
+      assertEquals(ExitCode.USAGE, run("publish"));
+      assertEquals(ExitCode.USAGE, run("locate"));
+      assertEquals(ExitCode.USAGE, run("status", "--entry", "nowhere"));
+      String token = file("token", "secret");
+      assertEquals(
+          ExitCode.USAGE,
+          run("publish", "--number", "1", "--entry", "127.0.0.1:1", "--token-file", token));
+    }
+
+    /** Guards against help that omits a subcommand or the exit codes. */
+    @Test
+    void helpNamesEverySubcommand() throws Exception {
+      assertEquals(ExitCode.DONE, run("--help"));
+      for (String name : List.of("publish", "status", "locate", "load", "check", "Exit codes")) {
+        assertTrue(out().contains(name), name);
+      }
+    }
+  }
+
+  @Nested
+  class Publish {
+    private ExitCode publish(long limitMs, FakeEntry... entries) throws Exception {
+      List<String> args =
+          new ArrayList<>(List.of("publish", "--number", "7", "--request", "r1", "--token-file"));
+      args.add(file("token", "secret\n"));
+      args.addAll(List.of("--time-limit-ms", Long.toString(limitMs)));
+      for (FakeEntry entry : entries) {
+        args.addAll(List.of("--entry", entry.address()));
+      }
+      args.add(file("a.toml", "x = 1\n"));
+      args.add(file("b.toml", "y = 2\n"));
+      return run(args.toArray(String[]::new));
+    }
+
+    /** Guards against a publish that is given up, or changed, after its answer was lost. */
+    @Test
+    void sendsTheSameToTheNextEntryAfterALostAnswer() throws Exception {
+      String answer =
+          "{\"number\":7,\"outcome\":\"in_force\",\"files\":["
+              + "{\"name\":\"a.toml\",\"outcome\":\"accepted\",\"errors\":[]}]}";
+      try (FakeEntry silent = new FakeEntry(FakeEntry.none());
+          FakeEntry healthy = new FakeEntry(FakeEntry.json(200, answer))) {
+        assertEquals(ExitCode.DONE, publish(20_000, silent, healthy));
+        assertEquals(1, silent.received().size());
+        assertEquals(silent.received(), healthy.received());
+        assertEquals(
+            "POST /v1/publishes {\"number\":7,\"request\":\"r1\",\"files\":["
+                + "{\"name\":\"a.toml\",\"text\":\"x = 1\\n\"},"
+                + "{\"name\":\"b.toml\",\"text\":\"y = 2\\n\"}]}",
+            healthy.received().get(0));
+        assertTrue(out().contains("accepted a.toml"), out());
+        assertTrue(out().contains("outcome=in_force"), out());
+      }
+    }
+
+    /** Guards against a conflict that looks like success or hides who won. */
+    @Test
+    void conflictNamesTheWinner() throws Exception {
+      String answer =
+          "{\"number\":7,\"outcome\":\"conflict\",\"winner\":{\"request\":\"r2\"},"
+              + "\"message\":\"publish under a greater number\",\"files\":[]}";
+      try (FakeEntry entry = new FakeEntry(FakeEntry.json(409, answer))) {
+        assertEquals(ExitCode.REFUSED, publish(20_000, entry));
+        assertTrue(out().contains("winner: {\"request\":\"r2\"}"), out());
+      }
+    }
+
+    /** Guards against a refused file without the reason. */
+    @Test
+    void refusedFilesShowTheirErrors() throws Exception {
+      String answer =
+          "{\"number\":7,\"outcome\":\"refused\",\"files\":["
+              + "{\"name\":\"a.toml\",\"outcome\":\"refused\",\"errors\":[\"line 1: unknown key\"]}]}";
+      try (FakeEntry entry = new FakeEntry(FakeEntry.json(422, answer))) {
+        assertEquals(ExitCode.REFUSED, publish(20_000, entry));
+        assertTrue(out().contains("refused a.toml: line 1: unknown key"), out());
+      }
+    }
+
+    /** Guards against an unknown outcome that is reported as a refusal. */
+    @Test
+    void unknownOutcomeTellsHowToGoOn() throws Exception {
+      try (FakeEntry entry = new FakeEntry(FakeEntry.json(503, "{\"reason\":\"no_leader\"}"))) {
+        assertEquals(ExitCode.UNKNOWN, publish(1, entry));
+        assertTrue(err.toString(StandardCharsets.UTF_8).contains("--number 7 --request r1"));
+      }
+    }
+
+    /** Guards against a wrong token that is tried at every entry until the time limit. */
+    @Test
+    void wrongTokenEndsAtOnce() throws Exception {
+      String answer = "{\"kind\":\"not_run\",\"reason\":\"unauthenticated\",\"message\":\"m\"}";
+      try (FakeEntry entry = new FakeEntry(FakeEntry.json(401, answer))) {
+        assertEquals(ExitCode.REFUSED, publish(20_000, entry, entry));
+        assertEquals(1, entry.received().size());
+      }
+    }
+  }
+
+  @Nested
+  class Locate {
+    /** Guards against an unreachable entry that hides the others. */
+    @Test
+    void asksTheNextEntry() throws Exception {
+      String answer =
+          "{\"entries\":[{\"address\":\"10.0.0.1:7001\",\"instance\":\"a1\",\"domain\":\"d1\"}],"
+              + "\"keep_ms\":5000}";
+      try (FakeEntry silent = new FakeEntry(FakeEntry.none());
+          FakeEntry entry = new FakeEntry(FakeEntry.json(200, answer))) {
+        assertEquals(
+            ExitCode.DONE, run("locate", "--entry", silent.address(), "--entry", entry.address()));
+        assertEquals("10.0.0.1:7001 a1 d1\nkeep_ms=5000\n", out());
+      }
+    }
+  }
+
+  @Nested
+  class Status {
+    /** Guards against an instance without an answer that goes unnoticed. */
+    @Test
+    void tellsWhichInstanceDidNotAnswer() throws Exception {
+      try (FakeEntry silent = new FakeEntry(FakeEntry.none());
+          FakeEntry entry = new FakeEntry(FakeEntry.json(200, "{\"number\":7}"))) {
+        assertEquals(
+            ExitCode.UNKNOWN,
+            run("status", "--entry", silent.address(), "--entry", entry.address()));
+        assertTrue(out().contains("\"number\" : 7"), out());
+        assertTrue(err.toString(StandardCharsets.UTF_8).contains(silent.address()));
+      }
+    }
+  }
+
+  @Nested
+  class Load {
+    private ExitCode load(FakeEntry.Reply reply) throws Exception {
+      try (FakeEntry entry = new FakeEntry(reply)) {
+        return run(
+            "load",
+            "--entry",
+            entry.address(),
+            "--workspace",
+            "w",
+            "--call",
+            "c",
+            "--rate",
+            "20",
+            "--seconds",
+            "1",
+            "--drain-seconds",
+            "10");
+      }
+    }
+
+    private FakeEntry.Reply stream(String events) {
+      return FakeEntry.answer(200, "text/event-stream", events);
+    }
+
+    /** Guards against complete calls or token times that are not counted. */
+    @Test
+    void countsCompleteStreams() throws Exception {
+      String end = "event: final\ndata: {\"status\":\"complete\"}\n\n";
+      assertEquals(ExitCode.DONE, load(stream(STREAM + end)));
+      assertTrue(out().matches("(?s).*sent=(\\d+) complete=\\1 .*unfinished=0.*"), out());
+      assertTrue(out().contains("name=between_tokens"), out());
+    }
+
+    /** Guards against a cut stream that passes for a complete answer. */
+    @Test
+    void countsStreamsWithoutAFinalEventAsLost() throws Exception {
+      assertEquals(ExitCode.REFUSED, load(stream(STREAM)));
+      assertTrue(out().contains("kind=lost reason=no_final_event"), out());
+    }
+
+    /** Guards against a missing token, or one of another generation, that goes unnoticed. */
+    @Test
+    void noticesTokensOutOfOrder() throws Exception {
+      String end = "event: final\ndata: {\"status\":\"complete\"}\n\n";
+      assertEquals(ExitCode.REFUSED, load(stream(STREAM.replace("g/2", "g/3") + end)));
+      assertEquals(ExitCode.REFUSED, load(stream(STREAM.replace("e1.1.g/2", "e1.1.h/2") + end)));
+      assertTrue(out().contains("kind=wrong reason=token_out_of_order"), out());
+    }
+
+    /** Guards against refusals that are not told apart. */
+    @Test
+    void countsRefusalsByReason() throws Exception {
+      String answer = "{\"kind\":\"not_run\",\"reason\":\"backlog_full\"}";
+      assertEquals(ExitCode.DONE, load(FakeEntry.json(503, answer)));
+      assertTrue(out().contains("kind=refused reason=backlog_full"), out());
+    }
+  }
+
+  @Nested
+  class Check {
+    /** Guards against an invalid file that a pipeline lets through. */
+    @Test
+    void invalidFileGivesTheRefusedCode() throws Exception {
+      String good = file("good.toml", "x");
+      assertEquals(ExitCode.DONE, run("check", good));
+      assertEquals(ExitCode.REFUSED, run("check", good, file("wrong.toml", "bad")));
+      assertTrue(out().contains("wrong.toml:1: bad"), out());
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/dev/caroblb/cli/FakeEntry.java
@@ -0,0 +1,71 @@
+package dev.caroblb.cli;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Entry that gives the same answer to every request and keeps what it received. */
+final class FakeEntry implements AutoCloseable {
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<String> received = new CopyOnWriteArrayList<>();
+
+  /** Answers a request, or closes the connection without an answer. */
+  interface Reply {
+    void to(HttpExchange exchange) throws IOException;
+  }
+
+  FakeEntry(Reply reply) throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext(
+        "/",
+        exchange -> {
+          String body =
+              new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+          received.add(exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + body);
+          reply.to(exchange);
+          exchange.close();
+        });
+    server.start();
+  }
+
+  static Reply json(int status, String body) {
+    return answer(status, "application/json", body);
+  }
+
+  static Reply answer(int status, String type, String body) {
+    return exchange -> {
+      byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+      exchange.getResponseHeaders().add("Content-Type", type);
+      exchange.sendResponseHeaders(status, bytes.length);
+      exchange.getResponseBody().write(bytes);
+    };
+  }
+
+  /** Receives the request and ends the connection. */
+  static Reply none() {
+    return exchange -> {};
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  List<String> received() {
+    return received;
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
