Report input that the TOML parser cannot process

Cause: the parser recurses without a limit and violates its own assertions on some bad input, which ended the process instead of naming the mistake. Change: SettingsReader reports such a file. The format file of a data folder is read only up to 64 KiB, and a failure while a folder is listed is an IOException. Conclusion: bad files give typed errors.

--- a/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
@@ -76,7 +76,12 @@
       FileAccess files, Path folder, FormatFile wanted, AutoCloseable lock)
       throws JournalException, IOException {
     Path formatFile = folder.resolve(FormatFile.NAME);
-    boolean format = files.size(formatFile).isEmpty();
+    Optional<Long> size = files.size(formatFile);
+    boolean format = size.isEmpty();
+    if (!format && size.get() > FormatFile.MAX_BYTES) {
+      throw new JournalException(
+          Kind.BAD_FORMAT_FILE, formatFile, 0, "format file of " + size.get() + " bytes");
+    }
     FormatFile found =
         format
             ? format(files, folder, wanted)
--- a/agreement/src/main/java/dev/caroblb/agreement/journal/DiskFileAccess.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/DiskFileAccess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.RandomAccessFile;
+import java.io.UncheckedIOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -24,6 +25,8 @@
   public List<String> list(Path folder) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       return files.map(file -> file.getFileName().toString()).sorted().toList();
+    } catch (UncheckedIOException e) {
+      throw e.getCause();
     }
   }
 
--- a/agreement/src/main/java/dev/caroblb/agreement/journal/FormatFile.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/FormatFile.java
@@ -17,6 +17,10 @@
  */
 record FormatFile(String cluster, String incarnation, List<GroupId> groups) {
   static final String NAME = "format";
+
+  /** Far above the size with the greatest number of groups. */
+  static final long MAX_BYTES = 64 << 10;
+
   private static final String VERSION = "1";
   private static final Pattern FORM =
       Pattern.compile(
--- a/settings/src/main/java/dev/caroblb/settings/SettingsReader.java
+++ b/settings/src/main/java/dev/caroblb/settings/SettingsReader.java
@@ -64,21 +64,31 @@
         unreadable("a file of " + Files.size(file) + " bytes");
         return Optional.empty();
       }
-      return Optional.of(Toml.parse(Files.readString(file)));
+      return parse(Files.readString(file));
     } catch (IOException e) {
       unreadable("a file that cannot be read (" + e + ")");
       return Optional.empty();
     }
   }
 
+  /** The parser recurses without a limit and violates its own assertions on some bad input. */
+  private Optional<TomlParseResult> parse(String text) {
+    try {
+      return Optional.of(Toml.parse(text));
+    } catch (StackOverflowError | AssertionError | RuntimeException e) {
+      unreadable("text that the TOML parser cannot process (" + e.getClass().getSimpleName() + ")");
+      return Optional.empty();
+    }
+  }
+
   private void unreadable(String found) {
     errors.add(
         Kind.UNREADABLE,
         1,
         "",
         found,
-        "a readable UTF-8 file of at most " + MAX_FILE_BYTES + " bytes",
-        "name an existing settings file that this process may read");
+        "a readable TOML file in UTF-8 of at most " + MAX_FILE_BYTES + " bytes",
+        "name an existing settings file that this process may read, or correct its syntax");
   }
 
   private Optional<InstanceSettings> settings(TomlParseResult parsed) {
--- a/settings/src/test/java/dev/caroblb/settings/SettingsReaderTest.java
+++ b/settings/src/test/java/dev/caroblb/settings/SettingsReaderTest.java
@@ -143,6 +143,16 @@
     }
   }
 
+  @Nested
+  class WithTextTheParserCannotProcess {
+    /** Guards against a parser that ends the process by deep recursion. */
+    @Test
+    void reportsIt() throws IOException {
+      List<SettingsError> errors = refused("a = " + "[".repeat(200_000));
+      assertFalse(errors.isEmpty());
+    }
+  }
+
   @Nested
   class WithContradictions {
     private void assertContradiction(String text, String key) throws IOException {
