--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -25,10 +25,20 @@
 import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.ProposalOutcome;
 import dev.caroblb.core.Proposer;
+import dev.caroblb.core.StateMachine;
 import dev.caroblb.core.WorkspaceId;
 import dev.caroblb.engines.EngineLinks;
 import dev.caroblb.http.HttpConnector;
 import dev.caroblb.http.HttpLimits;
+import dev.caroblb.idempotency.IdempotencyHandler;
+import dev.caroblb.idempotency.IdempotencyMessage;
+import dev.caroblb.idempotency.IdempotencyOutlets;
+import dev.caroblb.idempotency.KeyGroups;
+import dev.caroblb.idempotency.KeyInstance;
+import dev.caroblb.idempotency.KeyLimits;
+import dev.caroblb.idempotency.codec.KeyCommandFormat;
+import dev.caroblb.idempotency.codec.KeyMessageCodec;
+import dev.caroblb.idempotency.codec.KeyStateMachine;
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.LocalInstance;
 import dev.caroblb.membership.MembershipHandler;
@@ -56,6 +66,7 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -82,9 +93,11 @@
   private final LateOutlet<MembershipMessage> toMembership = new LateOutlet<>();
   private final LateOutlet<ConfigurationMessage> toConfiguration = new LateOutlet<>();
   private final LateOutlet<AdmissionMessage> toAdmission = new LateOutlet<>();
+  private final LateOutlet<IdempotencyMessage> toIdempotency = new LateOutlet<>();
   private final LateOutlet<PlacementMessage> toPlacement = new LateOutlet<>();
   private final List<Duty<?>> duties = new ArrayList<>();
   private final CallFlow calls;
+  private final KeyFlow keys;
   private final StreamsHandler streams;
   private final Optional<ControlReplica> replica;
   private final CallersServer server;
@@ -101,11 +114,13 @@
             number -> toMembership.offer(new MembershipMessage.ConfigurationInForce(number)));
     drain = new DrainControl(gate, toStreams);
     calls = new CallFlow(toAdmission, toPlacement, toStreams, targets, this::share);
+    keys = new KeyFlow(toIdempotency, toStreams, clock);
     streams = createStreams();
     createPlacement();
     createAdmission();
     replica = createReplica();
     createConfiguration();
+    createIdempotency();
     server = createServer();
     createMembership();
   }
@@ -138,7 +153,7 @@
     SecureRandom random = new SecureRandom();
     StreamsHandler handler =
         new StreamsHandler(
-            new StreamOutlets(links, key -> false, calls::ended, calls::progressed),
+            new StreamOutlets(links, keys::command, calls::ended, calls::progressed),
             new StreamLimits(
                 settings.times().targetStallMs(),
                 settings.times().callerStallMs(),
@@ -192,7 +207,7 @@
         ControlReplica.open(
             settings,
             settings.dataFolder().get(),
-            Map.of(GroupId.CONTROL, new ConfigurationStateMachine(toConfiguration)),
+            stateMachines(),
             transport,
             this::leaseChanged,
             this::replicaFailed,
@@ -201,8 +216,18 @@
     return Optional.of(created);
   }
 
+  private Map<GroupId, StateMachine> stateMachines() {
+    Map<GroupId, StateMachine> machines = new LinkedHashMap<>();
+    machines.put(GroupId.CONTROL, new ConfigurationStateMachine(toConfiguration));
+    for (int bucket = 0; bucket < settings.keyGroups(); bucket++) {
+      machines.put(GroupId.keys(bucket), new KeyStateMachine(KeyLimits.DEFAULT));
+    }
+    return machines;
+  }
+
   private boolean leaseChanged(LeaderLease lease) {
-    return toConfiguration.offer(new ConfigurationMessage.LeaseChanged(lease));
+    boolean told = toIdempotency.offer(new IdempotencyMessage.Leadership(lease));
+    return toConfiguration.offer(new ConfigurationMessage.LeaseChanged(lease)) && told;
   }
 
   private boolean replicaFailed(ReplicaFault fault) {
@@ -230,16 +255,11 @@
                     message.peer(), Channel.CONFIGURATION, codec.encode(message.message())),
             gate,
             toConfiguration);
-    List<InstanceId> replicas =
-        settings.peers().stream()
-            .filter(PeerSettings::replica)
-            .map(PeerSettings::instance)
-            .toList();
     ConfigurationHandler handler =
         new ConfigurationHandler(
             settings.instance(),
             Long.toString(incarnation),
-            replicas,
+            replicas(),
             outlets,
             new GroupCommandProposer(proposer()),
             new ConfigurationCounters());
@@ -255,6 +275,43 @@
                     message -> duty.offer(new ConfigurationMessage.PeerReceived(from, message))));
   }
 
+  private void createIdempotency() {
+    KeyMessageCodec codec = new KeyMessageCodec();
+    KeyInstance instance =
+        new KeyInstance(
+            settings.instance(), incarnation, new KeyGroups(settings.keyGroups()), replicas());
+    IdempotencyOutlets outlets =
+        new IdempotencyOutlets(
+            message ->
+                transport.send(
+                    message.peer(), Channel.IDEMPOTENCY, codec.encode(message.message())),
+            keys::decided,
+            reason -> true,
+            toIdempotency);
+    IdempotencyHandler handler =
+        new IdempotencyHandler(instance, proposer(), new KeyCommandFormat(), outlets);
+    Duty<IdempotencyMessage> duty =
+        add(new Duty<>("idempotency", RING_CAPACITY, handler, clock));
+    toIdempotency.bind(duty);
+    transport.receive(
+        Channel.IDEMPOTENCY,
+        (from, body) ->
+            codec
+                .decode(body)
+                .ifPresent(
+                    message ->
+                        duty.offer(
+                            new IdempotencyMessage.FromPeer(
+                                new Addressed<>(from, message), clock.wallMs()))));
+  }
+
+  private List<InstanceId> replicas() {
+    return settings.peers().stream()
+        .filter(PeerSettings::replica)
+        .map(PeerSettings::instance)
+        .toList();
+  }
+
   private CallersServer createServer() throws IOException {
     HttpLimits limits =
         new HttpLimits(
@@ -293,7 +350,7 @@
             message ->
                 transport.send(message.peer(), Channel.MEMBERSHIP, codec.encode(message.message())),
             this::targetChanged,
-            entries,
+            view -> entries.offer(view) && keys.instancesChanged(view),
             drain);
     LocalInstance self =
         new LocalInstance(settings.instance(), incarnation, settings.domain(), advertisedAddress());
--- a/streams/src/main/java/dev/caroblb/streams/KeyCommand.java
+++ b/streams/src/main/java/dev/caroblb/streams/KeyCommand.java
@@ -14,4 +14,7 @@
 
   /** Gives the reservation back because nothing was sent to the target. */
   record Release(CallRequest call) implements KeyCommand {}
+
+  /** The call may have been sent but its answer is lost; the key stays reserved. */
+  record OutcomeLost(CallRequest call) implements KeyCommand {}
 }
--- a/streams/src/main/java/dev/caroblb/streams/RunningCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/RunningCall.java
@@ -39,6 +39,6 @@
   /** The key cannot be used. */
   default void onKeyRefused(Refusal refusal) {}
 
-  /** The reservation was given back. */
-  default void onKeyReleased() {}
+  /** The reservation was given back, durably when {@code committed}. */
+  default void onKeyReleased(boolean committed, long nowMs) {}
 }
--- a/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
@@ -89,10 +89,15 @@
   }
 
   @Override
-  public void onKeyReleased() {
-    if (state == State.RELEASING) {
-      answer(new CallerEvent.Refused(releaseRefusal.orElseThrow()), call.deadlineMs());
+  public void onKeyReleased(boolean committed, long nowMs) {
+    if (state != State.RELEASING) {
+      return;
     }
+    Refusal refusal =
+        committed
+            ? releaseRefusal.orElseThrow()
+            : Refusal.of(RefusalReason.CONNECTION_LOST, "the key could not be released");
+    answer(new CallerEvent.Refused(refusal), nowMs);
   }
 
   @Override
@@ -138,6 +143,7 @@
       handBack(RefusalReason.CONNECTION_LOST);
       return;
     }
+    sendKeyCommand(new KeyCommand.OutcomeLost(call));
     refuse(Refusal.of(RefusalReason.CONNECTION_LOST, failed.cause()), nowMs);
   }
 
@@ -239,6 +245,9 @@
       }
       case SENT -> {
         closeLink();
+        if (call.idempotencyKey().isPresent()) {
+          sendKeyCommand(new KeyCommand.OutcomeLost(call));
+        }
         refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the deadline passed"), nowMs);
       }
       case RELEASING ->
--- a/streams/src/main/java/dev/caroblb/streams/StreamsHandler.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamsHandler.java
@@ -69,7 +69,7 @@
     } else if (message instanceof StreamsMessage.KeyRefused refused) {
       withCall(refused.call(), call -> call.onKeyRefused(refused.refusal()));
     } else if (message instanceof StreamsMessage.KeyReleased released) {
-      withCall(released.call(), RunningCall::onKeyReleased);
+      withCall(released.call(), call -> call.onKeyReleased(released.committed(), nowMs));
     }
   }
 
--- a/streams/src/main/java/dev/caroblb/streams/StreamsMessage.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamsMessage.java
@@ -48,8 +48,8 @@
   /** The key cannot be used; the refusal says why. */
   record KeyRefused(long call, Refusal refusal) implements StreamsMessage {}
 
-  /** The reservation was given back durably. */
-  record KeyReleased(long call) implements StreamsMessage {}
+  /** The reservation was given back; "not run" may be told only when that is committed. */
+  record KeyReleased(long call, boolean committed) implements StreamsMessage {}
 
   /** The drain bound has passed: every running call ends with a final event. */
   record StopAll() implements StreamsMessage {}
