Split the instance assembly and record metrics

Cause: the assembly of an instance was one class of 439 lines, and the metrics page was empty. Change: DutyList, CallPath, SharedState and PeerChannel take their parts; refusals, retries, token times, rings, faults and peer traffic are recorded.

--- a/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
@@ -14,14 +14,11 @@
 import dev.caroblb.agreement.journal.JournalError;
 import dev.caroblb.agreement.journal.JournalHandler;
 import dev.caroblb.agreement.journal.JournalMessage;
-import dev.caroblb.core.Addressed;
 import dev.caroblb.core.Duty;
 import dev.caroblb.core.GroupId;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LeaderLease;
-import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.Outlet;
-import dev.caroblb.core.Payload;
 import dev.caroblb.core.StateMachine;
 import dev.caroblb.settings.InstanceSettings;
 import dev.caroblb.settings.PeerSettings;
@@ -29,7 +26,6 @@
 import dev.caroblb.transport.PeerTransport;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.List;
@@ -38,47 +34,40 @@
 
 /** The consensus groups and their data folder, on an instance that has one. */
 final class ControlReplica implements AutoCloseable {
-  private static final int RING_CAPACITY = 16_384;
-
   private final DataFolder folder;
   private final Duty<AgreementMessage> agreement;
-  private final Duty<JournalMessage> journal;
 
-  private ControlReplica(
-      DataFolder folder, Duty<AgreementMessage> agreement, Duty<JournalMessage> journal) {
+  private ControlReplica(DataFolder folder, Duty<AgreementMessage> agreement) {
     this.folder = folder;
     this.agreement = agreement;
-    this.journal = journal;
   }
 
-  /** Opens the data folder and creates the duties; they run after {@link #start()}. */
+  /** Opens the data folder, recovers the groups and creates their duties. */
   static ControlReplica open(
       InstanceSettings settings,
-      Path dataFolder,
       Map<GroupId, StateMachine> machines,
+      DutyList duties,
       PeerTransport transport,
       Outlet<LeaderLease> leases,
-      Outlet<ReplicaFault> faults,
-      MillisClock clock)
+      Outlet<ReplicaFault> faults)
       throws IOException {
     Either<JournalError, DataFolder> opened =
-        DataFolder.open(dataFolder, settings.cluster(), List.copyOf(machines.keySet()));
+        DataFolder.open(
+            settings.dataFolder().orElseThrow(),
+            settings.cluster(),
+            List.copyOf(machines.keySet()));
     if (opened.isLeft()) {
       throw new IOException(opened.getLeft().message());
     }
     DataFolder folder = opened.get();
     LateOutlet<AgreementMessage> toAgreement = new LateOutlet<>();
     Duty<JournalMessage> journal =
-        new Duty<>(
+        duties.create(
             "journal",
-            RING_CAPACITY,
             new JournalHandler(
-                folder, event -> toAgreement.offer(new AgreementMessage.FromJournal(event))),
-            clock);
-    PeerMessageCodec codec = new PeerMessageCodec();
-    Outlet<Addressed<PeerMessage>> peers =
-        message ->
-            transport.send(message.peer(), Channel.AGREEMENT, codec.encode(message.message()));
+                folder, event -> toAgreement.offer(new AgreementMessage.FromJournal(event))));
+    PeerChannel<PeerMessage> peers =
+        new PeerChannel<>(transport, Channel.AGREEMENT, new PeerMessageCodec());
     AgreementHandler handler =
         new AgreementHandler(
             new AgreementSettings(
@@ -88,20 +77,11 @@
             new AgreementOutlets(peers, journal, leases, faults),
             new MemberListCodec(),
             new SecureRandom(),
-            clock.nowMs());
-    Duty<AgreementMessage> agreement = new Duty<>("agreement", RING_CAPACITY, handler, clock);
+            duties.clock().nowMs());
+    Duty<AgreementMessage> agreement = duties.create("agreement", handler);
     toAgreement.bind(agreement);
-    transport.receive(Channel.AGREEMENT, (from, body) -> receive(codec, agreement, from, body));
-    return new ControlReplica(folder, agreement, journal);
-  }
-
-  private static void receive(
-      PeerMessageCodec codec, Duty<AgreementMessage> agreement, InstanceId from, Payload body) {
-    codec
-        .decode(body)
-        .ifPresent(
-            message ->
-                agreement.offer(new AgreementMessage.FromPeer(new Addressed<>(from, message))));
+    peers.receive(message -> agreement.offer(new AgreementMessage.FromPeer(message)));
+    return new ControlReplica(folder, agreement);
   }
 
   private static List<InstanceId> slots(InstanceSettings settings) {
@@ -125,19 +105,9 @@
     return agreement;
   }
 
-  List<Duty<?>> duties() {
-    return List.of(agreement, journal);
-  }
-
-  void start() {
-    journal.start();
-    agreement.start();
-  }
-
+  /** Gives the data folder back; the duties must have been stopped. */
   @Override
   public void close() {
-    agreement.close();
-    journal.close();
     folder.close();
   }
 }
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -1,128 +1,89 @@
 package dev.caroblb.daemon;
 
-import dev.caroblb.admission.AdmissionCounts;
-import dev.caroblb.admission.AdmissionHandler;
-import dev.caroblb.admission.AdmissionMessage;
-import dev.caroblb.admission.AdmissionOutlets;
-import dev.caroblb.admission.AdmissionSettings;
-import dev.caroblb.admission.WorkspaceShare;
-import dev.caroblb.agreement.AgreementProposer;
 import dev.caroblb.agreement.ReplicaFault;
 import dev.caroblb.callers.CallersServer;
-import dev.caroblb.configuration.ConfigurationCounters;
-import dev.caroblb.configuration.ConfigurationHandler;
-import dev.caroblb.configuration.ConfigurationMessage;
-import dev.caroblb.configuration.ConfigurationOutlets;
-import dev.caroblb.configuration.WorkspaceSettings;
-import dev.caroblb.configuration.codec.ConfigurationStateMachine;
-import dev.caroblb.configuration.codec.GroupCommandProposer;
-import dev.caroblb.core.Addressed;
 import dev.caroblb.core.Duty;
-import dev.caroblb.core.GroupId;
 import dev.caroblb.core.InstanceId;
-import dev.caroblb.core.LeaderLease;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
-import dev.caroblb.core.ProposalOutcome;
-import dev.caroblb.core.Proposer;
-import dev.caroblb.core.StateMachine;
-import dev.caroblb.core.WorkspaceId;
-import dev.caroblb.engines.EngineLinks;
 import dev.caroblb.http.HttpConnector;
 import dev.caroblb.http.HttpLimits;
-import dev.caroblb.idempotency.IdempotencyHandler;
 import dev.caroblb.idempotency.IdempotencyMessage;
-import dev.caroblb.idempotency.IdempotencyOutlets;
-import dev.caroblb.idempotency.KeyGroups;
-import dev.caroblb.idempotency.KeyInstance;
-import dev.caroblb.idempotency.KeyLimits;
-import dev.caroblb.idempotency.codec.KeyCommandFormat;
-import dev.caroblb.idempotency.codec.KeyMessageCodec;
-import dev.caroblb.idempotency.codec.KeyStateMachine;
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.LocalInstance;
 import dev.caroblb.membership.MembershipHandler;
 import dev.caroblb.membership.MembershipMessage;
 import dev.caroblb.membership.MembershipOutlets;
+import dev.caroblb.membership.PeerMessage;
 import dev.caroblb.membership.TargetChange;
 import dev.caroblb.membership.codec.MembershipCodec;
-import dev.caroblb.placement.Fleet;
-import dev.caroblb.placement.PlacementHandler;
+import dev.caroblb.metrics.InstanceMetrics;
 import dev.caroblb.placement.PlacementMessage;
-import dev.caroblb.placement.PolicyKind;
 import dev.caroblb.settings.InstanceSettings;
+import dev.caroblb.settings.LimitSettings;
 import dev.caroblb.settings.PeerSettings;
 import dev.caroblb.settings.PortsFile;
-import dev.caroblb.streams.StreamLimits;
-import dev.caroblb.streams.StreamObserver;
-import dev.caroblb.streams.StreamOutlets;
-import dev.caroblb.streams.StreamsHandler;
 import dev.caroblb.streams.StreamsMessage;
 import dev.caroblb.transport.Channel;
 import dev.caroblb.transport.Hello;
 import dev.caroblb.transport.PeerTransport;
+import dev.caroblb.transport.TransportCounters;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
-import java.util.ArrayList;
-import java.util.HexFormat;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Collectors;
 
 /** One running instance: creates its duties and connects their rings. */
 final class Instance implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(Instance.class.getName());
-  private static final int RING_CAPACITY = 16_384;
   private static final int IO_THREADS = 2;
   private static final long CONNECT_TIMEOUT_MS = 1_000;
-  private static final int GENERATION_BYTES = 12;
 
   private final InstanceSettings settings;
-  private final MillisClock clock;
   private final long incarnation;
+  private final DutyList duties;
   private final PeerTransport transport;
   private final HttpConnector connector;
-  private final TargetDirectory targets = new TargetDirectory();
+  private final InstanceMetrics metrics = new InstanceMetrics();
   private final Entries entries = new Entries();
-  private final ConfigurationGate gate;
-  private final DrainControl drain;
-  private final LateOutlet<StreamsMessage> toStreams = new LateOutlet<>();
-  private final LateOutlet<MembershipMessage> toMembership = new LateOutlet<>();
-  private final LateOutlet<ConfigurationMessage> toConfiguration = new LateOutlet<>();
-  private final LateOutlet<AdmissionMessage> toAdmission = new LateOutlet<>();
-  private final LateOutlet<IdempotencyMessage> toIdempotency = new LateOutlet<>();
-  private final LateOutlet<PlacementMessage> toPlacement = new LateOutlet<>();
-  private final List<Duty<?>> duties = new ArrayList<>();
-  private final CallFlow calls;
+  private final LateOutlet<MembershipMessage> membership = new LateOutlet<>();
   private final KeyFlow keys;
-  private final StreamsHandler streams;
-  private final Optional<ControlReplica> replica;
+  private final CallPath calls;
+  private final DrainControl drain;
+  private final SharedState shared;
   private final CallersServer server;
 
   private Instance(InstanceSettings settings, MillisClock clock) throws IOException {
     this.settings = settings;
-    this.clock = clock;
     incarnation = clock.wallMs();
-    transport = createTransport();
-    connector = new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
-    gate =
+    duties = new DutyList(clock);
+    transport = createTransport(clock);
+    connector =
+        new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
+    ConfigurationGate gate =
         new ConfigurationGate(
             clock,
-            number -> toMembership.offer(new MembershipMessage.ConfigurationInForce(number)));
-    drain = new DrainControl(gate, toStreams);
-    calls = new CallFlow(toAdmission, toPlacement, toStreams, targets, this::share);
+            number -> membership.offer(new MembershipMessage.ConfigurationInForce(number)));
+    LateOutlet<IdempotencyMessage> toIdempotency = new LateOutlet<>();
+    LateOutlet<StreamsMessage> toStreams = new LateOutlet<>();
     keys = new KeyFlow(toIdempotency, toStreams, clock);
-    streams = createStreams();
-    createPlacement();
-    createAdmission();
-    replica = createReplica();
-    createConfiguration();
-    createIdempotency();
-    server = createServer();
+    calls =
+        new CallPath(settings, duties, connector, gate, entries, metrics, keys::command);
+    toStreams.bind(calls.streams());
+    drain = new DrainControl(gate, calls.streams());
+    shared =
+        new SharedState(
+            new SharedState.Run(settings, incarnation),
+            duties,
+            transport,
+            gate,
+            keys::decided,
+            this::replicaFailed,
+            metrics);
+    toIdempotency.bind(shared.idempotency());
+    server = createServer(gate, clock);
     createMembership();
+    showMetrics(gate);
   }
 
   /** Creates the instance and starts its threads. */
@@ -132,7 +93,7 @@
     return instance;
   }
 
-  private PeerTransport createTransport() throws IOException {
+  private PeerTransport createTransport(MillisClock clock) throws IOException {
     Map<InstanceId, InetSocketAddress> peers =
         settings.otherPeers().stream()
             .collect(
@@ -147,89 +108,6 @@
     return new PeerTransport(hello, settings.peersAddress().toInetSocketAddress(), peers, clock);
   }
 
-  private StreamsHandler createStreams() {
-    LateOutlet<StreamsMessage> events = toStreams;
-    EngineLinks links = new EngineLinks(connector, settings.instance(), events);
-    SecureRandom random = new SecureRandom();
-    StreamsHandler handler =
-        new StreamsHandler(
-            new StreamOutlets(links, keys::command, calls::ended, calls::progressed),
-            new StreamLimits(
-                settings.times().targetStallMs(),
-                settings.times().callerStallMs(),
-                settings.times().abandonMs()),
-            StreamObserver.none(),
-            () -> suffix(random));
-    toStreams.bind(add(new Duty<>("streams", RING_CAPACITY, handler, clock)));
-    return handler;
-  }
-
-  private static String suffix(SecureRandom random) {
-    byte[] bytes = new byte[GENERATION_BYTES];
-    random.nextBytes(bytes);
-    return HexFormat.of().formatHex(bytes);
-  }
-
-  private void createPlacement() {
-    Fleet fleet = new Fleet();
-    PlacementHandler handler =
-        new PlacementHandler(
-            fleet, PolicyKind.PREDICTIVE.create(fleet, incarnation), calls::decided);
-    toPlacement.bind(add(new Duty<>("placement", RING_CAPACITY, handler, clock)));
-  }
-
-  private void createAdmission() {
-    AdmissionHandler handler =
-        new AdmissionHandler(
-            AdmissionSettings.defaults(),
-            new AdmissionOutlets(calls::ask, calls::start, calls::refuse),
-            new AdmissionCounts(),
-            incarnation);
-    toAdmission.bind(add(new Duty<>("admission", RING_CAPACITY, handler, clock)));
-  }
-
-  /** The limit of a workspace holds for the system, so that each entry admits its part of it. */
-  private Optional<WorkspaceShare> share(WorkspaceId workspace) {
-    int entryCount = Math.max(1, entries.view().entries().size());
-    return gate.snapshot()
-        .workspace(workspace)
-        .map(WorkspaceSettings::policy)
-        .map(
-            policy ->
-                new WorkspaceShare(policy.share(), 1 + (policy.maxConcurrent() - 1) / entryCount));
-  }
-
-  private Optional<ControlReplica> createReplica() throws IOException {
-    if (settings.dataFolder().isEmpty()) {
-      return Optional.empty();
-    }
-    ControlReplica created =
-        ControlReplica.open(
-            settings,
-            settings.dataFolder().get(),
-            stateMachines(),
-            transport,
-            this::leaseChanged,
-            this::replicaFailed,
-            clock);
-    duties.addAll(created.duties());
-    return Optional.of(created);
-  }
-
-  private Map<GroupId, StateMachine> stateMachines() {
-    Map<GroupId, StateMachine> machines = new LinkedHashMap<>();
-    machines.put(GroupId.CONTROL, new ConfigurationStateMachine(toConfiguration));
-    for (int bucket = 0; bucket < settings.keyGroups(); bucket++) {
-      machines.put(GroupId.keys(bucket), new KeyStateMachine(KeyLimits.DEFAULT));
-    }
-    return machines;
-  }
-
-  private boolean leaseChanged(LeaderLease lease) {
-    boolean told = toIdempotency.offer(new IdempotencyMessage.Leadership(lease));
-    return toConfiguration.offer(new ConfigurationMessage.LeaseChanged(lease)) && told;
-  }
-
   private boolean replicaFailed(ReplicaFault fault) {
     LOGGER.log(
         System.Logger.Level.ERROR,
@@ -238,105 +116,35 @@
     return true;
   }
 
-  private Proposer proposer() {
-    if (replica.isPresent()) {
-      return new AgreementProposer(replica.get().agreement());
-    }
-    return (group, command, reply) -> reply.offer(new ProposalOutcome.NotLeader(Optional.empty()));
-  }
-
-  private void createConfiguration() {
-    dev.caroblb.configuration.codec.PeerMessageCodec codec =
-        new dev.caroblb.configuration.codec.PeerMessageCodec();
-    ConfigurationOutlets outlets =
-        new ConfigurationOutlets(
-            message ->
-                transport.send(
-                    message.peer(), Channel.CONFIGURATION, codec.encode(message.message())),
-            gate,
-            toConfiguration);
-    ConfigurationHandler handler =
-        new ConfigurationHandler(
-            settings.instance(),
-            Long.toString(incarnation),
-            replicas(),
-            outlets,
-            new GroupCommandProposer(proposer()),
-            new ConfigurationCounters());
-    Duty<ConfigurationMessage> duty =
-        add(new Duty<>("configuration", RING_CAPACITY, handler, clock));
-    toConfiguration.bind(duty);
-    transport.receive(
-        Channel.CONFIGURATION,
-        (from, body) ->
-            codec
-                .decode(body)
-                .ifPresent(
-                    message -> duty.offer(new ConfigurationMessage.PeerReceived(from, message))));
-  }
-
-  private void createIdempotency() {
-    KeyMessageCodec codec = new KeyMessageCodec();
-    KeyInstance instance =
-        new KeyInstance(
-            settings.instance(), incarnation, new KeyGroups(settings.keyGroups()), replicas());
-    IdempotencyOutlets outlets =
-        new IdempotencyOutlets(
-            message ->
-                transport.send(
-                    message.peer(), Channel.IDEMPOTENCY, codec.encode(message.message())),
-            keys::decided,
-            reason -> true,
-            toIdempotency);
-    IdempotencyHandler handler =
-        new IdempotencyHandler(instance, proposer(), new KeyCommandFormat(), outlets);
-    Duty<IdempotencyMessage> duty =
-        add(new Duty<>("idempotency", RING_CAPACITY, handler, clock));
-    toIdempotency.bind(duty);
-    transport.receive(
-        Channel.IDEMPOTENCY,
-        (from, body) ->
-            codec
-                .decode(body)
-                .ifPresent(
-                    message ->
-                        duty.offer(
-                            new IdempotencyMessage.FromPeer(
-                                new Addressed<>(from, message), clock.wallMs()))));
-  }
-
-  private List<InstanceId> replicas() {
-    return settings.peers().stream()
-        .filter(PeerSettings::replica)
-        .map(PeerSettings::instance)
-        .toList();
-  }
-
-  private CallersServer createServer() throws IOException {
-    HttpLimits limits =
+  private CallersServer createServer(ConfigurationGate gate, MillisClock clock)
+      throws IOException {
+    LimitSettings limits = settings.limits();
+    HttpLimits http =
         new HttpLimits(
-            settings.limits().maxHeaderBytes(),
+            limits.maxHeaderBytes(),
             HttpLimits.DEFAULTS.maxHeaders(),
-            settings.limits().maxBodyBytes(),
+            limits.maxBodyBytes(),
             HttpLimits.DEFAULTS.idleMs(),
             HttpLimits.DEFAULTS.outputBytes(),
             IO_THREADS);
     InstanceStatus status =
-        new InstanceStatus(settings.instance(), gate, entries, targets, streams::running, () -> "");
+        new InstanceStatus(
+            settings.instance(), gate, entries, calls.targets(), calls::running, metrics::text);
+    shared.replica().ifPresent(status::refreshFrom);
     CallersServer.Ports ports =
         new CallersServer.Ports(
             gate,
-            calls,
-            new Publishes(toConfiguration),
-            new Announcements(toMembership),
+            calls.flow(),
+            new Publishes(shared.configuration()),
+            new Announcements(membership),
             entries,
             status,
-            reason -> {});
+            metrics::refused);
     return CallersServer.start(
         ports,
         new CallersServer.Limits(
-            limits,
-            settings.limits().maxStreams(),
+            http,
+            limits.maxStreams(),
             settings.operatorTokenSha256(),
             settings.targetTokenSha256()),
         settings.callersAddress().toInetSocketAddress(),
@@ -344,61 +152,65 @@
   }
 
   private void createMembership() {
-    MembershipCodec codec = new MembershipCodec();
+    PeerChannel<PeerMessage> peers =
+        new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
     MembershipOutlets outlets =
         new MembershipOutlets(
-            message ->
-                transport.send(message.peer(), Channel.MEMBERSHIP, codec.encode(message.message())),
+            peers,
             this::targetChanged,
             view -> entries.offer(view) && keys.instancesChanged(view),
             drain);
-    LocalInstance self =
-        new LocalInstance(settings.instance(), incarnation, settings.domain(), advertisedAddress());
     MembershipHandler handler =
         new MembershipHandler(
-            self,
-            settings.otherPeers().stream().map(PeerSettings::instance).collect(Collectors.toSet()),
+            new LocalInstance(
+                settings.instance(), incarnation, settings.domain(), advertisedAddress()),
+            settings.otherPeers().stream()
+                .map(PeerSettings::instance)
+                .collect(Collectors.toSet()),
             settings.times().drainLimitMs(),
             new AllTargets(),
             outlets);
-    Duty<MembershipMessage> duty = add(new Duty<>("membership", RING_CAPACITY, handler, clock));
-    toMembership.bind(duty);
-    transport.receive(
-        Channel.MEMBERSHIP,
-        (from, body) ->
-            codec
-                .decode(body)
-                .ifPresent(
-                    message ->
-                        duty.offer(
-                            new MembershipMessage.FromPeer(new Addressed<>(from, message)))));
+    Duty<MembershipMessage> duty = duties.create("membership", handler);
+    membership.bind(duty);
+    peers.receive(message -> duty.offer(new MembershipMessage.FromPeer(message)));
   }
 
   private String advertisedAddress() {
-    InetSocketAddress address = server.address();
-    return settings.callersAddress().host() + ":" + address.getPort();
+    return settings.callersAddress().host() + ":" + server.address().getPort();
   }
 
   private boolean targetChanged(TargetChange change) {
     boolean delivered = true;
-    for (PlacementMessage message : targets.translate(change)) {
-      delivered &= toPlacement.offer(message);
+    for (PlacementMessage message : calls.targets().translate(change)) {
+      delivered &= calls.placement().offer(message);
     }
     return delivered;
   }
 
-  private <M> Duty<M> add(Duty<M> duty) {
-    duties.add(duty);
-    return duty;
+  private void showMetrics(ConfigurationGate gate) {
+    duties.all().forEach(metrics::addDuty);
+    metrics.showConfigurationNumber(() -> gate.snapshot().number());
+    metrics.showStreams(calls::running);
+    TransportCounters counters = transport.counters();
+    String name = "caroblb.peers";
+    String description = "Frames and connections between instances";
+    metrics.addTotal(name, description, "event", "frame_sent", counters::sentFrames);
+    metrics.addTotal(name, description, "event", "frame_dropped", counters::droppedFrames);
+    metrics.addTotal(name, description, "event", "frame_malformed", counters::malformedFrames);
+    metrics.addTotal(
+        name, description, "event", "connection_refused", counters::refusedConnections);
+    metrics.addTotal(
+        "caroblb.peers.bytes", "Bytes sent", "direction", "sent", counters::sentBytes);
   }
 
   private void run() throws IOException {
     transport.start();
-    duties.forEach(Duty::start);
-    int peersPort = transport.address().getPort();
-    int callersPort = server.address().getPort();
+    duties.start();
     if (settings.portsFile().isPresent()) {
-      PortsFile.write(settings.portsFile().get(), callersPort, peersPort);
+      PortsFile.write(
+          settings.portsFile().get(),
+          server.address().getPort(),
+          transport.address().getPort());
     }
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -406,18 +218,18 @@
             .with("instance", settings.instance())
             .with("domain", settings.domain())
             .with("callers", advertisedAddress())
-            .with("replica", replica.isPresent())
+            .with("replica", settings.replica())
             .toString());
   }
 
   /** Starts the planned stop at a termination signal; the second one shortens it. */
   void stopOnSignal() {
-    TerminationSignal.onEach(() -> toMembership.offer(new MembershipMessage.StopRequested()));
+    TerminationSignal.onEach(() -> membership.offer(new MembershipMessage.StopRequested()));
   }
 
   /** Waits until the instance may exit. */
   void awaitStop() throws InterruptedException {
-    drain.await(() -> streams.running() == 0 && server.openCalls() == 0);
+    drain.await(() -> calls.running() == 0 && server.openCalls() == 0);
   }
 
   /** Whether the instance stopped because its durable state failed. */
@@ -431,8 +243,8 @@
         System.Logger.Level.INFO,
         LogLine.of("instance.stopped").with("instance", settings.instance()).toString());
     server.close();
-    duties.forEach(Duty::close);
-    replica.ifPresent(ControlReplica::close);
+    duties.close();
+    shared.close();
     connector.close();
     transport.close();
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/InstanceStatus.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/InstanceStatus.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.caroblb.agreement.AgreementMessage;
 import dev.caroblb.agreement.GroupStatus;
 import dev.caroblb.callers.StatusSource;
 import dev.caroblb.core.InstanceId;
@@ -21,6 +22,7 @@
   private final TargetDirectory targets;
   private final IntSupplier running;
   private final Supplier<String> metrics;
+  private volatile Runnable refresh = () -> {};
   private volatile List<GroupStatus> groups = List.of();
 
   InstanceStatus(
@@ -44,8 +46,14 @@
     return true;
   }
 
+  /** Asks the replica for the state of its groups at each status; an answer shows the newest. */
+  void refreshFrom(ControlReplica replica) {
+    refresh = () -> replica.agreement().offer(new AgreementMessage.QueryStatus(this));
+  }
+
   @Override
   public String status() {
+    refresh.run();
     ObjectNode body = JsonNodeFactory.instance.objectNode();
     body.put("instance", self.name());
     body.put("configuration", gate.snapshot().number());
