--- /dev/null
+++ b/orders/src/main/java/dev/caroblb/orders/EngineRecord.java
@@ -0,0 +1,103 @@
+package dev.caroblb.orders;
+
+import dev.caroblb.core.ModelId;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** What this leader knows about one engine and has ordered from it. */
+final class EngineRecord {
+  private final OrdersCounters counters;
+  private Optional<EngineState> state = Optional.empty();
+  private Optional<EngineOrder> outstanding = Optional.empty();
+
+  /** Models that an order out of time loaded; they are unloaded without a wait when unneeded. */
+  private final Set<ModelId> lateModels = new HashSet<>();
+
+  private long readMs = Long.MIN_VALUE;
+
+  EngineRecord(OrdersCounters counters) {
+    this.counters = counters;
+  }
+
+  Optional<EngineState> state() {
+    return state;
+  }
+
+  Optional<EngineOrder> outstanding() {
+    return outstanding;
+  }
+
+  boolean beingFreed() {
+    return outstanding.filter(order -> order.kind() == OrderKind.UNLOAD).isPresent();
+  }
+
+  boolean readSince(long sinceMs) {
+    return state.isPresent() && readMs >= sinceMs;
+  }
+
+  boolean loadedLate(ModelId model) {
+    return lateModels.contains(model);
+  }
+
+  void ordered(EngineOrder order) {
+    outstanding = Optional.of(order);
+  }
+
+  /** Processes the outcome of an order. */
+  void finished(EngineOrder order, OrderOutcome outcome) {
+    boolean withoutEffect =
+        outcome == OrderOutcome.NOT_SENT || outcome == OrderOutcome.REFUSED_TOKEN;
+    if (withoutEffect && outstanding.filter(order::equals).isPresent()) {
+      outstanding = Optional.empty();
+    }
+  }
+
+  /** Compares a new state with what was known and ordered. */
+  void read(EngineState next, long nowMs) {
+    boolean sameProcess =
+        state.filter(old -> old.incarnation().equals(next.incarnation())).isPresent();
+    if (sameProcess) {
+      findLateOrders(state.orElseThrow(), next.present());
+    }
+    lateModels.retainAll(next.present());
+    if (outstanding.isPresent() && hasEffect(outstanding.get(), next)) {
+      outstanding = Optional.empty();
+    } else if (outstanding.isPresent() && isLost(outstanding.get(), nowMs)) {
+      counters.add(OrdersEvent.ORDER_LOST);
+      outstanding = Optional.empty();
+    }
+    state = Optional.of(next);
+    readMs = nowMs;
+  }
+
+  /** A load in progress that disappears failed; a loaded model only disappears by an order. */
+  private void findLateOrders(EngineState before, Set<ModelId> after) {
+    for (ModelId model : after) {
+      if (!before.present().contains(model) && !explained(OrderKind.LOAD, model)) {
+        counters.add(OrdersEvent.LATE_ORDER);
+        lateModels.add(model);
+      }
+    }
+    for (ModelId model : before.loaded()) {
+      if (!after.contains(model) && !explained(OrderKind.UNLOAD, model)) {
+        counters.add(OrdersEvent.LATE_ORDER);
+      }
+    }
+  }
+
+  private boolean explained(OrderKind kind, ModelId model) {
+    return outstanding
+        .filter(order -> order.kind() == kind && order.model().equals(model))
+        .isPresent();
+  }
+
+  private static boolean hasEffect(EngineOrder order, EngineState next) {
+    return next.present().contains(order.model()) == (order.kind() == OrderKind.LOAD);
+  }
+
+  /** A read-back may have been answered before the order arrived, hence one more interval. */
+  private static boolean isLost(EngineOrder order, long nowMs) {
+    return nowMs >= order.sendBeforeMs() + OrdersHandler.READ_BACK_MS;
+  }
+}
--- /dev/null
+++ b/orders/src/main/java/dev/caroblb/orders/EngineState.java
@@ -0,0 +1,36 @@
+package dev.caroblb.orders;
+
+import dev.caroblb.core.ModelId;
+import dev.caroblb.core.TargetId;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * State that an engine reported when it was read back.
+ *
+ * @param engine the engine
+ * @param incarnation identity of its process; a restart explains that models disappeared
+ * @param loaded models that it serves
+ * @param loading models whose load is in progress
+ * @param running generations in progress
+ * @param fencing greatest fencing token that it accepted, 0 for none or when it ignores tokens
+ */
+public record EngineState(
+    TargetId engine,
+    String incarnation,
+    Set<ModelId> loaded,
+    Set<ModelId> loading,
+    int running,
+    long fencing) {
+  public EngineState {
+    loaded = Set.copyOf(loaded);
+    loading = Set.copyOf(loading);
+  }
+
+  /** Models that are loaded or being loaded. */
+  public Set<ModelId> present() {
+    Set<ModelId> present = new LinkedHashSet<>(loaded);
+    present.addAll(loading);
+    return present;
+  }
+}
--- /dev/null
+++ b/orders/src/main/java/dev/caroblb/orders/LoadBudget.java
@@ -0,0 +1,37 @@
+package dev.caroblb.orders;
+
+/** Token bucket for the loads that the weight store sustains. */
+final class LoadBudget {
+  private final int burst;
+  private final long intervalMs;
+  private double tokens;
+  private long refilledMs;
+
+  /**
+   * Creates an empty bucket, since the loads that an earlier leader ordered are unknown.
+   *
+   * @param burst loads that may start at the same time
+   * @param intervalMs time in which one more load may start
+   */
+  LoadBudget(int burst, long intervalMs, long nowMs) {
+    this.burst = burst;
+    this.intervalMs = intervalMs;
+    this.refilledMs = nowMs;
+  }
+
+  /** Takes one token; false when the next load has to wait. */
+  boolean tryTake(long nowMs) {
+    tokens = Math.min(burst, tokens + (double) (nowMs - refilledMs) / intervalMs);
+    refilledMs = nowMs;
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+
+  /** Returns the token of a load that was not ordered after all. */
+  void giveBack() {
+    tokens = Math.min(burst, tokens + 1);
+  }
+}
--- /dev/null
+++ b/orders/src/main/java/dev/caroblb/orders/ModelBalance.java
@@ -0,0 +1,67 @@
+package dev.caroblb.orders;
+
+import dev.caroblb.core.ModelId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Replicas wanted and present of each model, and since when a model has more than it needs. */
+final class ModelBalance {
+  private final Map<ModelId, Integer> wanted = new LinkedHashMap<>();
+  private final Map<ModelId, Integer> present = new HashMap<>();
+  private final Map<ModelId, Long> surplusSinceMs = new HashMap<>();
+
+  void want(Collection<WantedModel> models) {
+    wanted.clear();
+    models.forEach(model -> wanted.merge(model.model(), model.replicas(), Integer::sum));
+  }
+
+  /** Counts the engines anew; an outstanding order counts as if it had taken effect. */
+  void count(Collection<EngineRecord> engines, long nowMs) {
+    present.clear();
+    for (EngineRecord engine : engines) {
+      Set<ModelId> models = engine.state().map(EngineState::present).orElse(Set.of());
+      models.forEach(model -> add(model, 1));
+      engine
+          .outstanding()
+          .filter(order -> models.contains(order.model()) != (order.kind() == OrderKind.LOAD))
+          .ifPresent(order -> add(order.model(), order.kind() == OrderKind.LOAD ? 1 : -1));
+    }
+    surplusSinceMs.keySet().removeIf(model -> surplus(model) <= 0);
+    for (ModelId model : present.keySet()) {
+      if (surplus(model) > 0) {
+        surplusSinceMs.putIfAbsent(model, nowMs);
+      }
+    }
+  }
+
+  void add(ModelId model, int delta) {
+    present.merge(model, delta, Integer::sum);
+  }
+
+  /** Present minus wanted replicas. */
+  int surplus(ModelId model) {
+    return present.getOrDefault(model, 0) - wanted.getOrDefault(model, 0);
+  }
+
+  boolean inSurplusSince(ModelId model, long sinceMs) {
+    return surplus(model) > 0 && surplusSinceMs.getOrDefault(model, Long.MAX_VALUE) <= sinceMs;
+  }
+
+  /** The models that lack replicas, the one that lacks most first. */
+  Collection<ModelId> lacking() {
+    TreeSet<ModelId> models =
+        new TreeSet<>(
+            (a, b) -> {
+              int byLack = Integer.compare(surplus(a), surplus(b));
+              return byLack != 0 ? byLack : a.toString().compareTo(b.toString());
+            });
+    wanted.keySet().stream().filter(model -> surplus(model) < 0).forEach(models::add);
+    // The order must not depend on counts that change while orders are planned.
+    return List.copyOf(models);
+  }
+}
--- /dev/null
+++ b/orders/src/main/java/dev/caroblb/orders/OrderPlanner.java
@@ -0,0 +1,133 @@
+package dev.caroblb.orders;
+
+import dev.caroblb.core.ModelId;
+import dev.caroblb.core.TargetId;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One round of planning: chooses the engines to load and unload. An engine holds one model; an
+ * engine with another one is freed first.
+ */
+final class OrderPlanner {
+  /** A model must have had more replicas than wanted for this long before one is unloaded. */
+  static final long SURPLUS_MS = 30_000;
+
+  /** An engine that was read longer ago may have started generations since. */
+  private static final long STATE_MAX_AGE_MS = OrdersHandler.READ_BACK_MS + 1_000;
+
+  private final Map<TargetId, EngineRecord> engines;
+  private final ModelBalance balance;
+  private final LoadBudget budget;
+  private final OrdersCounters counters;
+  private final OrderIssuer issuer;
+  private final long nowMs;
+
+  /** Engines that earlier rounds ordered to unload, each to be used for one lacking replica. */
+  private long beingFreed;
+
+  OrderPlanner(
+      Map<TargetId, EngineRecord> engines,
+      ModelBalance balance,
+      LoadBudget budget,
+      OrdersCounters counters,
+      OrderIssuer issuer,
+      long nowMs) {
+    this.engines = engines;
+    this.balance = balance;
+    this.budget = budget;
+    this.counters = counters;
+    this.issuer = issuer;
+    this.nowMs = nowMs;
+  }
+
+  /** Issues what the balance asks for, as far as engines and the weight store allow. */
+  void run() {
+    balance.count(engines.values(), nowMs);
+    beingFreed = engines.values().stream().filter(EngineRecord::beingFreed).count();
+    unloadLateModels();
+    for (ModelId model : balance.lacking()) {
+      while (balance.surplus(model) < 0 && loadOrFree(model)) {
+        balance.add(model, 1);
+      }
+    }
+  }
+
+  /** Loads a model, or waits for an engine that is being freed; false when neither is possible. */
+  private boolean loadOrFree(ModelId model) {
+    Optional<TargetId> empty = findEmpty();
+    if (empty.isPresent()) {
+      return load(empty.get(), model);
+    }
+    if (beingFreed > 0) {
+      beingFreed--;
+      return true;
+    }
+    return free();
+  }
+
+  private boolean load(TargetId engine, ModelId model) {
+    if (!budget.tryTake(nowMs)) {
+      counters.add(OrdersEvent.LOAD_DEFERRED);
+      return false;
+    }
+    if (issuer.issue(engine, OrderKind.LOAD, model)) {
+      return true;
+    }
+    budget.giveBack();
+    return false;
+  }
+
+  private boolean free() {
+    for (Map.Entry<TargetId, EngineRecord> entry : engines.entrySet()) {
+      Optional<ModelId> surplus = idle(entry.getValue()).flatMap(this::surplusModel);
+      if (surplus.isPresent()) {
+        balance.add(surplus.get(), -1);
+        return issuer.issue(entry.getKey(), OrderKind.UNLOAD, surplus.get());
+      }
+    }
+    return false;
+  }
+
+  private Optional<ModelId> surplusModel(EngineState state) {
+    return state.loaded().stream()
+        .filter(model -> balance.inSurplusSince(model, nowMs - SURPLUS_MS))
+        .findFirst();
+  }
+
+  private void unloadLateModels() {
+    for (Map.Entry<TargetId, EngineRecord> entry : engines.entrySet()) {
+      EngineRecord engine = entry.getValue();
+      Optional<ModelId> late =
+          idle(engine).stream()
+              .flatMap(state -> state.loaded().stream())
+              .filter(model -> engine.loadedLate(model) && balance.inSurplusSince(model, nowMs))
+              .findFirst();
+      if (late.isPresent() && issuer.issue(entry.getKey(), OrderKind.UNLOAD, late.get())) {
+        balance.add(late.get(), -1);
+      }
+    }
+  }
+
+  private Optional<TargetId> findEmpty() {
+    return engines.entrySet().stream()
+        .filter(entry -> idle(entry.getValue()).filter(s -> s.loaded().isEmpty()).isPresent())
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
+  /** The state of an engine that may get an order: nothing runs, loads or is outstanding there. */
+  private Optional<EngineState> idle(EngineRecord engine) {
+    return engine
+        .state()
+        .filter(state -> engine.readSince(nowMs - STATE_MAX_AGE_MS))
+        .filter(state -> engine.outstanding().isEmpty())
+        .filter(state -> state.running() == 0 && state.loading().isEmpty());
+  }
+
+  /** Hands an order to its sender; false when there is no room for it. */
+  @FunctionalInterface
+  interface OrderIssuer {
+    boolean issue(TargetId engine, OrderKind kind, ModelId model);
+  }
+}
--- /dev/null
+++ b/orders/src/test/java/dev/caroblb/orders/EngineFleet.java
@@ -0,0 +1,159 @@
+package dev.caroblb.orders;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.ModelId;
+import dev.caroblb.core.TargetId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Engines and the connections to them; orders can be held up and arrive out of time. */
+final class EngineFleet {
+  private static final long LOAD_MS = 3_000;
+
+  final Map<TargetId, Engine> engines = new LinkedHashMap<>();
+  final OrdersCounters counters = new OrdersCounters();
+  final List<Long> loadTimes = new ArrayList<>();
+  private final Random random;
+  private final Deque<EngineOrder> fresh = new ArrayDeque<>();
+  private final Deque<TargetId> reads = new ArrayDeque<>();
+  private final List<EngineOrder> stalled = new ArrayList<>();
+  boolean faulty = true;
+  long nowMs;
+
+  EngineFleet(long seed, int size, boolean checksTokens) {
+    this.random = new Random(seed);
+    for (int i = 0; i < size; i++) {
+      TargetId id = new TargetId("engine" + i);
+      engines.put(id, new Engine(id, checksTokens));
+    }
+  }
+
+  /** Checks and takes an order of a leader. */
+  boolean offer(EngineOrder order, long leaseEndMs) {
+    Engine engine = engines.get(order.target());
+    assertTrue(nowMs < leaseEndMs, "an order without a lease");
+    assertTrue(order.sendBeforeMs() <= leaseEndMs, "an order that outlives the lease");
+    assertEquals(0, engine.lastReadRunning, "an order to an engine with running generations");
+    assertTrue(fresh.stream().noneMatch(o -> o.target().equals(order.target())), "two at once");
+    if (order.kind() == OrderKind.LOAD) {
+      loadTimes.add(nowMs);
+    }
+    // A leader cannot know of a late order before its next read-back.
+    if (order.kind() == OrderKind.LOAD && !engine.changedSinceRead) {
+      assertTrue(!engine.present().contains(order.model()), "a duplicate load");
+      assertTrue(engine.loading.isEmpty(), "two loads at once");
+    }
+    if (faulty && random.nextInt(10) == 0) {
+      stalled.add(order);
+    } else {
+      fresh.add(order);
+    }
+    return true;
+  }
+
+  boolean read(ReadBack request) {
+    return !(faulty && random.nextInt(10) == 0) && reads.add(request.engine());
+  }
+
+  /** Delivers what is due to engines and their answers to the handler. */
+  void step(OrdersHandler handler) {
+    engines.values().forEach(engine -> engine.finishLoads(nowMs));
+    while (!fresh.isEmpty()) {
+      EngineOrder order = fresh.poll();
+      boolean taken = engines.get(order.target()).take(order, nowMs);
+      OrderOutcome outcome = taken ? OrderOutcome.TAKEN : OrderOutcome.REFUSED_TOKEN;
+      handler.handle(new OrdersMessage.OrderFinished(order, outcome), nowMs);
+    }
+    while (!reads.isEmpty()) {
+      handler.handle(new OrdersMessage.StateRead(engines.get(reads.poll()).report()), nowMs);
+    }
+  }
+
+  /** Lets one order that was held up arrive, long after its time limit or its leader. */
+  void releaseStalled() {
+    if (!stalled.isEmpty()) {
+      EngineOrder order = stalled.remove(random.nextInt(stalled.size()));
+      engines.get(order.target()).changedSinceRead = true;
+      boolean unused = engines.get(order.target()).take(order, nowMs);
+    }
+  }
+
+  void forgetStalled() {
+    stalled.clear();
+  }
+
+  Map<ModelId, Long> loadedCounts() {
+    return engines.values().stream()
+        .flatMap(engine -> engine.loaded.stream())
+        .collect(Collectors.groupingBy(model -> model, Collectors.counting()));
+  }
+
+  /** One engine. */
+  static final class Engine {
+    final TargetId id;
+    final Set<ModelId> loaded = new LinkedHashSet<>();
+    private final boolean checksTokens;
+    private final Map<ModelId, Long> loading = new LinkedHashMap<>();
+    private int restarts;
+    private long accepted;
+    int running;
+    private int lastReadRunning;
+    private boolean changedSinceRead;
+
+    Engine(TargetId id, boolean checksTokens) {
+      this.id = id;
+      this.checksTokens = checksTokens;
+    }
+
+    Set<ModelId> present() {
+      Set<ModelId> present = new LinkedHashSet<>(loaded);
+      present.addAll(loading.keySet());
+      return present;
+    }
+
+    private boolean take(EngineOrder order, long nowMs) {
+      if (checksTokens && order.fencing() < accepted) {
+        return false;
+      }
+      accepted = checksTokens ? order.fencing() : 0;
+      if (order.kind() == OrderKind.UNLOAD) {
+        loaded.remove(order.model());
+      } else if (!loaded.contains(order.model())) {
+        loading.putIfAbsent(order.model(), nowMs);
+      }
+      return true;
+    }
+
+    private void finishLoads(long nowMs) {
+      for (ModelId model : List.copyOf(loading.keySet())) {
+        if (nowMs >= loading.get(model) + LOAD_MS) {
+          loading.remove(model);
+          loaded.add(model);
+        }
+      }
+    }
+
+    void restart() {
+      restarts++;
+      loaded.clear();
+      loading.clear();
+      running = 0;
+    }
+
+    private EngineState report() {
+      lastReadRunning = running;
+      changedSinceRead = false;
+      return new EngineState(id, "p" + restarts, loaded, loading.keySet(), running, accepted);
+    }
+  }
+}
