--- a/agreement/src/main/java/dev/caroblb/agreement/journal/GroupLog.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/GroupLog.java
@@ -134,7 +134,8 @@
 
   /**
    * Stores a snapshot; one that ends before the stored one is ignored. The next entries go to a new
-   * segment, so that the next snapshot makes all segments before it superfluous.
+   * segment, so that the next snapshot makes all segments before it superfluous. Deletions are not
+   * synced, because recovery ignores every segment before the one that the snapshot names.
    */
   void saveSnapshot(Snapshot snapshot, boolean keepLaterEntries) throws IOException {
     if (snapshot.lastIndex() < snapshotIndex) {
@@ -154,17 +155,8 @@
     if (!previous.equals(file)) {
       files.delete(previous);
     }
-    deleteDurably(files, segments.removeBefore(firstSegment));
-  }
-
-  /**
-   * Deletes segments oldest first and syncs after each one: segments that outlive a later one would
-   * bring back entries that the later one replaced.
-   */
-  static void deleteDurably(FileAccess files, List<Path> segments) throws IOException {
-    for (Path segment : segments) {
-      files.delete(segment);
-      files.syncFolder(segment.getParent());
+    for (Path superfluous : segments.removeBefore(firstSegment)) {
+      files.delete(superfluous);
     }
   }
 
--- a/agreement/src/main/java/dev/caroblb/agreement/journal/GroupRecovery.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/GroupRecovery.java
@@ -141,22 +141,20 @@
     }
   }
 
+  /** Not synced: what a crash brings back is ignored and removed again. */
   private void removeLeftovers(
       List<String> names, Optional<StoredSnapshot> stored, List<Path> oldSegments)
       throws IOException {
-    boolean removed = false;
     for (String name : names) {
       Optional<Long> index = FileNames.snapshotIndex(name);
       boolean oldSnapshot =
           index.isPresent() && index.get() < stored.orElseThrow().snapshot().lastIndex();
       if (oldSnapshot || name.endsWith(FileNames.ASIDE)) {
         files.delete(folder.resolve(name));
-        removed = true;
       }
     }
-    if (removed) {
-      files.syncFolder(folder);
+    for (Path segment : oldSegments) {
+      files.delete(segment);
     }
-    GroupLog.deleteDurably(files, oldSegments);
   }
 }
