--- a/cli/src/main/java/dev/caroblb/cli/Caroblb.java
+++ b/cli/src/main/java/dev/caroblb/cli/Caroblb.java
@@ -32,7 +32,12 @@
   public static void main(String[] args) throws InterruptedException {
     Console console = new Console(System.out, System.err);
     List<Subcommand> subcommands =
-        List.of(new PublishCommand(), new StatusCommand(), new LocateCommand(), new LoadCommand());
+        List.of(
+            new PublishCommand(),
+            new StatusCommand(),
+            new LocateCommand(),
+            new LoadCommand(),
+            new CheckCommand(new ConfigurationChecker()));
     System.exit(new Caroblb(console, subcommands).run(args).code());
   }
 
--- /dev/null
+++ b/cli/src/main/java/dev/caroblb/cli/ConfigurationChecker.java
@@ -0,0 +1,16 @@
+package dev.caroblb.cli;
+
+import dev.caroblb.configuration.teamfile.TeamFileError;
+import dev.caroblb.configuration.teamfile.TeamFileReader;
+import java.util.List;
+
+/** Checks a team file with the reader that instances use. */
+final class ConfigurationChecker implements TeamFileChecker {
+  @Override
+  public List<String> mistakes(String name, String text) {
+    return TeamFileReader.read(name, text)
+        .fold(
+            errors -> errors.stream().map(TeamFileError::message).toList(),
+            valid -> List.<String>of());
+  }
+}
--- a/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
+++ b/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
@@ -29,8 +29,6 @@
         new Console(
             new PrintStream(out, true, StandardCharsets.UTF_8),
             new PrintStream(err, true, StandardCharsets.UTF_8));
-    TeamFileChecker checker =
-        (name, text) -> text.contains("bad") ? List.of(name + ":1: bad") : List.of();
     return new Caroblb(
             console,
             List.of(
@@ -38,7 +36,7 @@
                 new StatusCommand(),
                 new LocateCommand(),
                 new LoadCommand(),
-                new CheckCommand(checker)))
+                new CheckCommand(new ConfigurationChecker())))
         .run(args);
   }
 
@@ -249,13 +247,16 @@
 
   @Nested
   class Check {
-    /** Guards against an invalid file that a pipeline lets through. */
+    /**
+     * Guards against an invalid file that a pipeline lets through, or a file kind that is unknown.
+     */
     @Test
     void invalidFileGivesTheRefusedCode() throws Exception {
-      String good = file("good.toml", "x");
+      String good = "../examples/teams/receipts.toml";
       assertEquals(ExitCode.DONE, run("check", good));
-      assertEquals(ExitCode.REFUSED, run("check", good, file("wrong.toml", "bad")));
-      assertTrue(out().contains("wrong.toml:1: bad"), out());
+      assertEquals(ExitCode.REFUSED, run("check", good, file("wrong.toml", "unknown = 1\n")));
+      assertTrue(out().contains("valid " + good), out());
+      assertTrue(out().contains("wrong.toml:1: unknown:"), out());
     }
   }
 }
