--- a/configuration/src/main/java/dev/caroblb/configuration/LeaderRole.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/LeaderRole.java
@@ -110,6 +110,7 @@
   private void requireState(long number) {
     if (lease.local() && barrier.isPresent() && number > barrier.get()) {
       barrier = Optional.of(number);
+      nextTickMs = 0;
     }
   }
 
