--- a/agreement/src/test/java/dev/caroblb/agreement/AgreementPropertiesTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/AgreementPropertiesTest.java
@@ -30,6 +30,8 @@
     WAIT,
     CUT_OFF,
     RECONNECT,
+    CUT_LINK,
+    RECONNECT_LINK,
     CRASH,
     RESTART,
     LOSE_DISK,
@@ -77,6 +79,8 @@
         case WAIT -> cluster.run(action.amount() * 30L);
         case CUT_OFF -> cluster.cutOff(slot, true);
         case RECONNECT -> cluster.cutOff(slot, false);
+        case CUT_LINK -> cluster.cutLink(slot, action.amount() % size, true);
+        case RECONNECT_LINK -> cluster.cutLink(slot, action.amount() % size, false);
         case CRASH -> cluster.crash(slot);
         case RESTART -> cluster.start(slot);
         case LOSE_DISK -> loseDisk(slot, keepMajority);
@@ -112,6 +116,9 @@
       cluster.network(0, 0, 2);
       for (int i = 0; i < size; i++) {
         cluster.cutOff(i, false);
+        for (int j = 0; j < size; j++) {
+          cluster.cutLink(i, j, false);
+        }
         cluster.replica(i).delaySyncs(1);
         cluster.start(i);
       }
--- a/agreement/src/test/java/dev/caroblb/agreement/LeadershipTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/LeadershipTest.java
@@ -111,6 +111,18 @@
     }
   }
 
+  @Nested
+  class WhenOnlyTheLinkToTheLeaderFails {
+    /** Guards against a replica that wins the votes of others that still hear from the leader. */
+    @Test
+    void theLeaderKeepsItsLease() {
+      cluster.cutLink(leader, (leader + 1) % 3, true);
+      cluster.run(10_000);
+      assertTrue(leads(replica(0)));
+      assertEquals(Optional.of(replica(0)), cluster.leader(GROUP));
+    }
+  }
+
   @Nested
   class WhenTheWholeClusterRestarts {
     /** Guards against a restart that loses commands or needs all of the history. */
--- a/agreement/src/test/java/dev/caroblb/agreement/ReplicaLossTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaLossTest.java
@@ -162,8 +162,10 @@
       PeerMessage late =
           new PeerMessage.Report(GROUP, "00000000000000000000000000000000", 42, true);
       cluster.deliver(leader, cluster.replica(other).instance(), late);
+      long lastIndex = cluster.replica(leader).status(GROUP).orElseThrow().lastIndex();
       cluster.run(2_000);
       assertEquals(3, members(cluster, leader).size());
+      assertEquals(lastIndex, cluster.replica(leader).status(GROUP).orElseThrow().lastIndex());
     }
   }
 }
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
@@ -30,6 +30,7 @@
   private final List<SimulatedReplica> replicas = new ArrayList<>();
   private final PriorityQueue<Flight> flights = new PriorityQueue<>();
   private final Set<Integer> cutOff = new HashSet<>();
+  private final Set<Set<Integer>> cutLinks = new HashSet<>();
   private final Map<String, InstanceId> leaders = new HashMap<>();
   private final Set<String> acknowledged = new HashSet<>();
   private final PeerMessageCodec codec = new PeerMessageCodec();
@@ -85,6 +86,15 @@
     }
   }
 
+  /** Cuts the link between two replicas, or reconnects it. */
+  void cutLink(int a, int b, boolean cut) {
+    if (cut) {
+      cutLinks.add(link(a, b));
+    } else {
+      cutLinks.remove(link(a, b));
+    }
+  }
+
   void crash(int index) {
     replicas.get(index).crash();
   }
@@ -188,7 +198,9 @@
   }
 
   private void arrive(Flight flight) {
-    if (cutOff.contains(flight.from()) || cutOff.contains(flight.to())) {
+    if (cutOff.contains(flight.from())
+        || cutOff.contains(flight.to())
+        || cutLinks.contains(link(flight.from(), flight.to()))) {
       return;
     }
     deliver(
@@ -197,6 +209,10 @@
         codec.decode(flight.bytes()).orElseThrow());
   }
 
+  private static Set<Integer> link(int a, int b) {
+    return a == b ? Set.of(a) : Set.of(a, b);
+  }
+
   private int indexOf(InstanceId instance) {
     for (int i = 0; i < replicas.size(); i++) {
       if (replicas.get(i).instance().equals(instance)) {
--- /dev/null
+++ b/agreement/src/test/resources/dev/caroblb/agreement/LeaderLease.als
@@ -0,0 +1,170 @@
+module LeaderLease
+
+/*
+ * Leases of leaders in successive terms, and orders to an engine that ignores fencing tokens. Time
+ * advances in ticks. A replica holds its votes back for three ticks and a lease lasts two, because
+ * the clock of a leader may miss one tick in that time. Heartbeat and answer are one step: a later
+ * answer only shortens the lease, which counts from the sending, and lengthens the hold.
+ */
+
+open util/ordering[Term] as terms
+open util/ordering[Count] as counts
+
+sig Term {}
+
+/** 0 to 3 ticks. */
+sig Count {}
+
+sig Replica {
+  var hold: one Count,
+  var term: one Term,
+  var lease: one Count,
+  var wait: one Count
+}
+
+/** Rules that a mutant removes; a correct trace removes none. */
+abstract sig Rule {}
+one sig VotesAreHeld, RestartHoldsVotes, SuccessorWaits extends Rule {}
+sig Removed in Rule {}
+
+var sig Leading in Replica {}
+
+/** Leaders whose clock has missed a tick since their last heartbeat. */
+var sig Missed in Replica {}
+
+/** Replicas that vote or answer in the present step, or whose clock misses the present tick. */
+var sig Acting in Replica {}
+
+one sig Orders {
+  var inFlight: Term -> lone Count,
+  var applied: set Term,
+  var late: set Term
+}
+
+fun zero: Count { counts/first }
+fun one1: Count { counts/next[zero] }
+fun two: Count { counts/next[one1] }
+fun three: Count { counts/next[two] }
+fun down[c: Count]: Count { c = zero implies zero else counts/prev[c] }
+
+pred majority[s: set Replica] { not lone s }
+
+pred init {
+  hold = Replica -> zero and lease = Replica -> zero and wait = Replica -> zero
+  term = Replica -> terms/first
+  no Leading and no Missed
+  no Orders.inFlight and no Orders.applied and no Orders.late
+}
+
+pred sameOrders { inFlight' = inFlight and applied' = applied and late' = late }
+
+// LeaseKeeper.holdsVotes, Voter.answer, Election: votes only from replicas that hold none back
+pred elect[c: Replica, t: Term] {
+  c in Acting and majority[Acting]
+  all v: Acting | terms/lt[v.term, t] and (VotesAreHeld in Removed or v.hold = zero)
+  term' = term ++ (Acting -> t)
+  Leading' = Leading - Acting + c
+  lease' = lease ++ (Acting -> zero)
+  wait' = wait ++ (c -> (SuccessorWaits in Removed implies zero else two))
+  hold' = hold and Missed' = Missed
+  sameOrders
+}
+
+// Leadership.advance, Replication.quorumSentMs, LeaseKeeper.extend, LeaseKeeper.heardFromLeader
+pred heartbeat[l: Replica] {
+  l in Leading and l not in Acting
+  all f: Acting | terms/lte[f.term, l.term]
+  term' = term ++ (Acting -> l.term)
+  Leading' = Leading - Acting
+  lease' = lease ++ (Acting -> zero) ++ (l -> (majority[Acting + l] implies two else l.lease))
+  hold' = hold ++ (Acting -> three) ++ (l -> (majority[Acting + l] implies three else l.hold))
+  Missed' = (majority[Acting + l] implies Missed - l else Missed)
+  wait' = wait
+  sameOrders
+}
+
+// LeaseKeeper, constructor: the votes stay held back after a start
+pred restart[r: Replica] {
+  no Acting
+  Leading' = Leading - r
+  lease' = lease ++ (r -> zero)
+  hold' = hold ++ (r -> (RestartHoldsVotes in Removed implies zero else three))
+  term' = term and wait' = wait and Missed' = Missed
+  sameOrders
+}
+
+// MillisClock: the clocks of all replicas advance, but that of a leader may miss one tick
+pred tick {
+  Acting in Leading - Missed
+  Missed' = Missed + Acting
+  all r: Replica {
+    r.hold' = down[r.hold]
+    r.lease' = (r in Acting implies r.lease else down[r.lease])
+    r.wait' = (r in Acting implies r.wait else down[r.wait])
+  }
+  inFlight' = { o: Orders, t: Term, c: Count | some old: o.inFlight[t] | old != zero and c = down[old] }
+  term' = term and Leading' = Leading and applied' = applied and late' = late
+}
+
+// The orders slice: a leader gives orders within its lease, after it waited for those of others;
+// the connection is closed at the time limit
+pred issue[l: Replica] {
+  no Acting
+  l in Leading and l.lease != zero and l.wait = zero
+  inFlight' = inFlight - (Orders -> l.term -> Count) + (Orders -> l.term -> one1)
+  applied' = applied and late' = late
+  sameReplicas
+}
+
+// The engine: takes an order whatever its token
+pred apply[t: Term] {
+  no Acting
+  some Orders.inFlight[t]
+  inFlight' = inFlight - (Orders -> t -> Count)
+  applied' = applied + (Orders -> t)
+  late' = late + { o: Orders, x: t | some later: o.applied | terms/gt[later, x] }
+  sameReplicas
+}
+
+pred sameReplicas {
+  hold' = hold and term' = term and lease' = lease and wait' = wait
+  Leading' = Leading and Missed' = Missed
+}
+
+pred trace {
+  init
+  always (
+    (some c: Replica, t: Term | elect[c, t])
+    or (some l: Replica | heartbeat[l])
+    or (some r: Replica | restart[r])
+    or tick
+    or (some l: Replica | issue[l])
+    or (some t: Term | apply[t])
+    or (no Acting and sameReplicas and sameOrders))
+}
+
+pred oneLease { lone { r: Leading | r.lease != zero } }
+
+/** No order of an earlier term takes effect after one of a later term. */
+pred noLateOrder { no Orders.late }
+
+check lease { (no Removed and trace) implies always (oneLease and noLateOrder) }
+  for 3 Term, 3 Replica, exactly 4 Count, exactly 12 steps
+
+check mutantVotesAreNotHeld { (Removed = VotesAreHeld and trace) implies always oneLease }
+  for 3 Term, 3 Replica, exactly 4 Count, exactly 7 steps
+
+check mutantRestartForgetsTheHold {
+  (Removed = RestartHoldsVotes and trace) implies always oneLease
+} for 3 Term, 3 Replica, exactly 4 Count, exactly 8 steps
+
+check mutantSuccessorDoesNotWait {
+  (Removed = SuccessorWaits and trace) implies always noLateOrder
+} for 3 Term, 3 Replica, exactly 4 Count, exactly 12 steps
+
+/** A leader acts after one that held a lease, so the rules do not forbid all orders. */
+run successorActs {
+  no Removed and trace
+  eventually (some r: Leading | r.lease != zero and r.term != terms/last)
+  eventually terms/last in Orders.applied
+} for 3 Term, 3 Replica, exactly 4 Count, exactly 12 steps
