Share free room among the instances and hold long calls back by risk

Change: a ticket drawn for each report decides who uses the room, with as many rivals as calls wait; load by others is believed to a quarter; cold start with a bounded tail; short calls are never held back; priority of the team file alone; queue bound 256 instead of 64.

--- a/admission/src/main/java/dev/caroblb/admission/AdmissionSettings.java
+++ b/admission/src/main/java/dev/caroblb/admission/AdmissionSettings.java
@@ -11,10 +11,10 @@
 public record AdmissionSettings(
     int queueBound, int outstanding, double retryShare, int maxAttempts) {
   /**
-   * Values used unless an instance sets others. 64 calls at the few calls per second of a small
-   * workspace are already longer than most deadlines.
+   * Values used unless an instance sets others. At 64 a large workspace was refused long calls that
+   * would still have met their deadline.
    */
   public static AdmissionSettings defaults() {
-    return new AdmissionSettings(64, 32, 0.1, 3);
+    return new AdmissionSettings(256, 32, 0.1, 3);
   }
 }
--- a/placement/src/main/java/dev/caroblb/placement/Forecast.java
+++ b/placement/src/main/java/dev/caroblb/placement/Forecast.java
@@ -19,6 +19,8 @@
   private double baseCostMs;
   private int totalBlocks;
   private boolean idle;
+  private double ticket;
+  private int claims;
 
   void clear() {
     for (int i = 0; i < STEPS.length; i++) {
@@ -62,14 +64,31 @@
     }
   }
 
+  /** Starts a new report interval; {@code drawn} is uniform in 0 to 1. */
+  void reported(double drawn) {
+    ticket = drawn;
+    claims = 0;
+  }
+
+  /** Takes in that this instance placed a long call since the report. */
+  void claimed() {
+    claims++;
+  }
+
   /**
-   * Probability that memory of {@code totalBlocks} fills within the horizon, with one more call.
+   * Calls to count where this instance adds one, when others each add as many: the drawn ticket
+   * stands for those that place before this instance, so that all together use the room once.
    */
-  double risk(double totalBlocks, Forecast more) {
+  double crowd(double others) {
+    return 1 + others * (ticket + claims);
+  }
+
+  /** Probability that memory of {@code totalBlocks} fills within the horizon, with more calls. */
+  double risk(double totalBlocks, Forecast more, double calls) {
     double lowest = Double.MAX_VALUE;
     for (int i = 0; i < STEPS.length; i++) {
-      double room = totalBlocks - mean[i] - more.mean[i];
-      double spread = variance[i] + more.variance[i];
+      double room = totalBlocks - mean[i] - calls * more.mean[i];
+      double spread = variance[i] + calls * more.variance[i];
       // Comparing signed squares saves all square roots but one.
       lowest = Math.min(lowest, room * Math.abs(room) / spread);
     }
--- a/placement/src/main/java/dev/caroblb/placement/OtherInstances.java
+++ b/placement/src/main/java/dev/caroblb/placement/OtherInstances.java
@@ -10,10 +10,16 @@
   // Beyond this age a report says nothing about arrivals any more.
   private static final long MAX_AGE_MS = 3_000;
 
+  private static final long REPORT_MS = 1_000;
+  private static final double REFUSED_WEIGHT = 0.05;
+  // Part of the placements that are long calls; short ones come in batches and take little memory.
+  private static final double LONG_SHARE = 0.25;
+
   private double placements;
   private long placementsAtMs;
   private double own;
   private double others;
+  private double refusedShare;
 
   /** Takes in a placement of this instance. */
   void placed(long nowMs) {
@@ -27,6 +33,26 @@
     others += SHARE_WEIGHT * (othersRunning - others);
   }
 
+  /** Takes in whether a long call of this instance found room. */
+  void tried(boolean foundRoom) {
+    refusedShare += REFUSED_WEIGHT * ((foundRoom ? 0 : 1) - refusedShare);
+  }
+
+  /**
+   * Long calls that others probably place for each one of this instance within a report interval:
+   * as many as they are when calls wait everywhere, and only the usual arrivals when none wait.
+   */
+  double rivals(int targets, long nowMs) {
+    double perOwn = own <= 0 ? 0 : others / own;
+    double arrivals = Math.min(perOwn, expectedPlacements(REPORT_MS, targets, nowMs) * LONG_SHARE);
+    return refusedShare * perOwn + (1 - refusedShare) * arrivals;
+  }
+
+  /** Generations of other instances at a typical target. */
+  double typicalRunning() {
+    return others;
+  }
+
   private double placements(long nowMs) {
     return placements * Math.pow(0.5, (nowMs - placementsAtMs) / RATE_HALF_LIFE_MS);
   }
--- a/placement/src/main/java/dev/caroblb/placement/PolicyKind.java
+++ b/placement/src/main/java/dev/caroblb/placement/PolicyKind.java
@@ -13,13 +13,18 @@
 
   /** Creates the policy over a fleet; the seed breaks ties. */
   public PlacementPolicy create(Fleet fleet, long seed) {
+    return create(fleet, PredictiveSettings.defaults(), seed);
+  }
+
+  /** Creates the policy; the settings matter to the predictive one only. */
+  public PlacementPolicy create(Fleet fleet, PredictiveSettings settings, long seed) {
     return switch (this) {
       case ROUND_ROBIN -> new RoundRobinPolicy(fleet);
       case LEAST_OUTSTANDING -> new LeastOutstandingPolicy(fleet, seed);
       case LOWEST_LOAD -> new LowestLoadPolicy(fleet, seed);
       case TWO_CHOICES -> new TwoChoicesPolicy(fleet, seed);
       case PREFIX_AFFINITY -> new PrefixAffinityPolicy(fleet, seed);
-      case PREDICTIVE -> new PredictivePolicy(fleet, PredictiveSettings.defaults(), seed);
+      case PREDICTIVE -> new PredictivePolicy(fleet, settings, seed);
     };
   }
 
--- a/placement/src/main/java/dev/caroblb/placement/PooledLengthEstimator.java
+++ b/placement/src/main/java/dev/caroblb/placement/PooledLengthEstimator.java
@@ -10,8 +10,8 @@
 
 /**
  * Curves for each model, call and workspace. A workspace's curve has the curve of the call as its
- * prior, and that one the assumption of {@link SurvivalCurve#COLD_HAZARD}. A mix of calls is
- * learned by kind as a whole.
+ * prior, and that one the assumption of {@link SurvivalCurve#coldHazard}. A mix of calls is learned
+ * by kind as a whole.
  */
 final class PooledLengthEstimator implements LengthEstimator {
   // About 1.5 KB each; the oldest unused are dropped and learned again from their prior.
--- a/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
+++ b/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
@@ -14,10 +14,9 @@
 public final class PredictivePolicy implements PlacementPolicy {
   private static final int SHORTLIST = 16;
   private static final double AVOIDED_DOMAIN_COST_MS = 60_000;
-  // A call that adds less than this is let in up to this multiple of the limit: short calls take
-  // little memory, and holding them back frees none.
-  private static final double SMALL_ADDED_RISK = 0.01;
-  private static final double SMALL_CALL_LIMIT_FACTOR = 3;
+  // A call expected to be shorter is never held back: it takes little memory for a short time, and
+  // the engine's queue serves it by priority.
+  private static final double SHORT_TOKENS = 64;
 
   private final Fleet fleet;
   private final PredictiveSettings settings;
@@ -26,7 +25,6 @@
   private final SplittableRandom random;
   private final Map<String, OtherInstances> others = new HashMap<>();
   private final Forecast call = new Forecast();
-  private final Forecast nothing = new Forecast();
   private final Target[] shortlist = new Target[SHORTLIST];
   private final double[] costs = new double[SHORTLIST];
 
@@ -42,18 +40,25 @@
   public Optional<Placement> place(PlacementRequest request, long nowMs) {
     SurvivalCurve curve = lengths.curve(request.kind(), request.callName(), request.workspace());
     double blocks = 1 + request.prompt().tokens() / (double) PredictiveSettings.BLOCK_TOKENS;
+    boolean shortCall = curve.expectedRemaining(0) < SHORT_TOKENS;
+    OtherInstances rest = others(request.kind());
+    int alike = fleet.serving(request.kind()).size();
+    double rivals = shortCall ? 0 : rest.rivals(alike, nowMs);
     call.clear();
     call.add(1.0, blocks, curve);
     int candidates = shortlist(fleet.serving(request.kind()));
     double best = Double.MAX_VALUE;
     for (int i = 0; i < candidates; i++) {
-      costs[i] = cost(shortlist[i], request);
+      costs[i] = cost(shortlist[i], request, shortCall, rivals);
       best = Math.min(best, costs[i]);
     }
+    if (!shortCall) {
+      rest.tried(best < Double.MAX_VALUE);
+    }
     if (best == Double.MAX_VALUE) {
       return Optional.empty();
     }
-    return Optional.of(pick(candidates, best).placement(enginePriority(request, curve)));
+    return Optional.of(pick(candidates, best).placement(enginePriority(request)));
   }
 
   /** Eligible targets, only those of lowest cost before the call when there are many. */
@@ -79,10 +84,13 @@
   }
 
   /** Expected cost in milliseconds; {@code Double.MAX_VALUE} when the call must not go there. */
-  private double cost(Target target, PlacementRequest request) {
+  private double cost(Target target, PlacementRequest request, boolean shortCall, double rivals) {
     double totalBlocks = target.forecast.totalBlocks();
-    double risk = totalBlocks == 0 ? 0 : target.forecast.risk(totalBlocks, call);
-    if (risk > settings.maxRisk() && !target.forecast.idle() && !small(target, risk)) {
+    double risk =
+        totalBlocks == 0
+            ? 0
+            : target.forecast.risk(totalBlocks, call, target.forecast.crowd(rivals));
+    if (risk > settings.maxRisk() && !target.forecast.idle() && !shortCall) {
       return Double.MAX_VALUE;
     }
     double cost = target.forecast.baseCostMs() + risk * settings.riskCostMs();
@@ -94,11 +102,6 @@
     return avoided ? cost + AVOIDED_DOMAIN_COST_MS : cost;
   }
 
-  private boolean small(Target target, double risk) {
-    return risk <= settings.maxRisk() * SMALL_CALL_LIMIT_FACTOR
-        && risk - target.forecast.risk(target.forecast.totalBlocks(), nothing) < SMALL_ADDED_RISK;
-  }
-
   /** One of the candidates that are about as good as the best, so that instances spread. */
   private Target pick(int candidates, double best) {
     Target chosen = shortlist[0];
@@ -112,18 +115,23 @@
   }
 
   /**
-   * Priority of the team file first; then what a preemption would lose, by expected length; a
-   * retried call is preempted after first attempts.
+   * Priority of the team file first; a retried call is preempted after first attempts. Expected
+   * length is left out: it also orders the engine's queue, where it let later calls pass preempted
+   * ones.
    */
-  private static int enginePriority(PlacementRequest request, SurvivalCurve curve) {
-    int loss = LengthBuckets.index((int) curve.expectedRemaining(0));
+  private static int enginePriority(PlacementRequest request) {
     int retried = request.attempt() > 0 ? LengthBuckets.COUNT : 0;
-    return request.priority() * 100 + retried + loss;
+    return request.priority() * 100 + retried;
   }
 
   @Override
   public void placed(Generation generation, long nowMs) {
-    others(generation.request().kind()).placed(nowMs);
+    PlacementRequest request = generation.request();
+    others(request.kind()).placed(nowMs);
+    SurvivalCurve curve = lengths.curve(request.kind(), request.callName(), request.workspace());
+    if (curve.expectedRemaining(0) >= SHORT_TOKENS) {
+      generation.target().forecast.claimed();
+    }
     forecast(generation.target(), nowMs);
   }
 
@@ -145,6 +153,7 @@
 
   @Override
   public void reported(Target target, long nowMs) {
+    target.forecast.reported(random.nextDouble());
     for (String kind : target.view().serves()) {
       others(kind).reported(target.running().size(), target.othersRunning());
     }
@@ -163,9 +172,7 @@
 
   private void forecast(Target target, long nowMs) {
     String kind = target.view().serves().get(0);
-    int alike = fleet.serving(kind).size();
-    double arrived = others(kind).expectedPlacements(nowMs - target.loadAtMs(), alike, nowMs);
-    forecaster.update(target, kind, arrived, settings, nowMs);
+    forecaster.update(target, kind, others(kind), fleet.serving(kind).size(), settings, nowMs);
   }
 
   private OtherInstances others(String kind) {
--- a/placement/src/main/java/dev/caroblb/placement/SurvivalCurve.java
+++ b/placement/src/main/java/dev/caroblb/placement/SurvivalCurve.java
@@ -13,10 +13,14 @@
   private static final double GROWTH_PER_END = 1.001;
   private static final double RESCALE_AT = 1e9;
   // The prior weighs as much as this many generations in each bucket.
-  private static final double PRIOR_GENERATIONS = 8;
+  private static final double PRIOR_GENERATIONS = 4;
 
-  /** Cold start: of the generations that reach a bucket, one in eight ends in it. */
-  static final double COLD_HAZARD = 0.125;
+  // Cold start: half of the outputs are longer than 128 tokens; beyond, each half octave ends three
+  // in ten, so that the mean stays at a few hundred tokens. A lighter hazard made the mean of short
+  // calls follow the assumed tail instead of what was seen.
+  private static final int COLD_SHORT_BUCKETS = 12;
+  private static final double COLD_SHORT_HAZARD = 0.05;
+  private static final double COLD_LONG_HAZARD = 0.3;
 
   private final Optional<SurvivalCurve> prior;
   private final double[] reached = new double[LengthBuckets.COUNT];
@@ -60,11 +64,16 @@
     unit = 1;
   }
 
+  /** Share of the generations reaching a bucket that is taken to end in it before any ended. */
+  static double coldHazard(int bucket) {
+    return bucket < COLD_SHORT_BUCKETS ? COLD_SHORT_HAZARD : COLD_LONG_HAZARD;
+  }
+
   /** Recomputes the curve from the counts and the prior. */
   void refresh() {
     survival[0] = 1;
     for (int i = 0; i < LengthBuckets.COUNT; i++) {
-      double priorHazard = prior.isPresent() ? prior.get().hazard[i] : COLD_HAZARD;
+      double priorHazard = prior.isPresent() ? prior.get().hazard[i] : coldHazard(i);
       double reachedCount = reached[i] / unit;
       hazard[i] =
           (ended[i] / unit + PRIOR_GENERATIONS * priorHazard) / (reachedCount + PRIOR_GENERATIONS);
--- a/placement/src/main/java/dev/caroblb/placement/TargetForecaster.java
+++ b/placement/src/main/java/dev/caroblb/placement/TargetForecaster.java
@@ -17,10 +17,20 @@
     this.lengths = lengths;
   }
 
-  /** {@code arrived} is the number of calls that others probably placed since the report. */
-  void update(Target target, String kind, double arrived, PredictiveSettings settings, long nowMs) {
+  void update(
+      Target target,
+      String kind,
+      OtherInstances others,
+      int alike,
+      PredictiveSettings settings,
+      long nowMs) {
     SurvivalCurve pooled = lengths.curve(kind);
-    double arrivedHere = target.knownForMs(nowMs) < STARTED_MS ? arrived * STARTED_FACTOR : arrived;
+    double arrived = others.expectedPlacements(nowMs - target.loadAtMs(), alike, nowMs);
+    double trust = settings.othersTrust();
+    double othersRunning =
+        others.typicalRunning() + trust * (target.othersRunning() - others.typicalRunning());
+    boolean started = target.knownForMs(nowMs) < STARTED_MS;
+    double arrivedHere = started ? arrived * STARTED_FACTOR : arrived;
     long ageMs = Math.max(0, nowMs - target.loadAtMs());
     Forecast forecast = target.forecast;
     forecast.clear();
@@ -33,7 +43,8 @@
       double blocks = BLOCKS_PER_LATE_SECOND * (ageMs - LATE_REPORT_MS) / 1_000;
       forecast.addVariance(blocks * blocks);
     }
-    double running = target.running().size() + target.othersRunning() + arrivedHere;
+    // In a steady state as many of the others' calls end as arrive; only a new target fills up.
+    double running = target.running().size() + othersRunning + (started ? arrivedHere : 0);
     int waiting = target.load().map(LoadReport::waiting).orElse(0);
     forecast.baseCostMs(running * settings.runningCostMs() + waiting * settings.waitingCostMs());
     forecast.room(target.load().map(LoadReport::totalBlocks).orElse(0), running < IDLE_RUNNING);
