--- a/daemon/src/main/java/dev/caroblb/daemon/CallPath.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/CallPath.java
@@ -37,7 +37,7 @@
   private final LateOutlet<AdmissionMessage> admission = new LateOutlet<>();
   private final LateOutlet<PlacementMessage> placement = new LateOutlet<>();
   private final LateOutlet<StreamsMessage> streams = new LateOutlet<>();
-  private final TargetDirectory targets = new TargetDirectory();
+  private final TargetDirectory targets;
   private final CallFlow flow;
   private final StreamsHandler handler;
 
@@ -51,6 +51,7 @@
       Outlet<KeyCommand> keys) {
     this.gate = gate;
     this.entries = entries;
+    targets = new TargetDirectory(metrics::preempted);
     flow = new CallFlow(admission, placement, streams, targets, this::share);
     handler = createStreams(settings, connector, metrics, keys);
     streams.bind(duties.create("streams", handler));
--- a/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
@@ -18,14 +18,14 @@
   private static final long RETRY_AFTER_MS = 1_000;
 
   private final MillisClock clock;
-  private final Outlet<Long> inForce;
+  private final Outlet<ConfigurationSnapshot> inForce;
   private volatile EntryView view = new EntryView(ConfigurationSnapshot.empty(), 0);
   private volatile boolean draining;
 
   /**
-   * @param inForce hears each new configuration number
+   * @param inForce hears each new configuration
    */
-  ConfigurationGate(MillisClock clock, Outlet<Long> inForce) {
+  ConfigurationGate(MillisClock clock, Outlet<ConfigurationSnapshot> inForce) {
     this.clock = clock;
     this.inForce = inForce;
   }
@@ -35,7 +35,7 @@
     boolean changed = latest.snapshot().number() != view.snapshot().number();
     view = latest;
     if (changed) {
-      inForce.offer(latest.snapshot().number());
+      inForce.offer(latest.snapshot());
     }
     return true;
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -2,8 +2,10 @@
 
 import dev.caroblb.agreement.ReplicaFault;
 import dev.caroblb.callers.CallersServer;
+import dev.caroblb.configuration.ConfigurationSnapshot;
 import dev.caroblb.core.Duty;
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LeaderLease;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
 import dev.caroblb.http.HttpConnector;
@@ -31,6 +33,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 /** One running instance: creates its duties and connects their rings. */
@@ -51,6 +54,7 @@
   private final CallPath calls;
   private final DrainControl drain;
   private final SharedState shared;
+  private final Optional<OrderFlow> orders;
   private final CallersServer server;
 
   private Instance(InstanceSettings settings, MillisClock clock) throws IOException {
@@ -63,7 +67,7 @@
     ConfigurationGate gate =
         new ConfigurationGate(
             clock,
-            number -> membership.offer(new MembershipMessage.ConfigurationInForce(number)));
+            this::configurationChanged);
     LateOutlet<IdempotencyMessage> toIdempotency = new LateOutlet<>();
     LateOutlet<StreamsMessage> toStreams = new LateOutlet<>();
     keys = new KeyFlow(toIdempotency, toStreams, clock);
@@ -71,6 +75,7 @@
         new CallPath(settings, duties, connector, gate, entries, metrics, keys::command);
     toStreams.bind(calls.streams());
     drain = new DrainControl(gate, calls.streams());
+    orders = createOrders();
     shared =
         new SharedState(
             new SharedState.Run(settings, incarnation),
@@ -79,6 +84,7 @@
             gate,
             keys::decided,
             this::replicaFailed,
+            this::controlLeaseChanged,
             metrics);
     toIdempotency.bind(shared.idempotency());
     server = createServer(gate, clock);
@@ -108,6 +114,24 @@
     return new PeerTransport(hello, settings.peersAddress().toInetSocketAddress(), peers, clock);
   }
 
+  /** Only replicas can lead the control group and give orders. */
+  private Optional<OrderFlow> createOrders() {
+    if (!settings.replica()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new OrderFlow(settings.instance(), duties, connector, calls.targets(), metrics));
+  }
+
+  private boolean configurationChanged(ConfigurationSnapshot snapshot) {
+    orders.ifPresent(flow -> flow.wanted(snapshot));
+    return membership.offer(new MembershipMessage.ConfigurationInForce(snapshot.number()));
+  }
+
+  private boolean controlLeaseChanged(LeaderLease lease) {
+    return orders.map(flow -> flow.leaseChanged(lease)).orElse(true);
+  }
+
   private boolean replicaFailed(ReplicaFault fault) {
     LOGGER.log(
         System.Logger.Level.ERROR,
@@ -184,6 +208,7 @@
     for (PlacementMessage message : calls.targets().translate(change)) {
       delivered &= calls.placement().offer(message);
     }
+    orders.ifPresent(OrderFlow::enginesChanged);
     return delivered;
   }
 
@@ -245,6 +270,7 @@
     server.close();
     duties.close();
     shared.close();
+    orders.ifPresent(OrderFlow::close);
     connector.close();
     transport.close();
   }
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/OrderFlow.java
@@ -0,0 +1,98 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.configuration.ConfigurationSnapshot;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LeaderLease;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.engines.EngineOrders;
+import dev.caroblb.http.HttpConnector;
+import dev.caroblb.metrics.InstanceMetrics;
+import dev.caroblb.orders.EngineOrder;
+import dev.caroblb.orders.OrderOutcome;
+import dev.caroblb.orders.OrdersCounters;
+import dev.caroblb.orders.OrdersEvent;
+import dev.caroblb.orders.OrdersHandler;
+import dev.caroblb.orders.OrdersMessage;
+import dev.caroblb.orders.OrdersOutlets;
+import dev.caroblb.orders.ReadBack;
+import dev.caroblb.orders.WantedModel;
+import dev.caroblb.streams.Endpoint;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/** Joins the orders duty of a replica with configuration, membership and the engine adapter. */
+final class OrderFlow implements AutoCloseable {
+  /** Loads that the weight store sustains at the same time. */
+  private static final int LOAD_BURST = 2;
+
+  /** Time in which the weight store sustains one more load. */
+  private static final long LOAD_INTERVAL_MS = 10_000;
+
+  private final TargetDirectory targets;
+  private final LateOutlet<OrdersMessage> orders = new LateOutlet<>();
+  private final EngineOrders engines;
+
+  OrderFlow(
+      InstanceId self,
+      DutyList duties,
+      HttpConnector connector,
+      TargetDirectory targets,
+      InstanceMetrics metrics) {
+    this.targets = targets;
+    engines = new EngineOrders(connector, self, orders, duties.clock());
+    OrdersCounters counters = new OrdersCounters();
+    OrdersHandler handler =
+        new OrdersHandler(
+            LOAD_BURST, LOAD_INTERVAL_MS, new OrdersOutlets(this::send, this::read), counters);
+    orders.bind(duties.create("orders", handler));
+    for (OrdersEvent event : OrdersEvent.values()) {
+      metrics.addTotal(
+          "caroblb.orders",
+          "Events of orders to engines",
+          "event",
+          event.name().toLowerCase(Locale.ROOT),
+          () -> counters.count(event));
+    }
+  }
+
+  private boolean send(EngineOrder order) {
+    Optional<Endpoint> endpoint = targets.endpoint(order.target());
+    if (endpoint.isEmpty()) {
+      return orders.offer(new OrdersMessage.OrderFinished(order, OrderOutcome.NOT_SENT));
+    }
+    engines.send(order, endpoint.get());
+    return true;
+  }
+
+  private boolean read(ReadBack request) {
+    targets.endpoint(request.engine()).ifPresent(engines::read);
+    return true;
+  }
+
+  /** Tells the duty which models the configuration in force needs. */
+  boolean wanted(ConfigurationSnapshot snapshot) {
+    List<WantedModel> models =
+        snapshot.models().entrySet().stream()
+            .map(need -> new WantedModel(need.getKey(), need.getValue()))
+            .toList();
+    return orders.offer(new OrdersMessage.Wanted(models));
+  }
+
+  /** Tells the duty which engines may get orders. */
+  boolean enginesChanged() {
+    Set<TargetId> available = targets.availableEngines();
+    return orders.offer(new OrdersMessage.KnownEngines(available));
+  }
+
+  /** Tells the duty who leads the control group. */
+  boolean leaseChanged(LeaderLease lease) {
+    return orders.offer(new OrdersMessage.LeaseChanged(lease));
+  }
+
+  @Override
+  public void close() {
+    engines.close();
+  }
+}
--- a/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
@@ -46,6 +46,7 @@
   private final long incarnation;
   private final DutyList duties;
   private final PeerTransport transport;
+  private final Outlet<LeaderLease> controlLeases;
   private final LateOutlet<ConfigurationMessage> configuration = new LateOutlet<>();
   private final LateOutlet<IdempotencyMessage> idempotency = new LateOutlet<>();
   private final Optional<ControlReplica> replica;
@@ -60,12 +61,14 @@
       ConfigurationGate gate,
       Outlet<KeyDecision> decisions,
       Outlet<ReplicaFault> faults,
+      Outlet<LeaderLease> controlLeases,
       InstanceMetrics metrics)
       throws IOException {
     this.settings = run.settings();
     this.incarnation = run.incarnation();
     this.duties = duties;
     this.transport = transport;
+    this.controlLeases = controlLeases;
     replica = createReplica(faults);
     createConfiguration(gate);
     createIdempotency(decisions, metrics);
@@ -91,7 +94,8 @@
 
   private boolean leaseChanged(LeaderLease lease) {
     if (lease.group().equals(GroupId.CONTROL)) {
-      return configuration.offer(new ConfigurationMessage.LeaseChanged(lease));
+      boolean told = controlLeases.offer(lease);
+      return configuration.offer(new ConfigurationMessage.LeaseChanged(lease)) && told;
     }
     return idempotency.offer(new IdempotencyMessage.Leadership(lease));
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/TargetDirectory.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetDirectory.java
@@ -13,10 +13,13 @@
 import dev.caroblb.placement.TargetView;
 import dev.caroblb.streams.Endpoint;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongConsumer;
 
 /**
  * Translates what membership knows about targets for placement, and keeps their endpoints so that a
@@ -24,6 +27,15 @@
  */
 final class TargetDirectory {
   private final Map<TargetId, TargetView> views = new ConcurrentHashMap<>();
+  private final Set<TargetId> engines = ConcurrentHashMap.newKeySet();
+  private final LongConsumer preempted;
+
+  /**
+   * @param preempted hears how many preemptions an engine reported since its previous report
+   */
+  TargetDirectory(LongConsumer preempted) {
+    this.preempted = preempted;
+  }
 
   /** Messages for placement; updates the directory. */
   List<PlacementMessage> translate(TargetChange change) {
@@ -56,7 +68,11 @@
             announcement.serves(),
             announcement.leaving() ? TargetState.LEAVING : TargetState.AVAILABLE,
             load(announcement, aged.ageMs()));
-    views.put(view.target(), view);
+    TargetView previous = views.put(view.target(), view);
+    countPreemptions(previous, view);
+    if (announcement.kind() == TargetKind.ENGINE) {
+      engines.add(view.target());
+    }
     List<PlacementMessage> messages = new ArrayList<>();
     messages.add(new PlacementMessage.TargetSeen(view));
     for (dev.caroblb.membership.CacheEvent event : announcement.cacheEvents()) {
@@ -65,6 +81,17 @@
     return messages;
   }
 
+  private void countPreemptions(TargetView previous, TargetView latest) {
+    if (previous == null || previous.incarnation() != latest.incarnation()) {
+      return;
+    }
+    long before = previous.load().map(LoadReport::preemptions).orElse(0L);
+    long after = latest.load().map(LoadReport::preemptions).orElse(before);
+    if (after > before) {
+      preempted.accept(after - before);
+    }
+  }
+
   private static CacheEvent cacheEvent(
       Announcement announcement, dev.caroblb.membership.CacheEvent event) {
     return new CacheEvent(
@@ -110,6 +137,7 @@
             known.load());
     if (state == TargetState.GONE) {
       views.remove(target, known);
+      engines.remove(target);
     } else {
       views.put(target, view);
     }
@@ -123,6 +151,24 @@
         .map(view -> new Endpoint(target, view.incarnation(), view.domain(), view.address()));
   }
 
+  /** Where the latest incarnation of a target can be reached. */
+  Optional<Endpoint> endpoint(TargetId target) {
+    return Optional.ofNullable(views.get(target))
+        .flatMap(view -> endpoint(target, view.incarnation()));
+  }
+
+  /** Engines that are not leaving. */
+  Set<TargetId> availableEngines() {
+    Set<TargetId> available = new HashSet<>();
+    for (TargetId engine : engines) {
+      TargetView view = views.get(engine);
+      if (view != null && view.state() == TargetState.AVAILABLE) {
+        available.add(engine);
+      }
+    }
+    return available;
+  }
+
   /** Number of known targets. */
   int size() {
     return views.size();
--- a/standins/src/main/java/dev/caroblb/standins/process/StandinEngine.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinEngine.java
@@ -37,6 +37,8 @@
   private final Map<String, ScriptedGeneration> generations = new ConcurrentHashMap<>();
   private final AtomicLong started = new AtomicLong();
   private final AtomicLong cancelled = new AtomicLong();
+  private volatile Runnable leaveAction = () -> {};
+  private volatile long lastStartedMs;
   private long lastFencing;
   private long lateOrders;
 
@@ -56,6 +58,7 @@
         case "DELETE generations" -> cancel(request, path[3], reply);
         case "POST orders" -> order(request, reply);
         case "GET state" -> state(reply);
+        case "POST leave" -> leave(reply);
         default -> answer(reply, NOT_FOUND, "there is no such resource");
       }
     } catch (JsonProcessingException e) {
@@ -98,6 +101,7 @@
       return;
     }
     started.incrementAndGet();
+    lastStartedMs = clock.nowMs();
     generation.attach(reply, entry, 0, clock.nowMs());
   }
 
@@ -142,6 +146,7 @@
     body.put("late_orders", lateOrders);
     body.put("running", running());
     body.put("started", started.get());
+    body.put("last_start_age_ms", clock.nowMs() - lastStartedMs);
     body.put("cancelled", cancelled.get());
     reply.send(OK, JSON, Payload.ofText(body.toString()), Map.of());
   }
@@ -150,6 +155,16 @@
     return generations.values().stream().filter(g -> !g.finished()).count();
   }
 
+  /** From now on the announcements say that the engine is leaving; it goes on with what it runs. */
+  private void leave(Reply reply) {
+    leaveAction.run();
+    answer(reply, OK, "leaving");
+  }
+
+  void onLeave(Runnable action) {
+    leaveAction = action;
+  }
+
   private static void answer(Reply reply, int status, String message) {
     String body = JsonNodeFactory.instance.objectNode().put("message", message).toString();
     reply.send(status, JSON, Payload.ofText(body), Map.of());
--- a/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -65,10 +66,12 @@
     SystemMillisClock clock = new SystemMillisClock();
     RequestHandler handler;
     StandinState state;
+    Optional<StandinEngine> leaver = Optional.empty();
     if (kind.equals("engine")) {
       StandinEngine engine = new StandinEngine(clock, !ignoreFencing, new LinkedHashSet<>(serves));
       handler = engine;
       state = engine;
+      leaver = Optional.of(engine);
     } else {
       StandinService service = new StandinService(new LinkedHashSet<>(serves));
       handler = service;
@@ -83,6 +86,7 @@
     String address = "127.0.0.1:" + listener.address().getPort();
     HttpConnector connector = new HttpConnector(1, CONNECT_TIMEOUT_MS, IDLE_MS);
     Announcer announcer = new Announcer(connector, token, identity(address), state, entries);
+    leaver.ifPresent(engine -> engine.onLeave(announcer::leave));
     schedule(announcer, state, clock);
     Runtime.getRuntime().addShutdownHook(new Thread(announcer::leave));
     System.out.println("ready address=" + address);
--- /dev/null
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/SystemProbe.java
@@ -0,0 +1,104 @@
+package dev.caroblb.systemtests;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.Optional;
+
+/** Starts a cluster and asks it for its state. */
+final class SystemProbe {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final long START_MS = 90_000;
+
+  private final TestCluster cluster;
+  private final TestCaller caller;
+
+  SystemProbe(TestCluster cluster, TestCaller caller) {
+    this.cluster = cluster;
+    this.caller = caller;
+  }
+
+  /** Starts all instances and publishes number 1. */
+  void startWithTeams() throws Exception {
+    cluster.startAll();
+    for (String name : cluster.names()) {
+      Wait.until(
+          name + " sees all instances",
+          START_MS,
+          () ->
+              caller.get(cluster.address(name), "/v1/entries").body().path("entries").size()
+                  == cluster.names().size());
+    }
+    Wait.until("publish 1 is in force", START_MS, () -> publishTeams().equals("in_force"));
+    awaitConfiguration(1);
+  }
+
+  private String publishTeams() throws IOException, InterruptedException {
+    return caller
+        .publish(
+            cluster.address(cluster.names().get(0)),
+            1,
+            "start",
+            Repository.teamFile("receipts.toml"),
+            Repository.teamFile("staffing.toml"))
+        .body()
+        .path("outcome")
+        .asText();
+  }
+
+  JsonNode status(String name) throws IOException, InterruptedException {
+    return caller.get(cluster.address(name), "/v1/status").body();
+  }
+
+  /** Waits until every running instance admits calls under at least the given number. */
+  void awaitConfiguration(long number) throws Exception {
+    for (String name : cluster.names()) {
+      if (!cluster.instance(name).alive()) {
+        continue;
+      }
+      Wait.until(
+          name + " admits under configuration " + number,
+          START_MS,
+          () ->
+              status(name).path("configuration").asLong() >= number
+                  && status(name).path("admits").asBoolean());
+    }
+  }
+
+  /** Waits until every running instance knows the given number of targets. */
+  void awaitTargets(int count) throws Exception {
+    for (String name : cluster.names()) {
+      Wait.until(
+          name + " knows " + count + " targets",
+          START_MS,
+          () -> status(name).path("targets").asInt() >= count);
+    }
+  }
+
+  /** State of a consensus group as one replica sees it; older by one request. */
+  Optional<JsonNode> group(String name, String group) throws IOException, InterruptedException {
+    for (JsonNode node : status(name).path("groups")) {
+      if (node.path("group").asText().equals(group)) {
+        return Optional.of(node);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Name of the leader of a group as the given replica sees it. */
+  Optional<String> leader(String name, String group) throws IOException, InterruptedException {
+    return group(name, group).map(node -> node.path("leader").asText()).filter(l -> !l.isEmpty());
+  }
+
+  /** A changed receipts file as the list of files of a publish. */
+  static ArrayNode receiptsWithShare(int share) throws IOException {
+    String text =
+        Files.readString(Repository.teamFile("receipts.toml"))
+            .replaceFirst("share = 60", "share = " + share);
+    ArrayNode files = MAPPER.createArrayNode();
+    files.addObject().put("name", "receipts.toml").put("text", text);
+    return files;
+  }
+}
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
@@ -68,6 +68,11 @@
     return send(request(address, path).GET().build());
   }
 
+  /** Sends a request without body. */
+  Answer postPlain(String address, String path) throws IOException, InterruptedException {
+    return send(request(address, path).POST(HttpRequest.BodyPublishers.noBody()).build());
+  }
+
   private static HttpRequest.Builder request(String address, String path) {
     return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
   }
--- /dev/null
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
@@ -0,0 +1,187 @@
+package dev.caroblb.systemtests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Planned stops of instances and targets under load. */
+@Timeout(value = 400, unit = TimeUnit.SECONDS)
+class PlannedStopTest {
+  private static final String WORKSPACE = "vikar-care";
+  private static final String PROMPT = "tokens=60 interval_ms=10";
+  private static final int CALLERS = 6;
+
+  /** Stated bound for a leaving target to get its last new work. */
+  private static final long LAST_WORK_MS = 4_000;
+
+  private static final TestCaller CALLER = new TestCaller();
+  private static TestCluster cluster;
+  private static SystemProbe probe;
+
+  private final AtomicBoolean stop = new AtomicBoolean();
+  private final AtomicInteger complete = new AtomicInteger();
+  private final AtomicInteger cut = new AtomicInteger();
+  private final AtomicInteger refused = new AtomicInteger();
+  private final AtomicInteger refusedConnections = new AtomicInteger();
+
+  @BeforeAll
+  static void start() throws Exception {
+    cluster = new TestCluster(4, 3);
+    probe = new SystemProbe(cluster, CALLER);
+    probe.startWithTeams();
+    cluster.startEngine("planner-1", "domain-1", "plan-llm@2");
+    cluster.startEngine("planner-2", "domain-2", "plan-llm@2");
+    probe.awaitTargets(2);
+  }
+
+  @AfterAll
+  static void stopAll() throws Exception {
+    System.out.print(cluster.errors());
+    cluster.close();
+  }
+
+  /** A caller that keeps an entry address for as long as it was told, then asks again. */
+  private Callable<Void> caller(int number) {
+    return () -> {
+      String address = cluster.address(cluster.names().get(number % 4));
+      long keepUntilNanos = 0;
+      while (!stop.get()) {
+        if (System.nanoTime() >= keepUntilNanos) {
+          JsonNode answer = entries(address);
+          JsonNode entries = answer.path("entries");
+          address = entries.path(number % entries.size()).path("address").asText();
+          keepUntilNanos =
+              System.nanoTime()
+                  + TimeUnit.MILLISECONDS.toNanos(answer.path("keep_ms").asLong());
+        }
+        call(address);
+      }
+      return null;
+    };
+  }
+
+  private static JsonNode entries(String known) throws Exception {
+    IOException last = null;
+    for (String address : addresses(known)) {
+      try {
+        return CALLER.get(address, "/v1/entries").body();
+      } catch (IOException e) {
+        last = e;
+      }
+    }
+    throw new IOException("no entry answered", last);
+  }
+
+  private static List<String> addresses(String first) {
+    List<String> addresses = new ArrayList<>(cluster.addresses());
+    addresses.remove(first);
+    addresses.add(0, first);
+    return addresses;
+  }
+
+  private void call(String address) throws InterruptedException {
+    try {
+      TestCaller.Stream stream =
+          CALLER.stream(address, WORKSPACE, "plan", PROMPT, sequence -> {});
+      if (stream.complete()) {
+        complete.incrementAndGet();
+      } else if (stream.status() == 200) {
+        cut.incrementAndGet();
+      } else {
+        refused.incrementAndGet();
+        System.out.println("refused: " + stream.refusal());
+      }
+    } catch (IOException e) {
+      refusedConnections.incrementAndGet();
+      System.out.println("refused connection: " + e);
+    }
+  }
+
+  private List<Future<Void>> startCallers(ExecutorService executor) {
+    List<Future<Void>> callers = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      callers.add(executor.submit(caller(i)));
+    }
+    return callers;
+  }
+
+  @Nested
+  class InstancesInTurn {
+    private static final long EXIT_MS = 60_000;
+
+    /** Guards against calls that a planned stop cuts off and addresses that stop too early. */
+    @Test
+    void everyCallCompletes() throws Exception {
+      ExecutorService executor = Executors.newFixedThreadPool(CALLERS);
+      List<Future<Void>> callers = startCallers(executor);
+      for (String name : cluster.names()) {
+        int before = complete.get();
+        Wait.until("calls complete", EXIT_MS, () -> complete.get() > before + CALLERS);
+        cluster.instance(name).terminate();
+        int exit = cluster.instance(name).awaitExit(EXIT_MS).orElse(-1);
+        assertEquals(0, exit, name);
+        cluster.start(name);
+        probe.awaitConfiguration(1);
+      }
+      stop.set(true);
+      for (Future<Void> caller : callers) {
+        caller.get(60, TimeUnit.SECONDS);
+      }
+      executor.shutdown();
+      System.out.println(
+          "restart of " + cluster.names().size() + " instances in turn: complete " + complete
+              + ", cut " + cut + ", refused " + refused + ", refused connections "
+              + refusedConnections);
+      assertEquals(0, cut.get(), "cut");
+      assertEquals(0, refusedConnections.get(), "refused connections");
+      assertEquals(0, refused.get(), "refused");
+    }
+  }
+
+  @Nested
+  class TargetLeaves {
+    /** Guards against new work for a target that said it is leaving. */
+    @Test
+    void getsNoNewWorkAfterTheBound() throws Exception {
+      ExecutorService executor = Executors.newFixedThreadPool(CALLERS);
+      List<Future<Void>> callers = startCallers(executor);
+      String target = cluster.startEngine("planner-3", "domain-3", "plan-llm@2");
+      Wait.until("planner-3 gets work", 60_000, () -> started(target) > 2);
+      CALLER.postPlain(target, "/v1/leave");
+      long leftNanos = System.nanoTime();
+      Wait.until("the bound passed", 60_000, () -> Wait.elapsedMs(leftNanos) > 2 * LAST_WORK_MS);
+      JsonNode state = CALLER.get(target, "/v1/state").body();
+      long lastWorkMs = Wait.elapsedMs(leftNanos) - state.path("last_start_age_ms").asLong();
+      stop.set(true);
+      for (Future<Void> caller : callers) {
+        caller.get(60, TimeUnit.SECONDS);
+      }
+      executor.shutdown();
+      System.out.println(
+          "target left: last new work " + lastWorkMs + " ms after its notice, calls complete "
+              + complete + ", cut " + cut);
+      assertTrue(lastWorkMs <= LAST_WORK_MS, () -> "new work after " + lastWorkMs + " ms");
+      assertEquals(0, cut.get(), "cut");
+    }
+
+    private long started(String target) throws Exception {
+      return CALLER.get(target, "/v1/state").body().path("started").asLong();
+    }
+  }
+}
