--- a/agreement/src/test/java/dev/caroblb/agreement/journal/DataFolderTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/journal/DataFolderTest.java
@@ -13,6 +13,7 @@
 import dev.caroblb.core.Payload;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -205,6 +206,21 @@
       refused(JournalError.Kind.GAP);
     }
 
+    /** Guards against memory claimed for a file that the journal cannot have written. */
+    @Test
+    void oversizedFilesStopUnread() throws IOException {
+      Path log = writeThreeEntries();
+      for (Path file : List.of(folder().resolve("control/snapshot-2"), log)) {
+        try (RandomAccessFile sparse = new RandomAccessFile(file.toFile(), "rw")) {
+          sparse.setLength(1L << 40);
+        }
+        JournalError error = open().getLeft();
+        assertEquals(file, error.file());
+        assertTrue(error.detail().contains("at most"), error.message());
+        Files.delete(file);
+      }
+    }
+
     /** Guards against votes and entries of another replica or group. */
     @Test
     void copiedSegmentStops() throws IOException {
