Raise the risk limit of a call as its deadline comes nearer

Cause: at 130% long calls waited until too little time was left to end. Change: the limit rises from its setting at 70% of the allowed time left to 1 at 40%; the placement request carries deadline and allowed time.

--- a/bench/src/main/java/dev/caroblb/bench/DecisionCost.java
+++ b/bench/src/main/java/dev/caroblb/bench/DecisionCost.java
@@ -109,6 +109,8 @@
         new WorkspaceId("ws-" + Math.floorMod(call, 10)),
         5,
         new PromptShape(600, 1 + Math.floorMod(call, 40), 400),
+        60_000,
+        60_000,
         0,
         Optional.empty());
   }
--- a/bench/src/main/java/dev/caroblb/bench/Entry.java
+++ b/bench/src/main/java/dev/caroblb/bench/Entry.java
@@ -103,6 +103,8 @@
         call.workspace(),
         call.policy().priority(),
         new PromptShape(shape.promptTokens(), shape.prefix(), shape.prefixTokens()),
+        call.deadlineMs(),
+        call.policy().deadlineMs(),
         place.attempt(),
         place.avoid());
   }
--- a/placement/src/main/java/dev/caroblb/placement/PlacementRequest.java
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementRequest.java
@@ -13,6 +13,8 @@
  * @param workspace workspace that is charged for it
  * @param priority 0 (lowest) to 9 (highest), from the team file
  * @param prompt shape of the prompt
+ * @param deadlineMs monotonic time by which the answer must be complete
+ * @param allowedMs time that the call had from its arrival to its deadline
  * @param attempt 0 for the first dispatch, 1 for the first retry
  * @param avoid failure domain of the previous attempt
  */
@@ -23,5 +25,12 @@
     WorkspaceId workspace,
     int priority,
     PromptShape prompt,
+    long deadlineMs,
+    long allowedMs,
     int attempt,
-    Optional<FailureDomain> avoid) {}
+    Optional<FailureDomain> avoid) {
+  /** Part of the allowed time that is left. */
+  double slack(long nowMs) {
+    return allowedMs <= 0 ? 1 : (deadlineMs - nowMs) / (double) allowedMs;
+  }
+}
--- a/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
+++ b/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
@@ -18,6 +18,10 @@
   // the engine's queue serves it by priority.
   private static final double SHORT_TOKENS = 64;
 
+  // Parts of the allowed time that are left when the limit starts to rise, and when it is 1.
+  private static final double RELAXED_SLACK = 0.7;
+  private static final double URGENT_SLACK = 0.4;
+
   private final Fleet fleet;
   private final PredictiveSettings settings;
   private final LengthEstimator lengths;
@@ -41,6 +45,7 @@
     SurvivalCurve curve = lengths.curve(request.kind(), request.callName(), request.workspace());
     double blocks = 1 + request.prompt().tokens() / (double) PredictiveSettings.BLOCK_TOKENS;
     boolean shortCall = curve.expectedRemaining(0) < SHORT_TOKENS;
+    double maxRisk = shortCall ? 1 : maxRisk(request, nowMs);
     OtherInstances rest = others(request.kind());
     int alike = fleet.serving(request.kind()).size();
     double rivals = shortCall ? 0 : rest.rivals(alike, nowMs);
@@ -49,7 +54,7 @@
     int candidates = shortlist(fleet.serving(request.kind()));
     double best = Double.MAX_VALUE;
     for (int i = 0; i < candidates; i++) {
-      costs[i] = cost(shortlist[i], request, shortCall, rivals);
+      costs[i] = cost(shortlist[i], request, maxRisk, rivals);
       best = Math.min(best, costs[i]);
     }
     if (!shortCall) {
@@ -61,6 +66,16 @@
     return Optional.of(pick(candidates, best).placement(enginePriority(request)));
   }
 
+  /**
+   * The risk limit of a long call, rising to 1 while its deadline comes nearer: a call that is
+   * preempted late may still end in time, one that waits on will not.
+   */
+  private double maxRisk(PlacementRequest request, long nowMs) {
+    double urgency = (RELAXED_SLACK - request.slack(nowMs)) / (RELAXED_SLACK - URGENT_SLACK);
+    double pressed = Math.max(0, Math.min(1, urgency));
+    return settings.maxRisk() + pressed * (1 - settings.maxRisk());
+  }
+
   /** Eligible targets, only those of lowest cost before the call when there are many. */
   private int shortlist(List<Target> targets) {
     int size = 0;
@@ -84,13 +99,13 @@
   }
 
   /** Expected cost in milliseconds; {@code Double.MAX_VALUE} when the call must not go there. */
-  private double cost(Target target, PlacementRequest request, boolean shortCall, double rivals) {
+  private double cost(Target target, PlacementRequest request, double maxRisk, double rivals) {
     double totalBlocks = target.forecast.totalBlocks();
     double risk =
         totalBlocks == 0
             ? 0
             : target.forecast.risk(totalBlocks, call, target.forecast.crowd(rivals));
-    if (risk > settings.maxRisk() && !target.forecast.idle() && !shortCall) {
+    if (risk > maxRisk && !target.forecast.idle()) {
       return Double.MAX_VALUE;
     }
     double cost = target.forecast.baseCostMs() + risk * settings.riskCostMs();
--- a/placement/src/main/java/dev/caroblb/placement/PredictiveSettings.java
+++ b/placement/src/main/java/dev/caroblb/placement/PredictiveSettings.java
@@ -25,7 +25,7 @@
 
   /** Values used unless an instance sets others; docs/measurements.md has the runs behind them. */
   public static PredictiveSettings defaults() {
-    return new PredictiveSettings(0.15, 500, 400, 50, 0.1, 4, 0.25);
+    return new PredictiveSettings(0.10, 500, 400, 50, 0.1, 4, 0.25);
   }
 
   /** The same settings with one knob changed; the name is that of the component. */
--- a/placement/src/test/java/dev/caroblb/placement/PredictivePolicyTest.java
+++ b/placement/src/test/java/dev/caroblb/placement/PredictivePolicyTest.java
@@ -40,6 +40,13 @@
       assertEquals(Optional.empty(), place(Views.request(1, 400, 0), 0));
     }
 
+    /** Guards against a call that waits past the time in which it could still end. */
+    @Test
+    void theCallStartsWhenItsDeadlineComesNear() {
+      see(Views.available(1, 16, 950), 0);
+      assertTrue(place(Views.request(1, 400, 0), 45_000).isPresent());
+    }
+
     /** Guards against a call that waits for ever because its own need exceeds the limit. */
     @Test
     void anIdleTargetTakesAnyCall() {
--- a/placement/src/test/java/dev/caroblb/placement/Views.java
+++ b/placement/src/test/java/dev/caroblb/placement/Views.java
@@ -36,6 +36,8 @@
         new WorkspaceId("ws"),
         5,
         new PromptShape(promptTokens, prefix, prefix == 0 ? 0 : promptTokens),
+        60_000,
+        60_000,
         0,
         Optional.empty());
   }
