Pass the deadline of a call to placement

Cause: placement raises the risk limit of a call as its deadline comes nearer, and needs the deadline and the allowed time for that. Change: the call flow passes both.

--- a/daemon/src/main/java/dev/caroblb/daemon/CallFlow.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/CallFlow.java
@@ -89,6 +89,8 @@
               call.workspace(),
               call.policy().priority(),
               PromptShape.of(call.body(), call.policy().prefixLocality()),
+              call.deadlineMs(),
+              call.policy().deadlineMs(),
               place.attempt(),
               place.avoid());
       return placement.offer(new PlacementMessage.PlaceCall(request));
