Bound idle connections by the settings and drop settings without effect

Cause: limits.backlog, limits.request_time_limit_ms and three protocol times were read and checked, but nothing used them; a listener closed connections that waited two minutes for an answer. Change: backlog and request time reach the listener, which lets a connection wait for its answer as long as the longest deadline; the protocol times are constants and no longer settings.

--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -148,9 +148,10 @@
             limits.maxHeaderBytes(),
             HttpLimits.DEFAULTS.maxHeaders(),
             limits.maxBodyBytes(),
-            HttpLimits.DEFAULTS.idleMs(),
+            limits.requestTimeLimitMs(),
             HttpLimits.DEFAULTS.outputBytes(),
-            IO_THREADS);
+            IO_THREADS,
+            limits.backlog());
     InstanceStatus status =
         new InstanceStatus(
             settings.instance(), gate, entries, calls.targets(), calls::running, metrics::text);
--- a/http/src/main/java/dev/caroblb/http/HttpLimits.java
+++ b/http/src/main/java/dev/caroblb/http/HttpLimits.java
@@ -6,17 +6,20 @@
  * @param maxLineBytes longest request line or header line, in bytes
  * @param maxHeaders most headers of a request
  * @param maxBodyBytes longest request body, in bytes
- * @param idleMs time in milliseconds after which a connection without traffic is closed
+ * @param requestTimeMs time in milliseconds without traffic after which a connection that is not
+ *     waiting for an answer is closed
  * @param outputBytes answer bytes buffered for a caller that reads slowly
  * @param ioThreads threads of the reactor
+ * @param backlog connections that may wait to be accepted
  */
 public record HttpLimits(
     int maxLineBytes,
     int maxHeaders,
     int maxBodyBytes,
-    long idleMs,
+    long requestTimeMs,
     int outputBytes,
-    int ioThreads) {
+    int ioThreads,
+    int backlog) {
   public static final HttpLimits DEFAULTS =
-      new HttpLimits(16_384, 64, 1_048_576, 120_000, 65_536, 2);
+      new HttpLimits(16_384, 64, 1_048_576, 30_000, 65_536, 2, 256);
 }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -4,9 +4,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.io.CloseMode;
@@ -19,7 +23,9 @@
 public final class HttpListener implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(HttpListener.class.getName());
   private static final int BAD_REQUEST = 400;
-  private static final int BACKLOG = 1_024;
+
+  /** Longer than any deadline, since a call may wait for its answer without traffic. */
+  private static final Timeout ANSWER_TIMEOUT = Timeout.ofHours(25);
 
   private final HttpAsyncServer server;
   private final InetSocketAddress address;
@@ -41,16 +47,17 @@
             .setIOReactorConfig(
                 IOReactorConfig.custom()
                     .setIoThreadCount(limits.ioThreads())
-                    .setSoTimeout(Timeout.ofMilliseconds(limits.idleMs()))
+                    .setSoTimeout(Timeout.ofMilliseconds(limits.requestTimeMs()))
                     .setSoReuseAddress(true)
                     .setTcpNoDelay(true)
-                    .setBacklogSize(BACKLOG)
+                    .setBacklogSize(limits.backlog())
                     .build())
             .setHttp1Config(
                 Http1Config.custom()
                     .setMaxLineLength(limits.maxLineBytes())
                     .setMaxHeaderCount(limits.maxHeaders())
                     .build())
+            .setStreamListener(new ExchangeTimeouts(limits.requestTimeMs()))
             .setExceptionCallback(e -> onException(e, observer))
             .register("*", () -> new ServerExchange(limits, handler, observer))
             .setRequestRouter(
@@ -78,6 +85,28 @@
         System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
   }
 
+  /** Lets a connection idle only between requests and while a request head arrives. */
+  private static final class ExchangeTimeouts implements Http1StreamListener {
+    private final Timeout requestTimeout;
+
+    ExchangeTimeouts(long requestTimeMs) {
+      requestTimeout = Timeout.ofMilliseconds(requestTimeMs);
+    }
+
+    @Override
+    public void onRequestHead(HttpConnection connection, HttpRequest request) {
+      connection.setSocketTimeout(ANSWER_TIMEOUT);
+    }
+
+    @Override
+    public void onResponseHead(HttpConnection connection, HttpResponse response) {}
+
+    @Override
+    public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+      connection.setSocketTimeout(requestTimeout);
+    }
+  }
+
   /** The address that is listened on, with the chosen port. */
   public InetSocketAddress address() {
     return address;
--- a/settings/src/main/java/dev/caroblb/settings/SettingsReader.java
+++ b/settings/src/main/java/dev/caroblb/settings/SettingsReader.java
@@ -188,17 +188,10 @@
     return limits;
   }
 
-  /**
-   * The upper bounds of the lease and of the expiry keep the promises that a configuration is in
-   * force within 9 s and that a leaving target gets no new work after 4 s.
-   */
   private static TimeSettings times(TableReader table) {
     TimeSettings times =
         new TimeSettings(
-            table.integer("keep_ms", 5_000, 100, 3_600_000),
             table.integer("drain_limit_ms", 600_000, 1_000, 86_400_000),
-            table.integer("configuration_lease_ms", 4_000, 200, 8_000),
-            table.integer("target_expiry_ms", 3_500, 200, 4_000),
             table.integer("caller_stall_ms", 30_000, 100, 600_000),
             table.integer("target_stall_ms", 5_000, 100, 600_000),
             table.integer("abandon_ms", 10_000, 100, 600_000));
--- a/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +52,9 @@
   @Parameter(names = "--port", description = "port to listen on; 0 lets the system choose")
   private int port;
 
+  @Parameter(names = "--empty", description = "start an engine without a loaded model")
+  private boolean empty;
+
   @Parameter(names = "--ignore-fencing", description = "take orders with an old fencing token")
   private boolean ignoreFencing;
 
@@ -68,7 +72,8 @@
     StandinState state;
     Optional<StandinEngine> leaver = Optional.empty();
     if (kind.equals("engine")) {
-      StandinEngine engine = new StandinEngine(clock, !ignoreFencing, new LinkedHashSet<>(serves));
+      StandinEngine engine = new StandinEngine(
+              clock, !ignoreFencing, empty ? Set.of() : new LinkedHashSet<>(serves));
       handler = engine;
       state = engine;
       leaver = Optional.of(engine);
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
@@ -141,6 +141,13 @@
     return startStandin("engine", target, domain, List.of(models), List.of());
   }
 
+  /** Starts an engine without a model, which waits for orders. */
+  String startEmptyEngine(String target, String domain, boolean checksFencing) throws Exception {
+    List<String> extra =
+        checksFencing ? List.of("--empty") : List.of("--empty", "--ignore-fencing");
+    return startStandin("engine", target, domain, List.of("none"), extra);
+  }
+
   /** Starts a plain service. */
   String startService(String target, String domain, String... services) throws Exception {
     return startStandin("service", target, domain, List.of(services), List.of());
