--- /dev/null
+++ b/bench/src/test/java/dev/caroblb/bench/SimulationTest.java
@@ -0,0 +1,48 @@
+package dev.caroblb.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.placement.PolicyKind;
+import dev.caroblb.placement.PredictiveSettings;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SimulationTest {
+  private static Map<Metric, Double> run(Workload workload, double load) {
+    List<Arrival> arrivals = ArrivalPlan.draw(workload, load, 3);
+    PredictiveSettings knobs = PredictiveSettings.defaults();
+    return new Simulation(workload, arrivals, PolicyKind.PREDICTIVE, knobs, 3).run();
+  }
+
+  @Nested
+  class WithTheSameSeed {
+    /** Guards against figures that cannot be reproduced. */
+    @Test
+    void givesTheSameFigures() {
+      assertEquals(run(Workload.RECEIPTS, 0.4), run(Workload.RECEIPTS, 0.4));
+    }
+  }
+
+  @Nested
+  class WhenEnginesAreLost {
+    /** Guards against calls that vanish with an engine instead of being retried or reported. */
+    @Test
+    void accountsForEveryCall() {
+      Map<Metric, Double> figures = run(Workload.LOSS, 0.4);
+      long offered =
+          ArrivalPlan.draw(Workload.LOSS, 0.4, 3).stream()
+              .filter(arrival -> arrival.atUs() >= Workload.LOSS.warmupUs())
+              .count();
+      double ended =
+          figures.get(Metric.GOODPUT) * offered
+              + figures.get(Metric.REFUSED_NOT_RUN)
+              + figures.get(Metric.ENDED_LATE)
+              + figures.get(Metric.INTERRUPTED);
+      assertEquals((double) offered, ended, 0.01);
+      assertTrue(figures.get(Metric.INTERRUPTED) > 0);
+    }
+  }
+}
