Revert "Count a third of the other instances as rivals when calls wait"

Change: all others count as rivals again. Conclusion: the tail of the time to first token stays open.

--- a/placement/src/main/java/dev/caroblb/placement/OtherInstances.java
+++ b/placement/src/main/java/dev/caroblb/placement/OtherInstances.java
@@ -12,9 +12,6 @@
 
   private static final long REPORT_MS = 1_000;
   private static final double REFUSED_WEIGHT = 0.05;
-  // Part of the others that have a call waiting when this instance has one.
-  private static final double WAITING_SHARE = 0.35;
-
   // Part of the placements that are long calls; short ones come in batches and take little memory.
   private static final double LONG_SHARE = 0.25;
 
@@ -48,8 +45,7 @@
   double rivals(int targets, long nowMs) {
     double perOwn = own <= 0 ? 0 : others / own;
     double arrivals = Math.min(perOwn, expectedPlacements(REPORT_MS, targets, nowMs) * LONG_SHARE);
-    double waiting = Math.max(arrivals, perOwn * WAITING_SHARE);
-    return refusedShare * waiting + (1 - refusedShare) * arrivals;
+    return refusedShare * perOwn + (1 - refusedShare) * arrivals;
   }
 
   /** Generations of other instances at a typical target. */
