--- a/idempotency/src/main/java/dev/caroblb/idempotency/KeyBucket.java
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/KeyBucket.java
@@ -3,9 +3,9 @@
 import java.util.function.Consumer;
 
 /**
- * Records of the keys created in one hour, which expire together. They are split into shards: one
- * table of 1,000,000 records paused for up to 460 ms when it grew, and its arrays took up to twice
- * their size because the garbage collector gives large arrays whole regions.
+ * Records of the keys created in one hour, which expire together. They are split into shards
+ * because the garbage collector gives large arrays whole regions: 100,000 records in a single table
+ * took 253 bytes each, in shards 110.
  */
 final class KeyBucket {
   private static final int SHARDS = 64;
