Adapt the settings test to the remaining times

Cause: three protocol times are no longer settings. Change: the expected defaults name the four that remain.

--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -62,17 +62,12 @@
     incarnation = clock.wallMs();
     duties = new DutyList(clock);
     transport = createTransport(clock);
-    connector =
-        new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
-    ConfigurationGate gate =
-        new ConfigurationGate(
-            clock,
-            this::configurationChanged);
+    connector = new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
+    ConfigurationGate gate = new ConfigurationGate(clock, this::configurationChanged);
     LateOutlet<IdempotencyMessage> toIdempotency = new LateOutlet<>();
     LateOutlet<StreamsMessage> toStreams = new LateOutlet<>();
     keys = new KeyFlow(toIdempotency, toStreams, clock);
-    calls =
-        new CallPath(settings, duties, connector, gate, entries, metrics, keys::command);
+    calls = new CallPath(settings, duties, connector, gate, entries, metrics, keys::command);
     toStreams.bind(calls.streams());
     drain = new DrainControl(gate, calls.streams());
     orders = createOrders();
@@ -140,8 +135,7 @@
     return true;
   }
 
-  private CallersServer createServer(ConfigurationGate gate, MillisClock clock)
-      throws IOException {
+  private CallersServer createServer(ConfigurationGate gate, MillisClock clock) throws IOException {
     LimitSettings limits = settings.limits();
     HttpLimits http =
         new HttpLimits(
@@ -189,9 +183,7 @@
         new MembershipHandler(
             new LocalInstance(
                 settings.instance(), incarnation, settings.domain(), advertisedAddress()),
-            settings.otherPeers().stream()
-                .map(PeerSettings::instance)
-                .collect(Collectors.toSet()),
+            settings.otherPeers().stream().map(PeerSettings::instance).collect(Collectors.toSet()),
             settings.times().drainLimitMs(),
             new AllTargets(),
             outlets);
@@ -225,8 +217,7 @@
     metrics.addTotal(name, description, "event", "frame_malformed", counters::malformedFrames);
     metrics.addTotal(
         name, description, "event", "connection_refused", counters::refusedConnections);
-    metrics.addTotal(
-        "caroblb.peers.bytes", "Bytes sent", "direction", "sent", counters::sentBytes);
+    metrics.addTotal("caroblb.peers.bytes", "Bytes sent", "direction", "sent", counters::sentBytes);
   }
 
   private void run() throws IOException {
@@ -234,9 +225,7 @@
     duties.start();
     if (settings.portsFile().isPresent()) {
       PortsFile.write(
-          settings.portsFile().get(),
-          server.address().getPort(),
-          transport.address().getPort());
+          settings.portsFile().get(), server.address().getPort(), transport.address().getPort());
     }
     LOGGER.log(
         System.Logger.Level.INFO,
--- a/daemon/src/main/java/dev/caroblb/daemon/KeyFlow.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/KeyFlow.java
@@ -33,8 +33,7 @@
       return idempotency.offer(new IdempotencyMessage.Begin(reserve.call(), clock.wallMs()));
     }
     if (command instanceof KeyCommand.StoreOutcome store) {
-      StoredOutcome outcome =
-          StoredOutcome.of(store.status(), store.contentType(), store.body());
+      StoredOutcome outcome = StoredOutcome.of(store.status(), store.contentType(), store.body());
       return idempotency.offer(new IdempotencyMessage.Finished(store.call().id(), outcome));
     }
     if (command instanceof KeyCommand.Release release) {
@@ -59,8 +58,7 @@
       return streams.offer(new StreamsMessage.KeyRefused(refused.call(), refused.refusal()));
     }
     if (decision instanceof KeyDecision.Released released) {
-      return streams.offer(
-          new StreamsMessage.KeyReleased(released.call(), released.committed()));
+      return streams.offer(new StreamsMessage.KeyReleased(released.call(), released.committed()));
     }
     return true;
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
@@ -27,7 +27,9 @@
     return transport.send(message.peer(), channel, codec.encode(message.message()));
   }
 
-  /** Sets who gets what other instances send. A message that finds no room is lost, as on a link. */
+  /**
+   * Sets who gets what other instances send. A message that finds no room is lost, as on a link.
+   */
   void receive(Outlet<Addressed<M>> receiver) {
     transport.receive(channel, (from, body) -> decode(from, body, receiver));
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
@@ -152,8 +152,7 @@
     Duty<IdempotencyMessage> duty = duties.create("idempotency", handler);
     idempotency.bind(duty);
     peers.receive(
-        message ->
-            duty.offer(new IdempotencyMessage.FromPeer(message, duties.clock().wallMs())));
+        message -> duty.offer(new IdempotencyMessage.FromPeer(message, duties.clock().wallMs())));
   }
 
   Outlet<ConfigurationMessage> configuration() {
--- a/engines/src/main/java/dev/caroblb/engines/EngineOrders.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineOrders.java
@@ -49,10 +49,7 @@
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "order-limits"));
 
   public EngineOrders(
-      HttpConnector connector,
-      InstanceId self,
-      Outlet<OrdersMessage> orders,
-      MillisClock clock) {
+      HttpConnector connector, InstanceId self, Outlet<OrdersMessage> orders, MillisClock clock) {
     this.connector = connector;
     this.self = self;
     this.orders = orders;
--- a/settings/src/main/java/dev/caroblb/settings/LimitSettings.java
+++ b/settings/src/main/java/dev/caroblb/settings/LimitSettings.java
@@ -7,8 +7,8 @@
  * @param maxBodyBytes size of a request body
  * @param maxHeaderBytes size of a request header
  * @param backlog connections that may wait to be accepted
- * @param requestTimeLimitMs time without traffic after which a connection that waits
- *     for no answer is closed
+ * @param requestTimeLimitMs time without traffic after which a connection that waits for no answer
+ *     is closed
  */
 public record LimitSettings(
     int maxStreams, int maxBodyBytes, int maxHeaderBytes, int backlog, long requestTimeLimitMs) {}
--- a/settings/src/main/java/dev/caroblb/settings/TimeSettings.java
+++ b/settings/src/main/java/dev/caroblb/settings/TimeSettings.java
@@ -10,7 +10,4 @@
  * @param abandonMs time for which a generation is kept after its caller was lost
  */
 public record TimeSettings(
-    long drainLimitMs,
-    long callerStallMs,
-    long targetStallMs,
-    long abandonMs) {}
+    long drainLimitMs, long callerStallMs, long targetStallMs, long abandonMs) {}
--- a/settings/src/test/java/dev/caroblb/settings/SettingsReaderTest.java
+++ b/settings/src/test/java/dev/caroblb/settings/SettingsReaderTest.java
@@ -67,8 +67,7 @@
       InstanceSettings settings = accepted(GOOD);
       assertEquals(4, settings.keyGroups());
       assertEquals(new LimitSettings(1_000, 1_048_576, 16_384, 256, 30_000), settings.limits());
-      assertEquals(
-          new TimeSettings(5_000, 600_000, 4_000, 3_500, 30_000, 5_000, 10_000), settings.times());
+      assertEquals(new TimeSettings(600_000, 30_000, 5_000, 10_000), settings.times());
       assertEquals(System.Logger.Level.INFO, settings.logLevel());
       assertEquals(Optional.empty(), settings.portsFile());
     }
--- a/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -72,8 +72,8 @@
     StandinState state;
     Optional<StandinEngine> leaver = Optional.empty();
     if (kind.equals("engine")) {
-      StandinEngine engine = new StandinEngine(
-              clock, !ignoreFencing, empty ? Set.of() : new LinkedHashSet<>(serves));
+      StandinEngine engine =
+          new StandinEngine(clock, !ignoreFencing, empty ? Set.of() : new LinkedHashSet<>(serves));
       handler = engine;
       state = engine;
       leaver = Optional.of(engine);
--- a/systemtests/src/test/java/dev/caroblb/systemtests/IdempotencyFailureTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/IdempotencyFailureTest.java
@@ -120,8 +120,17 @@
     }
     assertEquals(CLERKS * CALLS_PER_CLERK, outcomes.size());
     System.out.println(
-        what + ": calls " + outcomes.size() + ", sends " + sends + ", ran "
-            + record.size() + ", outcome unknown " + unknown + ", not run " + notRun
+        what
+            + ": calls "
+            + outcomes.size()
+            + ", sends "
+            + sends
+            + ", ran "
+            + record.size()
+            + ", outcome unknown "
+            + unknown
+            + ", not run "
+            + notRun
             + ", run twice 0");
   }
 
--- a/systemtests/src/test/java/dev/caroblb/systemtests/IsolatedLeaderTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/IsolatedLeaderTest.java
@@ -39,8 +39,7 @@
   }
 
   private String controlLeader() throws Exception {
-    Wait.until(
-        "a control leader", ORDER_MS, () -> probe.leader("entry-1", "control").isPresent());
+    Wait.until("a control leader", ORDER_MS, () -> probe.leader("entry-1", "control").isPresent());
     return probe.leader("entry-1", "control").orElseThrow();
   }
 
@@ -75,8 +74,14 @@
       }
       long secondTerm = engineState(ignoring).path("fencing").asLong();
       System.out.println(
-          "leader " + frozen + " frozen: fencing token " + firstTerm + " then " + secondTerm
-              + ", late orders " + late);
+          "leader "
+              + frozen
+              + " frozen: fencing token "
+              + firstTerm
+              + " then "
+              + secondTerm
+              + ", late orders "
+              + late);
       assertTrue(secondTerm > firstTerm, "the successor used no larger fencing token");
       assertEquals(0, late, "late orders");
     }
--- a/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
@@ -67,8 +67,7 @@
           JsonNode entries = answer.path("entries");
           address = entries.path(number % entries.size()).path("address").asText();
           keepUntilNanos =
-              System.nanoTime()
-                  + TimeUnit.MILLISECONDS.toNanos(answer.path("keep_ms").asLong());
+              System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(answer.path("keep_ms").asLong());
         }
         call(address);
       }
@@ -97,8 +96,7 @@
 
   private void call(String address) throws InterruptedException {
     try {
-      TestCaller.Stream stream =
-          CALLER.stream(address, WORKSPACE, "plan", PROMPT, sequence -> {});
+      TestCaller.Stream stream = CALLER.stream(address, WORKSPACE, "plan", PROMPT, sequence -> {});
       if (stream.complete()) {
         complete.incrementAndGet();
       } else if (stream.status() == 200) {
@@ -145,8 +143,15 @@
       }
       executor.shutdown();
       System.out.println(
-          "restart of " + cluster.names().size() + " instances in turn: complete " + complete
-              + ", cut " + cut + ", refused " + refused + ", refused connections "
+          "restart of "
+              + cluster.names().size()
+              + " instances in turn: complete "
+              + complete
+              + ", cut "
+              + cut
+              + ", refused "
+              + refused
+              + ", refused connections "
               + refusedConnections);
       assertEquals(0, cut.get(), "cut");
       assertEquals(0, refusedConnections.get(), "refused connections");
@@ -174,8 +179,12 @@
       }
       executor.shutdown();
       System.out.println(
-          "target left: last new work " + lastWorkMs + " ms after its notice, calls complete "
-              + complete + ", cut " + cut);
+          "target left: last new work "
+              + lastWorkMs
+              + " ms after its notice, calls complete "
+              + complete
+              + ", cut "
+              + cut);
       assertTrue(lastWorkMs <= LAST_WORK_MS, () -> "new work after " + lastWorkMs + " ms");
       assertEquals(0, cut.get(), "cut");
     }
--- a/systemtests/src/test/java/dev/caroblb/systemtests/PublishFailureTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PublishFailureTest.java
@@ -96,8 +96,15 @@
       cluster.start(killed);
       probe.awaitConfiguration(LAST);
       System.out.println(
-          "publishes sent by two operators: " + 2 * (LAST - 1) + ", accepted a=" + acceptedA
-              + " b=" + acceptedB + ", killed leader " + killed + ", lost 0, reverted 0");
+          "publishes sent by two operators: "
+              + 2 * (LAST - 1)
+              + ", accepted a="
+              + acceptedA
+              + " b="
+              + acceptedB
+              + ", killed leader "
+              + killed
+              + ", lost 0, reverted 0");
     }
 
     private Callable<Integer> operator(
@@ -130,7 +137,10 @@
       assertEquals("in_force", outcome);
       probe.awaitConfiguration(7);
       System.out.println(
-          "disks lost 2, replaced after " + firstMs + " ms and " + secondMs
+          "disks lost 2, replaced after "
+              + firstMs
+              + " ms and "
+              + secondMs
               + " ms, accepted 7, lost 0");
     }
 
@@ -145,10 +155,10 @@
           CONTROL_BACK_MS,
           () ->
               probe
-                  .group(name, "control")
-                  .filter(group -> group.path("committed").asLong() > 0)
-                  .filter(group -> group.path("members").size() == 3)
-                  .isPresent()
+                      .group(name, "control")
+                      .filter(group -> group.path("committed").asLong() > 0)
+                      .filter(group -> group.path("members").size() == 3)
+                      .isPresent()
                   && probe
                       .group(observer, "control")
                       .filter(group -> group.path("members").size() == 3)
@@ -191,8 +201,13 @@
       cluster.startAll();
       probe.awaitConfiguration(last);
       System.out.println(
-          "restart of all after " + accepted + " accepted publishes: number " + last
-              + " in force again after " + Wait.elapsedMs(startedNanos) + " ms");
+          "restart of all after "
+              + accepted
+              + " accepted publishes: number "
+              + last
+              + " in force again after "
+              + Wait.elapsedMs(startedNanos)
+              + " ms");
       assertTrue(accepted >= 200, "only " + accepted + " publishes were accepted");
     }
   }
@@ -209,7 +224,8 @@
         assertTrue(probe.status(name).path("configuration").asLong() >= 2, name);
       }
       assertTrue(toldMs <= IN_FORCE_MS, () -> "told after " + toldMs + " ms");
-      System.out.println("publish in force on " + cluster.names().size() + " after " + toldMs + " ms");
+      System.out.println(
+          "publish in force on " + cluster.names().size() + " after " + toldMs + " ms");
     }
 
     /** Guards against a cut-off instance that goes on admitting under an old configuration. */
--- a/systemtests/src/test/java/dev/caroblb/systemtests/StreamFailureTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/StreamFailureTest.java
@@ -76,7 +76,10 @@
       assertEquals(TOKENS, rest.lastSequence());
       assertTrue(rest.complete(), () -> "no completion: " + rest.finalEvent());
       System.out.println(
-          "entry killed after " + first.tokens().size() + " tokens, resumed " + rest.tokens().size()
+          "entry killed after "
+              + first.tokens().size()
+              + " tokens, resumed "
+              + rest.tokens().size()
               + ", lost 0, repeated 0");
       cluster.start("entry-3");
     }
@@ -96,7 +99,10 @@
       assertEquals("interrupted", stream.finalEvent().get().path("status").asText());
       assertTrue(stream.finalEvent().get().path("ran").asBoolean());
       System.out.println(
-          "engine killed after " + stream.tokens().size() + " tokens: " + stream.finalEvent().get());
+          "engine killed after "
+              + stream.tokens().size()
+              + " tokens: "
+              + stream.finalEvent().get());
     }
   }
 }
