--- a/agreement/src/main/java/dev/caroblb/agreement/AgreementHandler.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/AgreementHandler.java
@@ -72,8 +72,8 @@
   @Override
   public void handle(AgreementMessage message, long time) {
     nowMs = time;
-    if (stopped && message instanceof AgreementMessage.Propose propose) {
-      refuse(propose.reply());
+    if (stopped) {
+      answerStopped(message);
       return;
     }
     guard(() -> dispatch(message));
@@ -140,6 +140,15 @@
     }
   }
 
+  /** A stopped replica takes part in nothing, but leaves no question without an answer. */
+  private void answerStopped(AgreementMessage message) {
+    if (message instanceof AgreementMessage.Propose propose) {
+      refuse(propose.reply());
+    } else if (message instanceof AgreementMessage.QueryStatus query) {
+      query.reply().offer(status());
+    }
+  }
+
   private void dispatch(JournalEvent event) {
     if (event instanceof JournalEvent.Synced synced) {
       group(synced.group()).ifPresent(group -> group.synced(synced.sequence(), nowMs));
--- a/agreement/src/main/java/dev/caroblb/agreement/Backlog.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/Backlog.java
@@ -2,7 +2,10 @@
 
 import dev.caroblb.core.Outlet;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.IdentityHashMap;
+import java.util.Set;
 
 /** Keeps what full rings refused, in order, until it is offered again. */
 final class Backlog<T> implements Outlet<T> {
@@ -28,16 +31,17 @@
     waiting.add(new Refused<>(target, message));
   }
 
-  /** Offers waiting messages again; each is tried once. */
+  /** Offers waiting messages again; a destination that refuses one gets no later one before it. */
   void retry() {
+    Set<Outlet<T>> full = Collections.newSetFromMap(new IdentityHashMap<>());
     int tries = waiting.size();
     for (int i = 0; i < tries; i++) {
-      Refused<T> first = waiting.remove();
-      if (first.target().offer(first.message())) {
+      Refused<T> next = waiting.remove();
+      if (!full.contains(next.target()) && next.target().offer(next.message())) {
         continue;
       }
-      waiting.addFirst(first);
-      return;
+      full.add(next.target());
+      waiting.add(next);
     }
   }
 
--- a/agreement/src/main/java/dev/caroblb/agreement/FollowerLog.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/FollowerLog.java
@@ -34,7 +34,7 @@
     if (!fresh.isEmpty()) {
       replaceFrom(fresh);
     }
-    verify(Math.max(previous, previous + request.entries().size()));
+    verify(previous + request.entries().size());
     applier.commitTo(Math.max(applier.commitIndex(), commitFor(request)));
     return Optional.empty();
   }
--- a/agreement/src/test/java/dev/caroblb/agreement/JournalFailureTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/JournalFailureTest.java
@@ -120,6 +120,18 @@
 
   @Nested
   class WhenAReplyRingIsFull {
+    /** Guards against one full ring that holds up the outcomes for others. */
+    @Test
+    void otherRingsGetTheirOutcomes() {
+      run(5_000);
+      repliesHaveRoom = false;
+      propose("a");
+      run(100);
+      handle(new AgreementMessage.Propose(GROUP, Payload.ofText("b"), outcomes::add));
+      run(100);
+      assertEquals(List.of(new ProposalOutcome.Applied(Payload.ofText("position 2"))), outcomes);
+    }
+
     /** Guards against an outcome that is lost although the proposer waits for it. */
     @Test
     void theOutcomeIsOfferedAgain() {
