--- a/bench/src/main/java/dev/caroblb/bench/DecisionCost.java
+++ b/bench/src/main/java/dev/caroblb/bench/DecisionCost.java
@@ -98,7 +98,7 @@
         "127.0.0.1:1",
         List.of("llm"),
         TargetState.AVAILABLE,
-        Optional.of(new LoadReport(8, 0, 400 + number % 200, 981, 0, 100)));
+        Optional.of(new LoadReport(4, 0, 150 + number % 100, 981, 0, 100)));
   }
 
   private static PlacementRequest request(long call) {
--- a/placement/src/main/java/dev/caroblb/placement/PlacementHandler.java
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementHandler.java
@@ -53,6 +53,7 @@
     Optional<Generation> generation =
         policy.place(request, nowMs).flatMap(placement -> start(request, placement, nowMs));
     if (generation.isEmpty()) {
+      policy.declined(request, nowMs);
       boolean known = !fleet.serving(request.kind()).isEmpty();
       emit(new PlacementOutcome.NoCapacity(request.call(), known, RETRY_AFTER_MS));
       return;
--- a/placement/src/main/java/dev/caroblb/placement/PlacementPolicy.java
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementPolicy.java
@@ -14,6 +14,9 @@
   /** A call was placed. */
   default void placed(Generation generation, long nowMs) {}
 
+  /** A call found no target and waits. */
+  default void declined(PlacementRequest request, long nowMs) {}
+
   /** A generation produced tokens; {@code previousTokens} is the count reported before. */
   default void progressed(Generation generation, int previousTokens, long nowMs) {}
 
--- a/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
+++ b/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
@@ -57,9 +57,6 @@
       costs[i] = cost(shortlist[i], request, maxRisk, rivals);
       best = Math.min(best, costs[i]);
     }
-    if (!shortCall) {
-      rest.tried(best < Double.MAX_VALUE);
-    }
     if (best == Double.MAX_VALUE) {
       return Optional.empty();
     }
@@ -146,10 +143,17 @@
     SurvivalCurve curve = lengths.curve(request.kind(), request.callName(), request.workspace());
     if (curve.expectedRemaining(0) >= SHORT_TOKENS) {
       generation.target().forecast.claimed();
+      others(request.kind()).tried(true);
     }
     forecast(generation.target(), nowMs);
   }
 
+  @Override
+  public void declined(PlacementRequest request, long nowMs) {
+    // Short calls are declined only where no target is eligible, which says nothing about room.
+    others(request.kind()).tried(false);
+  }
+
   @Override
   public void progressed(Generation generation, int previousTokens, long nowMs) {
     lengths.grew(generation.request(), previousTokens, generation.tokens());
