--- a/streams/src/main/java/dev/caroblb/streams/CallerBuffer.java
+++ b/streams/src/main/java/dev/caroblb/streams/CallerBuffer.java
@@ -17,7 +17,11 @@
     this.lastProgressMs = nowMs;
   }
 
-  void add(CallerEvent event) {
+  /** Adds an event; the caller has the whole stall limit to take the first one that waits. */
+  void add(CallerEvent event, long nowMs) {
+    if (waiting.isEmpty()) {
+      lastProgressMs = nowMs;
+    }
     waiting.addLast(event);
   }
 
@@ -44,9 +48,11 @@
     caller = event -> true;
   }
 
-  /** Drops what waits, so that a final event is the next one. */
-  void dropWaiting() {
+  /** Drops the tokens that wait, so that a final event is the next one; returns their number. */
+  int dropTokens() {
+    int dropped = waiting.size();
     waiting.clear();
+    return dropped;
   }
 
   /** Time since the caller last took everything or something. */
--- a/streams/src/main/java/dev/caroblb/streams/GenerationCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/GenerationCall.java
@@ -1,13 +1,11 @@
 package dev.caroblb.streams;
 
-import dev.caroblb.core.CallRequest;
 import dev.caroblb.core.GenerationId;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
-import dev.caroblb.core.WorkspaceId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -19,23 +17,16 @@
 final class GenerationCall implements RunningCall {
   private static final long PROGRESS_MS = 100;
 
-  private final long id;
-  private final Optional<CallRequest> call;
-  private final WorkspaceId workspace;
-  private final Endpoint endpoint;
-  private final GenerationId generation;
-  private final int enginePriority;
-  private final long deadlineMs;
+  private final GenerationOrigin origin;
   private final StreamScope scope;
   private final CallerBuffer caller;
   private final TokenSequence sequence;
   private final ResumeBudget resumes = new ResumeBudget();
   private final List<Payload> collected = new ArrayList<>();
-  private final boolean streams;
-  private final long firstSequence;
 
   private long link;
   private boolean batchHeld;
+  private boolean resumed;
   private boolean engineDone;
   private boolean finished;
   private long lastEngineMs;
@@ -43,84 +34,39 @@
   private long lastProgressMs;
   private Optional<Long> abandonedAtMs = Optional.empty();
 
-  /** A new generation for a call. */
   GenerationCall(
-      StreamsMessage.Start start, GenerationId generation, StreamScope scope, long nowMs) {
-    this(
-        start.call().id(),
-        Optional.of(start.call()),
-        start.call().workspace(),
-        start.endpoint(),
-        generation,
-        start.enginePriority(),
-        0,
-        start.call().deadlineMs(),
-        start.caller(),
-        scope,
-        nowMs);
-  }
-
-  /** A generation that the caller continues after a lost connection. */
-  GenerationCall(StreamsMessage.ResumeRequested resume, StreamScope scope, long nowMs) {
-    this(
-        resume.id(),
-        Optional.empty(),
-        resume.workspace(),
-        resume.endpoint(),
-        resume.generation(),
-        0,
-        resume.afterSequence(),
-        resume.deadlineMs(),
-        resume.caller(),
-        scope,
-        nowMs);
-  }
-
-  private GenerationCall(
-      long id,
-      Optional<CallRequest> call,
-      WorkspaceId workspace,
-      Endpoint endpoint,
-      GenerationId generation,
-      int enginePriority,
-      long afterSequence,
-      long deadlineMs,
-      Outlet<CallerEvent> caller,
-      StreamScope scope,
-      long nowMs) {
-    this.id = id;
-    this.call = call;
-    this.workspace = workspace;
-    this.endpoint = endpoint;
-    this.generation = generation;
-    this.enginePriority = enginePriority;
-    this.firstSequence = afterSequence;
-    this.deadlineMs = deadlineMs;
+      GenerationOrigin origin, Outlet<CallerEvent> caller, StreamScope scope, long nowMs) {
+    this.origin = origin;
     this.scope = scope;
     this.caller = new CallerBuffer(caller, nowMs);
-    this.sequence = new TokenSequence(afterSequence);
-    this.streams = call.map(c -> c.policy().streams()).orElse(true);
+    this.sequence = new TokenSequence(origin.afterSequence());
     this.lastEngineMs = nowMs;
     this.lastTokenMs = nowMs;
   }
 
   @Override
   public long id() {
-    return id;
+    return origin.id();
   }
 
   GenerationId generation() {
-    return generation;
+    return origin.generation();
   }
 
   @Override
   public void start(long nowMs) {
-    if (call.isEmpty()) {
+    if (origin.call().isEmpty()) {
       resumeLink(nowMs);
       return;
     }
     link = scope.links().open(this);
-    scope.send(new EngineCommand.Generate(link, endpoint, generation, enginePriority, call.get()));
+    scope.send(
+        new EngineCommand.Generate(
+            link,
+            origin.endpoint(),
+            origin.generation(),
+            origin.enginePriority(),
+            origin.call().get()));
   }
 
   @Override
@@ -143,11 +89,11 @@
   }
 
   private void reportProgress(long nowMs) {
-    if (call.isEmpty() || nowMs - lastProgressMs < PROGRESS_MS) {
+    if (origin.call().isEmpty() || nowMs - lastProgressMs < PROGRESS_MS) {
       return;
     }
     lastProgressMs = nowMs;
-    scope.progress(id, sequence.last());
+    scope.progress(origin.id(), sequence.last());
   }
 
   /** Processes one event; false when the rest of the batch belongs to a link that was given up. */
@@ -156,7 +102,7 @@
       return onToken(token, nowMs);
     }
     if (event instanceof EngineEvent.Done) {
-      onDone();
+      onDone(nowMs);
       return false;
     }
     if (event instanceof EngineEvent.Rejected rejected) {
@@ -183,54 +129,73 @@
   }
 
   private void acceptToken(EngineEvent.Token token, long nowMs) {
-    if (sequence.last() == firstSequence + 1) {
+    if (sequence.last() == origin.afterSequence() + 1) {
       scope.observer().firstToken(nowMs - lastTokenMs);
     } else {
       scope.observer().nextToken(nowMs - lastTokenMs);
     }
     lastTokenMs = nowMs;
-    if (streams) {
-      caller.add(new CallerEvent.Token(generation, token.sequence(), token.data()));
+    if (origin.streams()) {
+      caller.add(new CallerEvent.Token(origin.generation(), token.sequence(), token.data()), nowMs);
     } else {
       collected.add(token.data());
     }
   }
 
-  private void onDone() {
+  private void onDone(long nowMs) {
     engineDone = true;
     caller.add(
-        streams
-            ? new CallerEvent.Completed(generation, sequence.last())
-            : new CallerEvent.Whole(generation, collected));
+        origin.streams()
+            ? new CallerEvent.Completed(origin.generation(), sequence.last())
+            : new CallerEvent.Whole(origin.generation(), collected),
+        nowMs);
     closeLink();
     scope.report(outcome(Optional.empty(), false));
   }
 
   private void onRejected(EngineEvent.Rejected rejected, long nowMs) {
     closeLink();
-    if (call.isPresent() && nothingDelivered()) {
+    if (abandonedAtMs.isPresent()) {
+      endUnheard();
+      return;
+    }
+    if (origin.call().isPresent() && nothingDelivered() && !mayHaveRun()) {
       handBack(RefusalReason.TARGET_REFUSED, rejected.message());
       return;
     }
+    if (nothingDelivered() && origin.repeatable()) {
+      cancel();
+      handBack(RefusalReason.CONNECTION_LOST, rejected.message());
+      return;
+    }
     interrupt(
         Refusal.of(
-            call.isEmpty() && nothingDelivered()
-                ? RefusalReason.UNKNOWN_GENERATION
-                : RefusalReason.TARGET_LOST,
+            rejectedResume(),
             "the engine refused to resume generation "
-                + generation
+                + origin.generation()
                 + " with status "
                 + rejected.status()),
         nowMs);
   }
 
+  /** A refused resume does not prove that the generation did not run. */
+  private RefusalReason rejectedResume() {
+    if (!nothingDelivered()) {
+      return RefusalReason.TARGET_LOST;
+    }
+    return origin.call().isEmpty()
+        ? RefusalReason.UNKNOWN_GENERATION
+        : RefusalReason.CONNECTION_LOST;
+  }
+
   private void onFailed(EngineEvent.Failed failed, long nowMs) {
     if (abandonedAtMs.isPresent()) {
       // Another link to the same generation replaces this one when the caller resumed elsewhere.
-      supersede();
+      closeLink();
+      endUnheard();
       return;
     }
-    if (call.isPresent() && nothingDelivered()) {
+    if (origin.call().isPresent() && nothingDelivered()) {
       failedBeforeFirstToken(failed, nowMs);
       return;
     }
@@ -238,14 +203,14 @@
   }
 
   private void failedBeforeFirstToken(EngineEvent.Failed failed, long nowMs) {
-    if (!failed.written()) {
+    if (!failed.written() && !mayHaveRun()) {
       closeLink();
       handBack(RefusalReason.TARGET_UNREACHABLE, failed.cause());
       return;
     }
-    if (call.orElseThrow().policy().repeatable()) {
+    if (origin.repeatable()) {
       closeLink();
-      scope.send(new EngineCommand.Cancel(endpoint, generation));
+      cancel();
       handBack(RefusalReason.CONNECTION_LOST, failed.cause());
       return;
     }
@@ -254,20 +219,29 @@
 
   /** Lets admission place the call again or refuse it; nothing was delivered. */
   private void handBack(RefusalReason reason, String cause) {
-    scope.log("call.handed_back", id, endpoint, reason, cause);
+    scope.log("call.handed_back", origin.id(), origin.endpoint(), reason, cause);
     finished = true;
     scope.report(outcome(Optional.of(reason), true));
   }
 
+  private void cancel() {
+    scope.send(new EngineCommand.Cancel(origin.endpoint(), origin.generation()));
+  }
+
+  private boolean mayHaveRun() {
+    return resumed || sequence.last() > origin.afterSequence();
+  }
+
   private boolean nothingDelivered() {
-    return !streams || sequence.last() == firstSequence;
+    return !origin.streams() || sequence.last() == origin.afterSequence();
   }
 
   private void resumeOrInterrupt(RetryReason retry, RefusalReason reason, long nowMs) {
     closeLink();
     if (!resumes.take(nowMs)) {
-      scope.send(new EngineCommand.Cancel(endpoint, generation));
-      interrupt(Refusal.of(reason, "generation " + generation + " could not be resumed"), nowMs);
+      cancel();
+      interrupt(
+          Refusal.of(reason, "generation " + origin.generation() + " could not be resumed"), nowMs);
       return;
     }
     scope.observer().retried(retry);
@@ -275,25 +249,35 @@
   }
 
   private void resumeLink(long nowMs) {
+    resumed = true;
     lastEngineMs = nowMs;
     link = scope.links().open(this);
-    scope.send(new EngineCommand.Resume(link, endpoint, generation, workspace, sequence.last()));
+    scope.send(
+        new EngineCommand.Resume(
+            link, origin.endpoint(), origin.generation(), origin.workspace(), sequence.last()));
   }
 
   private void interrupt(Refusal refusal, long nowMs) {
+    interruptAfter(sequence.last(), refusal, nowMs);
+  }
+
+  private void interruptAfter(long lastSequence, Refusal refusal, long nowMs) {
     closeLink();
     engineDone = true;
-    scope.log("call.interrupted", id, endpoint, refusal.reason(), refusal.message());
+    scope.log(
+        "call.interrupted", origin.id(), origin.endpoint(), refusal.reason(), refusal.message());
     caller.add(
-        streams && sequence.last() > firstSequence
-            ? new CallerEvent.Interrupted(generation, sequence.last(), refusal)
-            : new CallerEvent.Refused(refusal));
+        origin.streams() && lastSequence > origin.afterSequence()
+            ? new CallerEvent.Interrupted(origin.generation(), lastSequence, refusal)
+            : new CallerEvent.Refused(refusal),
+        nowMs);
     scope.report(outcome(Optional.of(refusal.reason()), false));
     deliver(nowMs);
   }
 
   private CallOutcome outcome(Optional<RefusalReason> refusal, boolean retry) {
-    return new CallOutcome(call, endpoint, sequence.last() - firstSequence, refusal, retry);
+    return new CallOutcome(
+        origin.call(), origin.endpoint(), sequence.last() - origin.afterSequence(), refusal, retry);
   }
 
   private void deliver(long nowMs) {
@@ -336,8 +320,21 @@
   }
 
   /** Ends this call without touching the generation, because the caller resumed it. */
-  void supersede() {
-    closeLink();
+  void supersede(long nowMs) {
+    if (engineDone) {
+      return;
+    }
+    if (abandonedAtMs.isPresent()) {
+      closeLink();
+      endUnheard();
+      return;
+    }
+    interrupt(
+        Refusal.of(RefusalReason.CALLER_STALLED, "the generation was resumed elsewhere"), nowMs);
+  }
+
+  /** Ends a call whose caller went away. */
+  private void endUnheard() {
     scope.report(outcome(Optional.of(RefusalReason.CALLER_STALLED), false));
     finished = true;
   }
@@ -352,15 +349,16 @@
       endAbandoned(nowMs);
       return;
     }
-    if (nowMs >= deadlineMs) {
-      scope.send(new EngineCommand.Cancel(endpoint, generation));
+    if (nowMs >= origin.deadlineMs()) {
+      cancel();
       interrupt(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the deadline passed"), nowMs);
       return;
     }
     if (caller.stalledMs(nowMs) >= scope.limits().callerStallMs()) {
-      scope.send(new EngineCommand.Cancel(endpoint, generation));
-      caller.dropWaiting();
-      interrupt(Refusal.of(RefusalReason.CALLER_STALLED, "the caller read nothing"), nowMs);
+      cancel();
+      long lastTaken = sequence.last() - caller.dropTokens();
+      interruptAfter(
+          lastTaken, Refusal.of(RefusalReason.CALLER_STALLED, "the caller read nothing"), nowMs);
       return;
     }
     if (!batchHeld && nowMs - lastEngineMs >= scope.limits().engineStallMs()) {
@@ -383,13 +381,15 @@
       return;
     }
     closeLink();
-    scope.send(new EngineCommand.Cancel(endpoint, generation));
-    scope.report(outcome(Optional.of(RefusalReason.CALLER_STALLED), false));
-    finished = true;
+    cancel();
+    endUnheard();
   }
 
   @Override
   public void onStop(long nowMs) {
+    if (engineDone) {
+      return;
+    }
     interrupt(Refusal.of(RefusalReason.STOPPING, "the entry instance stops"), nowMs);
   }
 
--- a/streams/src/main/java/dev/caroblb/streams/RunningCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/RunningCall.java
@@ -34,10 +34,10 @@
   default void onKeyGranted(long nowMs) {}
 
   /** The call has a stored outcome. */
-  default void onKeyOutcome(int status, String contentType, Payload body) {}
+  default void onKeyOutcome(int status, String contentType, Payload body, long nowMs) {}
 
   /** The key cannot be used. */
-  default void onKeyRefused(Refusal refusal) {}
+  default void onKeyRefused(Refusal refusal, long nowMs) {}
 
   /** The reservation was given back, durably when {@code committed}. */
   default void onKeyReleased(boolean committed, long nowMs) {}
--- a/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
@@ -19,6 +19,12 @@
     ANSWERED
   }
 
+  /**
+   * Time after the deadline for the answer about the key. The idempotency duty ends an unanswered
+   * reservation at the deadline; its answer then needs a tick and a ring. Chosen, not measured.
+   */
+  private static final long RELEASE_GRACE_MS = 1_000;
+
   private final CallRequest call;
   private final Endpoint endpoint;
   private final StreamScope scope;
@@ -28,6 +34,7 @@
   private long link;
   private Optional<Refusal> releaseRefusal = Optional.empty();
   private Optional<KeyCommand> unsentKeyCommand = Optional.empty();
+  private long releaseEndsMs;
   private boolean reported;
   private boolean finished;
 
@@ -68,26 +75,31 @@
       return;
     }
     if (nowMs >= call.deadlineMs()) {
-      release(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the deadline passed"));
+      release(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the deadline passed"), nowMs);
       return;
     }
     sendCall();
   }
 
   @Override
-  public void onKeyOutcome(int status, String contentType, Payload body) {
-    if (state == State.RESERVING) {
-      answer(new CallerEvent.Answer(status, contentType, body, true), call.deadlineMs());
+  public void onKeyOutcome(int status, String contentType, Payload body, long nowMs) {
+    if (keyUndecided()) {
+      answer(new CallerEvent.Answer(status, contentType, body, true), nowMs);
     }
   }
 
   @Override
-  public void onKeyRefused(Refusal refusal) {
-    if (state == State.RESERVING) {
-      answer(new CallerEvent.Refused(refusal), call.deadlineMs());
+  public void onKeyRefused(Refusal refusal, long nowMs) {
+    if (keyUndecided()) {
+      answer(new CallerEvent.Refused(refusal), nowMs);
     }
   }
 
+  /** Whether the duty of the keys may still say what became of the key before anything was sent. */
+  private boolean keyUndecided() {
+    return state == State.RESERVING || state == State.RELEASING;
+  }
+
   @Override
   public void onKeyReleased(boolean committed, long nowMs) {
     if (state != State.RELEASING) {
@@ -111,7 +123,7 @@
         return;
       }
       if (event instanceof EngineEvent.Rejected rejected) {
-        onNotRun(RefusalReason.TARGET_REFUSED, rejected.message());
+        onNotRun(RefusalReason.TARGET_REFUSED, rejected.message(), nowMs);
         return;
       }
       if (event instanceof EngineEvent.Failed failed) {
@@ -135,7 +147,7 @@
 
   private void onFailed(EngineEvent.Failed failed, long nowMs) {
     if (!failed.written()) {
-      onNotRun(RefusalReason.TARGET_UNREACHABLE, failed.cause());
+      onNotRun(RefusalReason.TARGET_UNREACHABLE, failed.cause(), nowMs);
       return;
     }
     closeLink();
@@ -147,14 +159,14 @@
     refuse(Refusal.of(RefusalReason.CONNECTION_LOST, failed.cause()), nowMs);
   }
 
-  private void onNotRun(RefusalReason reason, String cause) {
+  private void onNotRun(RefusalReason reason, String cause, long nowMs) {
     closeLink();
     if (call.idempotencyKey().isEmpty()) {
       handBack(reason);
       return;
     }
     report(Optional.of(reason), false);
-    release(Refusal.of(reason, cause));
+    release(Refusal.of(reason, cause), nowMs);
   }
 
   private void handBack(RefusalReason reason) {
@@ -162,8 +174,9 @@
     report(Optional.of(reason), true);
   }
 
-  private void release(Refusal refusal) {
+  private void release(Refusal refusal, long nowMs) {
     state = State.RELEASING;
+    releaseEndsMs = Math.max(call.deadlineMs(), nowMs + RELEASE_GRACE_MS);
     releaseRefusal = Optional.of(refusal);
     sendKeyCommand(new KeyCommand.Release(call));
   }
@@ -194,7 +207,7 @@
             ? Optional.of(refused.refusal().reason())
             : Optional.empty(),
         false);
-    caller.add(event);
+    caller.add(event, nowMs);
     deliver(nowMs);
   }
 
@@ -231,35 +244,36 @@
       deliver(nowMs);
       return;
     }
-    if (nowMs < call.deadlineMs()) {
-      return;
+    if (nowMs >= (state == State.RELEASING ? releaseEndsMs : call.deadlineMs())) {
+      endAtDeadline(nowMs);
     }
-    endAtDeadline(nowMs);
   }
 
   private void endAtDeadline(long nowMs) {
-    switch (state) {
-      case RESERVING -> {
-        sendKeyCommand(new KeyCommand.Release(call));
-        refuse(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the key was not reserved"), nowMs);
-      }
-      case SENT -> {
-        closeLink();
-        if (call.idempotencyKey().isPresent()) {
-          sendKeyCommand(new KeyCommand.OutcomeLost(call));
-        }
-        refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the deadline passed"), nowMs);
+    if (state == State.RESERVING) {
+      // An earlier run may hold the key, so that "not run" has to wait for the release.
+      release(Refusal.of(RefusalReason.DEADLINE_BEFORE_START, "the key was not reserved"), nowMs);
+      return;
+    }
+    endUnknown("the deadline passed", nowMs);
+  }
+
+  private void endUnknown(String cause, long nowMs) {
+    if (state == State.SENT) {
+      closeLink();
+      if (call.idempotencyKey().isPresent()) {
+        sendKeyCommand(new KeyCommand.OutcomeLost(call));
       }
-      case RELEASING ->
-          refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, "the key was not released"), nowMs);
-      case ANSWERED -> deliver(nowMs);
+    } else if (state == State.RESERVING) {
+      sendKeyCommand(new KeyCommand.Release(call));
     }
+    refuse(Refusal.of(RefusalReason.DEADLINE_AFTER_START, cause), nowMs);
   }
 
   @Override
   public void onStop(long nowMs) {
     if (state != State.ANSWERED) {
-      endAtDeadline(nowMs);
+      endUnknown("the entry instance stops", nowMs);
     }
   }
 
--- a/streams/src/main/java/dev/caroblb/streams/StreamScope.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamScope.java
@@ -2,12 +2,14 @@
 
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.RefusalReason;
+import java.util.ArrayDeque;
 
 /** What running calls share: links, outlets, limits, measurements. */
 final class StreamScope {
   private static final System.Logger LOGGER = System.getLogger(StreamScope.class.getName());
 
   private final Links links = new Links();
+  private final ArrayDeque<CallOutcome> unreported = new ArrayDeque<>();
   private final StreamOutlets outlets;
   private final StreamLimits limits;
   private final StreamObserver observer;
@@ -39,8 +41,17 @@
     return outlets.keys().offer(command);
   }
 
+  /** Reports an outcome; one that is refused is kept, since it frees a slot of admission. */
   void report(CallOutcome outcome) {
-    outlets.outcomes().offer(outcome);
+    unreported.addLast(outcome);
+    reportAgain();
+  }
+
+  /** Offers the outcomes again that were refused. There is at most one for each call. */
+  void reportAgain() {
+    while (!unreported.isEmpty() && outlets.outcomes().offer(unreported.peekFirst())) {
+      unreported.removeFirst();
+    }
   }
 
   /** Only a hint for placement; the next one replaces a lost one. */
--- a/streams/src/main/java/dev/caroblb/streams/StreamsHandler.java
+++ b/streams/src/main/java/dev/caroblb/streams/StreamsHandler.java
@@ -65,9 +65,9 @@
     } else if (message instanceof StreamsMessage.KeyOutcome stored) {
       withCall(
           stored.call(),
-          call -> call.onKeyOutcome(stored.status(), stored.contentType(), stored.body()));
+          call -> call.onKeyOutcome(stored.status(), stored.contentType(), stored.body(), nowMs));
     } else if (message instanceof StreamsMessage.KeyRefused refused) {
-      withCall(refused.call(), call -> call.onKeyRefused(refused.refusal()));
+      withCall(refused.call(), call -> call.onKeyRefused(refused.refusal(), nowMs));
     } else if (message instanceof StreamsMessage.KeyReleased released) {
       withCall(released.call(), call -> call.onKeyReleased(released.committed(), nowMs));
     }
@@ -81,17 +81,22 @@
     Endpoint endpoint = start.endpoint();
     GenerationId generation =
         new GenerationId(endpoint.target(), endpoint.incarnation(), generationSuffix.get());
-    addGeneration(new GenerationCall(start, generation, scope, nowMs), nowMs);
+    addGeneration(
+        new GenerationCall(GenerationOrigin.of(start, generation), start.caller(), scope, nowMs),
+        nowMs);
   }
 
   private void resume(StreamsMessage.ResumeRequested resume, long nowMs) {
-    Optional.ofNullable(generations.get(resume.generation())).ifPresent(this::supersede);
-    addGeneration(new GenerationCall(resume, scope, nowMs), nowMs);
+    Optional.ofNullable(generations.get(resume.generation()))
+        .ifPresent(call -> supersede(call, nowMs));
+    addGeneration(
+        new GenerationCall(GenerationOrigin.of(resume), resume.caller(), scope, nowMs), nowMs);
   }
 
-  private void supersede(GenerationCall call) {
-    call.supersede();
-    remove(call);
+  /** The superseded call stays until its caller took the final event. */
+  private void supersede(GenerationCall call, long nowMs) {
+    call.supersede(nowMs);
+    removeIfFinished(call);
   }
 
   private void addGeneration(GenerationCall call, long nowMs) {
@@ -146,6 +151,7 @@
   @Override
   public void tick(long nowMs) {
     nextTickMs = nowMs + TICK_MS;
+    scope.reportAgain();
     for (RunningCall call : new ArrayList<>(calls.values())) {
       call.onTick(nowMs);
       removeIfFinished(call);
