--- a/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
@@ -38,10 +38,10 @@
         Channels.closeQuietly(channel);
         return;
       }
-      Optional<ByteBuffer> frame = splitter.next();
+      Optional<ByteBuffer> frame = nextFrame();
       while (frame.isPresent()) {
         process(frame.get());
-        frame = splitter.next();
+        frame = nextFrame();
       }
     } catch (IOException e) {
       LOGGER.log(
@@ -51,6 +51,15 @@
     }
   }
 
+  private Optional<ByteBuffer> nextFrame() throws IOException {
+    try {
+      return splitter.next();
+    } catch (IOException e) {
+      counters.malformed();
+      throw e;
+    }
+  }
+
   private void process(ByteBuffer bytes) throws IOException {
     if (peer.isEmpty()) {
       greet(bytes);
