Test the HTTP listener and count what the library refuses

The http module had no tests.

Four failed first, each because the listener's observer heard nothing within 10 s: a too long header line, too many headers, a malformed request line, and a connection closed in the middle of the body. HttpCore answers the first three by itself and calls neither an exchange nor the exception callback. RejectionCounter now counts error answers that no exchange sent, and ServerExchange counts a request that ends before its body is complete. The tests also check that each refusal is counted once.

--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
@@ -18,7 +17,6 @@
 /** Accepts HTTP connections and hands whole requests to a {@link RequestHandler}. */
 public final class HttpListener implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(HttpListener.class.getName());
-  private static final int BAD_REQUEST = 400;
   private static final int BACKLOG = 1_024;
 
   private final HttpAsyncServer server;
@@ -51,7 +49,8 @@
                     .setMaxLineLength(limits.maxLineBytes())
                     .setMaxHeaderCount(limits.maxHeaders())
                     .build())
-            .setExceptionCallback(e -> onException(e, observer))
+            .setStreamListener(new RejectionCounter(observer))
+            .setExceptionCallback(HttpListener::onException)
             .register("*", () -> new ServerExchange(limits, handler, observer))
             .setRequestRouter(
                 (request, context) -> () -> new ServerExchange(limits, handler, observer))
@@ -70,10 +69,7 @@
     }
   }
 
-  private static void onException(Exception cause, ListenerObserver observer) {
-    if (cause instanceof HttpException) {
-      observer.rejected(BAD_REQUEST);
-    }
+  private static void onException(Exception cause) {
     LOGGER.log(
         System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
   }
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -16,7 +16,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
-import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
@@ -27,6 +26,7 @@
  * One request and its answer: collects the body up to the limit, buffers output up to the limit.
  */
 final class ServerExchange implements AsyncServerExchangeHandler, Reply {
+  private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
 
@@ -42,6 +42,7 @@
   private DataStreamChannel channel;
   private int outputBytes;
   private boolean tooLarge;
+  private boolean dispatched;
   private boolean ended;
   private boolean endSent;
   private boolean gone;
@@ -95,6 +96,7 @@
   }
 
   private void dispatch() {
+    dispatched = true;
     if (tooLarge) {
       observer.rejected(BODY_TOO_LARGE);
       send(
@@ -131,7 +133,7 @@
   }
 
   private void respond(int status, String contentType, long length, Map<String, String> headers) {
-    BasicHttpResponse response = new BasicHttpResponse(status);
+    ExchangeResponse response = new ExchangeResponse(status);
     headers.forEach(response::addHeader);
     EntityDetails details = new BasicEntityDetails(length, ContentType.parse(contentType));
     try {
@@ -235,6 +237,10 @@
       if (gone || endSent) {
         return;
       }
+      // The library answers an HttpException itself, and that answer is counted.
+      if (head != null && !dispatched && !(cause instanceof HttpException)) {
+        observer.rejected(BAD_REQUEST);
+      }
       gone = true;
       output.clear();
       outputBytes = 0;
--- /dev/null
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -0,0 +1,159 @@
+package dev.caroblb.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.Payload;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Raw connections that break the rules of the listener. */
+class HttpListenerTest {
+  private static final int WAIT_MS = 10_000;
+  private static final HttpLimits LIMITS = new HttpLimits(1_024, 10, 2_048, 30_000, 8_192, 1);
+
+  private final LinkedBlockingQueue<Integer> rejected = new LinkedBlockingQueue<>();
+  private final LinkedBlockingQueue<Reply> streams = new LinkedBlockingQueue<>();
+  private HttpListener listener;
+
+  @BeforeEach
+  void listen() throws IOException {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    listener = HttpListener.start(address, LIMITS, this::answer, rejected::add);
+  }
+
+  @AfterEach
+  void stop() {
+    listener.close();
+  }
+
+  private void answer(IncomingRequest request, Reply reply) {
+    if (request.path().equals("/stream")) {
+      reply.startStream(200, "text/event-stream", Map.of());
+      streams.add(reply);
+      return;
+    }
+    reply.send(200, "text/plain", request.body(), Map.of());
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(4_096);
+    socket.setSoTimeout(WAIT_MS);
+    socket.connect(listener.address(), WAIT_MS);
+    return socket;
+  }
+
+  /** Sends a request on its own connection; the first line of the answer, empty when closed. */
+  private String statusOf(String request) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return firstLine(socket);
+    }
+  }
+
+  private static String firstLine(Socket socket) throws IOException {
+    StringBuilder line = new StringBuilder();
+    int next = socket.getInputStream().read();
+    while (next >= 0 && next != '\r') {
+      line.append((char) next);
+      next = socket.getInputStream().read();
+    }
+    return line.toString();
+  }
+
+  private void assertRefused(String request) throws Exception {
+    String status = statusOf(request);
+    assertTrue(status.isEmpty() || status.startsWith("HTTP/1.1 4"), status);
+    assertNotNull(rejected.poll(WAIT_MS, TimeUnit.MILLISECONDS), "the refusal is not counted");
+    assertServed();
+    assertEquals(0, rejected.size(), "the refusal is counted twice");
+  }
+
+  private void assertServed() throws IOException {
+    assertEquals(
+        "HTTP/1.1 200 OK", statusOf("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"));
+  }
+
+  @Nested
+  class Malformed {
+    /** Guards against memory taken by a header line without end. */
+    @Test
+    void longHeaderLine() throws Exception {
+      assertRefused("GET /x HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(4_000) + "\r\n\r\n");
+    }
+
+    /** Guards against memory taken by headers without end. */
+    @Test
+    void tooManyHeaders() throws Exception {
+      assertRefused("GET /x HTTP/1.1\r\nHost: a\r\n" + "X: y\r\n".repeat(50) + "\r\n");
+    }
+
+    /** Guards against memory taken by a body over the limit. */
+    @Test
+    void tooLargeBody() throws Exception {
+      assertRefused(
+          "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" + "x".repeat(3_000));
+    }
+
+    /** Guards against a request line that stops the listener. */
+    @Test
+    void requestLine() throws Exception {
+      assertRefused("NONSENSE\r\n\r\n");
+    }
+
+    /** Guards against a body that ends early being served, or going unnoticed. */
+    @Test
+    void closedInTheMiddleOfTheBody() throws Exception {
+      try (Socket socket = connect()) {
+        socket
+            .getOutputStream()
+            .write(
+                "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc"
+                    .getBytes(StandardCharsets.US_ASCII));
+        socket.shutdownOutput();
+        String status = firstLine(socket);
+        assertTrue(status.isEmpty() || status.startsWith("HTTP/1.1 4"), status);
+      }
+      assertNotNull(rejected.poll(WAIT_MS, TimeUnit.MILLISECONDS), "the refusal is not counted");
+      assertServed();
+      assertEquals(0, rejected.size(), "the refusal is counted twice");
+    }
+  }
+
+  @Nested
+  class SlowReader {
+    /** Guards against a caller that reads nothing and makes the instance run out of memory. */
+    @Test
+    void outputIsBounded() throws Exception {
+      try (Socket socket = connect()) {
+        socket
+            .getOutputStream()
+            .write("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        Reply reply = streams.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+        Payload chunk = Payload.copyOf(new byte[1_024]);
+        int refused = 0;
+        int taken = 0;
+        while (refused < 100 && taken < 1 << 16) {
+          if (reply.write(chunk)) {
+            taken++;
+          } else {
+            refused++;
+          }
+        }
+        assertEquals(100, refused, "64 MiB were taken for a caller that reads nothing");
+      }
+    }
+  }
+}
