--- a/callers/src/main/java/dev/caroblb/callers/ResumeRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/ResumeRoute.java
@@ -81,7 +81,7 @@
     if (access.isEmpty() || !Tokens.matches(request, access.get().tokenSha256())) {
       return Either.left(Refusal.of(RefusalReason.UNAUTHENTICATED));
     }
-    Optional<Long> after = sequence(request.header("Last-Event-ID").orElse(""));
+    Optional<Long> after = sequence(text, request.header("Last-Event-ID").orElse(""));
     if (after.isEmpty()) {
       return malformed("Last-Event-ID must be the id of the last token received, or 0");
     }
@@ -100,10 +100,15 @@
     return Either.left(Refusal.of(RefusalReason.MALFORMED, cause));
   }
 
-  /** Accepts the sequence number alone or the whole event id, which ends in it. */
-  private static Optional<Long> sequence(String text) {
+  /**
+   * Accepts the sequence number alone or the whole event id, which ends in it. An id of another
+   * generation is refused, since the caller would join two generations into one answer.
+   */
+  private static Optional<Long> sequence(String generation, String eventId) {
+    String own = generation + "/";
+    String number = eventId.startsWith(own) ? eventId.substring(own.length()) : eventId;
     try {
-      long value = Long.parseLong(text.substring(text.lastIndexOf('/') + 1));
+      long value = Long.parseLong(number);
       return value < 0 ? Optional.empty() : Optional.of(value);
     } catch (NumberFormatException e) {
       return Optional.empty();
