Keep outcomes exact when rings refuse and keys are held

Cause: reading the merged tests showed four gaps: admission could hear of an ended attempt twice, any error status of an engine counted as "did not run", a repeatable call with a key was retried while its key stayed reserved, and a team file could declare a call of a model as not repeatable although key records cover services only. Change: placement takes an outcome before admission; only client errors, 503 and the Caroblb-Not-Run header prove that nothing ran; calls with a key are not handed back; such a team file is refused.

--- a/configuration/src/main/java/dev/caroblb/configuration/teamfile/CallReader.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/teamfile/CallReader.java
@@ -33,8 +33,10 @@
     Optional<String> callClass =
         fields.requiredText("class", "\"short\" or \"long\"", CLASSES::contains);
     fields.rejectUnknownKeys();
+    boolean recorded = checkRepeatable(fields, model, repeatable);
     boolean valid =
         oneTarget
+            && recorded
             && model.isPresent() != service.isPresent()
             && deadlineMs.isPresent()
             && repeatable.isPresent()
@@ -55,6 +57,22 @@
             CallClass.valueOf(callClass.get().toUpperCase(Locale.ROOT))));
   }
 
+  /**
+   * Key records hold the outcome of a service; a generation is too long to be stored and replayed.
+   */
+  private static boolean checkRepeatable(
+      TomlFields fields, Optional<ModelId> model, Optional<Boolean> repeatable) {
+    if (model.isEmpty() || repeatable.orElse(true)) {
+      return true;
+    }
+    fields.wrong(
+        "repeatable",
+        "false for a call of a model",
+        "true for a call of a model",
+        "move what must not repeat to a call of a service");
+    return false;
+  }
+
   private static boolean checkTarget(TomlFields fields) {
     if (fields.has("model") != fields.has("service")) {
       return true;
--- a/daemon/src/main/java/dev/caroblb/daemon/CallFlow.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/CallFlow.java
@@ -169,26 +169,30 @@
         : Optional.of(Refusal.of(RefusalReason.RING_FULL));
   }
 
-  /** Tells admission and placement how an attempt ended. */
+  /**
+   * Tells placement and admission how an attempt ended. A refused outcome is offered again, so that
+   * admission must not hear of it before placement took it.
+   */
   boolean ended(CallOutcome outcome) {
     if (outcome.call().isEmpty()) {
       return true;
     }
     long id = outcome.call().get().id();
     int tokens = (int) outcome.tokens();
-    boolean delivered =
-        placement.offer(
-            outcome.refusal().isEmpty()
-                ? new PlacementMessage.Finished(id, tokens)
-                : new PlacementMessage.Failed(id, failure(outcome.refusal().get())));
+    PlacementMessage end =
+        outcome.refusal().isEmpty()
+            ? new PlacementMessage.Finished(id, tokens)
+            : new PlacementMessage.Failed(id, failure(outcome.refusal().get()));
+    if (!placement.offer(end)) {
+      return false;
+    }
     if (outcome.retry()) {
       RetryReason reason = retryReason(outcome.refusal().orElseThrow());
       return admission.offer(
-              new AdmissionMessage.DispatchFailed(id, reason, outcome.endpoint().domain()))
-          && delivered;
+          new AdmissionMessage.DispatchFailed(id, reason, outcome.endpoint().domain()));
     }
     callers.remove(id);
-    return admission.offer(new AdmissionMessage.Ended(id, tokens)) && delivered;
+    return admission.offer(new AdmissionMessage.Ended(id, tokens));
   }
 
   private static RetryReason retryReason(RefusalReason reason) {
--- a/engines/src/main/java/dev/caroblb/engines/EngineLink.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineLink.java
@@ -25,6 +25,8 @@
   private static final int MAX_ANSWER_BYTES = 1 << 20;
 
   private static final int OK = 200;
+  private static final int INTERNAL_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
   private static final String NOT_RUN_HEADER = "caroblb-not-run";
 
   private final long id;
@@ -71,6 +73,11 @@
     return kind == AnswerKind.EVENT_STREAM && status == OK;
   }
 
+  /** A client error or 503 is answered before a generation starts; other errors prove nothing. */
+  private boolean refusedBeforeStart() {
+    return status < INTERNAL_ERROR || status == UNAVAILABLE;
+  }
+
   @Override
   public synchronized void data(ByteBuffer part) {
     if (terminal) {
@@ -129,8 +136,10 @@
     Payload answer = Payload.copyOf(body.toByteArray());
     if (streaming()) {
       end(new EngineEvent.Failed(true, "the stream ended without a done event"));
-    } else if (kind == AnswerKind.EVENT_STREAM || notRun) {
+    } else if (notRun || kind == AnswerKind.EVENT_STREAM && refusedBeforeStart()) {
       end(EngineLinks.rejected(status, answer));
+    } else if (kind == AnswerKind.EVENT_STREAM) {
+      end(new EngineEvent.Failed(true, "the engine answered " + status));
     } else {
       end(new EngineEvent.Answer(status, contentType, answer));
     }
--- a/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
+++ b/streams/src/main/java/dev/caroblb/streams/ServiceCall.java
@@ -151,7 +151,7 @@
       return;
     }
     closeLink();
-    if (call.policy().repeatable()) {
+    if (call.policy().repeatable() && call.idempotencyKey().isEmpty()) {
       handBack(RefusalReason.CONNECTION_LOST);
       return;
     }
