Share the entrance of calls and resumes

Cause: CallRoute and ResumeRoute had the same fields and the same steps after decoding, and each route its own counted refusal. Change: CallEntrance takes a place and hands over; Answers counts and refuses.

--- a/callers/src/main/java/dev/caroblb/callers/Answers.java
+++ b/callers/src/main/java/dev/caroblb/callers/Answers.java
@@ -20,6 +20,12 @@
     reply.send(status, JSON, Payload.ofText(body.toString()), Map.of());
   }
 
+  /** Refuses a request and counts the refusal. */
+  static void refuse(Reply reply, Refusal refusal, RefusalCounter refusals) {
+    refusals.refused(refusal.reason());
+    refuse(reply, refusal);
+  }
+
   static void refuse(Reply reply, Refusal refusal) {
     Map<String, String> headers =
         refusal.retryAfterMs() == 0
--- a/callers/src/main/java/dev/caroblb/callers/CallRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/CallRoute.java
@@ -2,7 +2,6 @@
 
 import dev.caroblb.core.CallPolicy;
 import dev.caroblb.core.CallRequest;
-import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.Names;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
@@ -17,23 +16,10 @@
 final class CallRoute implements Route {
   private static final int PATH_LENGTH = 5;
 
-  private final AdmissionGate gate;
-  private final CallSink calls;
-  private final CallerConnections connections;
-  private final RefusalCounter refusals;
-  private final MillisClock clock;
+  private final CallEntrance entrance;
 
-  CallRoute(
-      AdmissionGate gate,
-      CallSink calls,
-      CallerConnections connections,
-      RefusalCounter refusals,
-      MillisClock clock) {
-    this.gate = gate;
-    this.calls = calls;
-    this.connections = connections;
-    this.refusals = refusals;
-    this.clock = clock;
+  CallRoute(CallEntrance entrance) {
+    this.entrance = entrance;
   }
 
   @Override
@@ -47,29 +33,16 @@
 
   @Override
   public void handle(IncomingRequest request, List<String> path, Reply reply) {
-    Either<Refusal, CallRequest> decoded = decode(request, path.get(2), path.get(4));
-    if (decoded.isLeft()) {
-      refuse(reply, decoded.getLeft());
-      return;
-    }
-    CallRequest call = decoded.get();
-    Optional<CallerConnection> connection = connections.open(call.id(), reply);
-    if (connection.isEmpty()) {
-      refuse(reply, Refusal.of(RefusalReason.STREAM_LIMIT));
-      return;
-    }
-    Optional<Refusal> refusal = calls.submit(call, connection.get());
-    refusal.ifPresent(connection.get()::refuse);
-  }
-
-  private void refuse(Reply reply, Refusal refusal) {
-    refusals.refused(refusal.reason());
-    Answers.refuse(reply, refusal);
+    entrance.enter(
+        decode(request, path.get(2), path.get(4)),
+        CallRequest::id,
+        entrance.calls()::submit,
+        reply);
   }
 
   private Either<Refusal, CallRequest> decode(
       IncomingRequest request, String workspaceName, String callName) {
-    Optional<Refusal> closed = gate.closed();
+    Optional<Refusal> closed = entrance.gate().closed();
     if (closed.isPresent()) {
       return Either.left(closed.get());
     }
@@ -77,7 +50,7 @@
       return Either.left(Refusal.of(RefusalReason.MALFORMED, "the workspace name is invalid"));
     }
     WorkspaceId workspace = new WorkspaceId(workspaceName);
-    Optional<WorkspaceAccess> access = gate.workspace(workspace);
+    Optional<WorkspaceAccess> access = entrance.gate().workspace(workspace);
     if (access.isEmpty()) {
       return Either.left(
           Refusal.of(RefusalReason.UNKNOWN_WORKSPACE, "there is no workspace " + workspaceName));
@@ -106,10 +79,10 @@
     return allowed.map(
         allowedMs ->
             new CallRequest(
-                connections.nextId(),
+                entrance.connections().nextId(),
                 workspace,
                 policy,
-                clock.nowMs() + allowedMs,
+                entrance.clock().nowMs() + allowedMs,
                 key,
                 request.body()));
   }
--- a/callers/src/main/java/dev/caroblb/callers/CallersServer.java
+++ b/callers/src/main/java/dev/caroblb/callers/CallersServer.java
@@ -25,10 +25,12 @@
       throws IOException {
     refusals = ports.refusals();
     connections = new CallerConnections(limits.maxStreams(), ports.calls(), refusals);
+    CallEntrance entrance =
+        new CallEntrance(ports.gate(), ports.calls(), connections, refusals, clock);
     routes =
         List.of(
-            new CallRoute(ports.gate(), ports.calls(), connections, refusals, clock),
-            new ResumeRoute(ports.gate(), ports.calls(), connections, refusals, clock),
+            new CallRoute(entrance),
+            new ResumeRoute(entrance),
             new TargetRoute(
                 limits.targetTokenSha256(), ports.targets(), ports.directory(), refusals),
             new EntriesRoute(ports.directory()),
--- a/callers/src/main/java/dev/caroblb/callers/PublishRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/PublishRoute.java
@@ -37,26 +37,21 @@
   @Override
   public void handle(IncomingRequest request, List<String> path, Reply reply) {
     if (!Tokens.matches(request, operatorTokenSha256)) {
-      refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED));
+      Answers.refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED), refusals);
       return;
     }
     PublishSink.SubmittedPublish publish;
     try {
       publish = decode(request);
     } catch (MalformedBodyException e) {
-      refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()));
+      Answers.refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()), refusals);
       return;
     }
     if (!sink.publish(publish, answer -> Answers.json(reply, status(answer), encode(answer)))) {
-      refuse(reply, Refusal.of(RefusalReason.RING_FULL));
+      Answers.refuse(reply, Refusal.of(RefusalReason.RING_FULL), refusals);
     }
   }
 
-  private void refuse(Reply reply, Refusal refusal) {
-    refusals.refused(refusal.reason());
-    Answers.refuse(reply, refusal);
-  }
-
   private static PublishSink.SubmittedPublish decode(IncomingRequest request)
       throws MalformedBodyException {
     JsonBody body = JsonBody.parse(request.body());
--- a/callers/src/main/java/dev/caroblb/callers/ResumeRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/ResumeRoute.java
@@ -1,7 +1,6 @@
 package dev.caroblb.callers;
 
 import dev.caroblb.core.GenerationId;
-import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.Names;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
@@ -18,23 +17,10 @@
   private static final long DEFAULT_DEADLINE_MS = 600_000;
   private static final String WORKSPACE_HEADER = "Caroblb-Workspace";
 
-  private final AdmissionGate gate;
-  private final CallSink calls;
-  private final CallerConnections connections;
-  private final RefusalCounter refusals;
-  private final MillisClock clock;
+  private final CallEntrance entrance;
 
-  ResumeRoute(
-      AdmissionGate gate,
-      CallSink calls,
-      CallerConnections connections,
-      RefusalCounter refusals,
-      MillisClock clock) {
-    this.gate = gate;
-    this.calls = calls;
-    this.connections = connections;
-    this.refusals = refusals;
-    this.clock = clock;
+  ResumeRoute(CallEntrance entrance) {
+    this.entrance = entrance;
   }
 
   @Override
@@ -48,23 +34,8 @@
 
   @Override
   public void handle(IncomingRequest request, List<String> path, Reply reply) {
-    Either<Refusal, CallSink.ResumeRequest> decoded = decode(request, path.get(2));
-    if (decoded.isLeft()) {
-      refuse(reply, decoded.getLeft());
-      return;
-    }
-    Optional<CallerConnection> connection = connections.open(decoded.get().id(), reply);
-    if (connection.isEmpty()) {
-      refuse(reply, Refusal.of(RefusalReason.STREAM_LIMIT));
-      return;
-    }
-    Optional<Refusal> refusal = calls.resume(decoded.get(), connection.get());
-    refusal.ifPresent(connection.get()::refuse);
-  }
-
-  private void refuse(Reply reply, Refusal refusal) {
-    refusals.refused(refusal.reason());
-    Answers.refuse(reply, refusal);
+    entrance.enter(
+        decode(request, path.get(2)), CallSink.ResumeRequest::id, entrance.calls()::resume, reply);
   }
 
   private Either<Refusal, CallSink.ResumeRequest> decode(IncomingRequest request, String text) {
@@ -77,7 +48,7 @@
       return malformed("the header " + WORKSPACE_HEADER + " must name the workspace");
     }
     WorkspaceId workspace = new WorkspaceId(name.get());
-    Optional<WorkspaceAccess> access = gate.workspace(workspace);
+    Optional<WorkspaceAccess> access = entrance.gate().workspace(workspace);
     if (access.isEmpty() || !Tokens.matches(request, access.get().tokenSha256())) {
       return Either.left(Refusal.of(RefusalReason.UNAUTHENTICATED));
     }
@@ -89,11 +60,11 @@
         .map(
             allowedMs ->
                 new CallSink.ResumeRequest(
-                    connections.nextId(),
+                    entrance.connections().nextId(),
                     workspace,
                     generation.get(),
                     after.get(),
-                    clock.nowMs() + allowedMs));
+                    entrance.clock().nowMs() + allowedMs));
   }
 
   private static Either<Refusal, CallSink.ResumeRequest> malformed(String cause) {
--- a/callers/src/main/java/dev/caroblb/callers/TargetRoute.java
+++ b/callers/src/main/java/dev/caroblb/callers/TargetRoute.java
@@ -41,14 +41,14 @@
   @Override
   public void handle(IncomingRequest request, List<String> path, Reply reply) {
     if (!Tokens.matches(request, targetTokenSha256)) {
-      refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED));
+      Answers.refuse(reply, Refusal.of(RefusalReason.UNAUTHENTICATED), refusals);
       return;
     }
     TargetSink.AnnouncedTarget announcement;
     try {
       announcement = decode(JsonBody.parse(request.body()));
     } catch (MalformedBodyException e) {
-      refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()));
+      Answers.refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()), refusals);
       return;
     }
     if (accepted(announcement, reply)) {
@@ -61,18 +61,13 @@
       if (sink.announce(announcement)) {
         return true;
       }
-      refuse(reply, Refusal.of(RefusalReason.RING_FULL));
+      Answers.refuse(reply, Refusal.of(RefusalReason.RING_FULL), refusals);
     } catch (IllegalArgumentException e) {
-      refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()));
+      Answers.refuse(reply, Refusal.of(RefusalReason.MALFORMED, e.getMessage()), refusals);
     }
     return false;
   }
 
-  private void refuse(Reply reply, Refusal refusal) {
-    refusals.refused(refusal.reason());
-    Answers.refuse(reply, refusal);
-  }
-
   private static TargetSink.AnnouncedTarget decode(JsonBody body) throws MalformedBodyException {
     return new TargetSink.AnnouncedTarget(
         name(body, "target"),
