--- a/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -35,6 +36,11 @@
     return name;
   }
 
+  /** Processor time used so far. */
+  Duration cpu() {
+    return process.info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
   boolean alive() {
     return process.isAlive();
   }
