Use pattern matching for message types in configuration and orders

Cause: two slices cast each message after the type test, the others bind it. Change: bind it everywhere.

--- a/configuration/src/main/java/dev/caroblb/configuration/ConfigurationHandler.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/ConfigurationHandler.java
@@ -59,37 +59,34 @@
 
   @Override
   public void handle(ConfigurationMessage message, long nowMs) {
-    if (message instanceof ConfigurationMessage.PeerReceived) {
-      ConfigurationMessage.PeerReceived received = (ConfigurationMessage.PeerReceived) message;
+    if (message instanceof ConfigurationMessage.PeerReceived received) {
       receive(received.peer(), received.message(), nowMs);
-    } else if (message instanceof ConfigurationMessage.LeaseChanged) {
-      leader.leaseChanged(((ConfigurationMessage.LeaseChanged) message).lease(), nowMs);
-    } else if (message instanceof ConfigurationMessage.StateApplied) {
-      ConfigurationState state = ((ConfigurationMessage.StateApplied) message).state();
+    } else if (message instanceof ConfigurationMessage.LeaseChanged leaseChanged) {
+      leader.leaseChanged(leaseChanged.lease(), nowMs);
+    } else if (message instanceof ConfigurationMessage.StateApplied stateApplied) {
+      ConfigurationState state = stateApplied.state();
       leader.stateApplied(state);
       entry.stateApplied(state, nowMs);
-    } else if (message instanceof ConfigurationMessage.CommandFinished) {
-      proposals.finished((ConfigurationMessage.CommandFinished) message);
-    } else if (message instanceof ConfigurationMessage.PublishRequested) {
-      ConfigurationMessage.PublishRequested request =
-          (ConfigurationMessage.PublishRequested) message;
+    } else if (message instanceof ConfigurationMessage.CommandFinished commandFinished) {
+      proposals.finished(commandFinished);
+    } else if (message instanceof ConfigurationMessage.PublishRequested request) {
       forwarder.requested(request.publish(), request.reply(), nowMs);
     }
     deliverToSelf(nowMs);
   }
 
   private void receive(InstanceId peer, PeerMessage message, long nowMs) {
-    if (message instanceof PeerMessage.RenewRequest) {
-      leader.renewalRequested(peer, (PeerMessage.RenewRequest) message, nowMs);
-    } else if (message instanceof PeerMessage.RenewAnswer) {
-      entry.answered((PeerMessage.RenewAnswer) message, nowMs);
-    } else if (message instanceof PeerMessage.LeaderView) {
-      entry.notLeader(peer, ((PeerMessage.LeaderView) message).leader(), nowMs);
+    if (message instanceof PeerMessage.RenewRequest renewRequest) {
+      leader.renewalRequested(peer, renewRequest, nowMs);
+    } else if (message instanceof PeerMessage.RenewAnswer renewAnswer) {
+      entry.answered(renewAnswer, nowMs);
+    } else if (message instanceof PeerMessage.LeaderView leaderView) {
+      entry.notLeader(peer, leaderView.leader(), nowMs);
       forwarder.notLeader(nowMs);
-    } else if (message instanceof PeerMessage.PublishForward) {
-      leader.publishForwarded(peer, (PeerMessage.PublishForward) message, nowMs);
-    } else if (message instanceof PeerMessage.PublishReply) {
-      forwarder.replied((PeerMessage.PublishReply) message, nowMs);
+    } else if (message instanceof PeerMessage.PublishForward publishForward) {
+      leader.publishForwarded(peer, publishForward, nowMs);
+    } else if (message instanceof PeerMessage.PublishReply publishReply) {
+      forwarder.replied(publishReply, nowMs);
     }
   }
 
--- a/configuration/src/main/java/dev/caroblb/configuration/PublishCoordinator.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/PublishCoordinator.java
@@ -93,8 +93,8 @@
     if (waitingByKey.get(waiting.key) != waiting) {
       return;
     }
-    if (outcome instanceof CommandOutcome.Applied) {
-      finish(waiting, ((CommandOutcome.Applied) outcome).result());
+    if (outcome instanceof CommandOutcome.Applied applied) {
+      finish(waiting, applied.result());
       return;
     }
     Optional<InstanceId> leader =
--- a/configuration/src/main/java/dev/caroblb/configuration/RefusedPublish.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/RefusedPublish.java
@@ -5,16 +5,14 @@
   private RefusedPublish() {}
 
   static PublishAnswer answer(Publish publish, CommandResult result) {
-    if (result instanceof CommandResult.Conflict) {
-      return PublishAnswer.of(
-          publish, PublishOutcome.CONFLICT, detail((CommandResult.Conflict) result));
+    if (result instanceof CommandResult.Conflict conflict) {
+      return PublishAnswer.of(publish, PublishOutcome.CONFLICT, detail(conflict));
     }
-    if (result instanceof CommandResult.Outdated) {
-      return PublishAnswer.of(
-          publish, PublishOutcome.OUTDATED, detail((CommandResult.Outdated) result));
+    if (result instanceof CommandResult.Outdated outdated) {
+      return PublishAnswer.of(publish, PublishOutcome.OUTDATED, detail(outdated));
     }
-    if (result instanceof CommandResult.Refused) {
-      return PublishAnswer.invalid(publish, ((CommandResult.Refused) result).errors());
+    if (result instanceof CommandResult.Refused refused) {
+      return PublishAnswer.invalid(publish, refused.errors());
     }
     String detail =
         "the answer of the control group has an unknown format;"
--- a/configuration/src/main/java/dev/caroblb/configuration/codec/GroupCommandProposer.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/codec/GroupCommandProposer.java
@@ -26,14 +26,12 @@
   }
 
   private CommandOutcome decoded(ProposalOutcome outcome) {
-    if (outcome instanceof ProposalOutcome.Applied) {
+    if (outcome instanceof ProposalOutcome.Applied applied) {
       return new CommandOutcome.Applied(
-          results
-              .decode(((ProposalOutcome.Applied) outcome).result())
-              .orElseGet(CommandResult.Unreadable::new));
+          results.decode(applied.result()).orElseGet(CommandResult.Unreadable::new));
     }
-    if (outcome instanceof ProposalOutcome.NotLeader) {
-      return new CommandOutcome.NotLeader(((ProposalOutcome.NotLeader) outcome).leader());
+    if (outcome instanceof ProposalOutcome.NotLeader notLeader) {
+      return new CommandOutcome.NotLeader(notLeader.leader());
     }
     return new CommandOutcome.Unknown();
   }
--- a/configuration/src/main/java/dev/caroblb/configuration/codec/PeerMessageCodec.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/codec/PeerMessageCodec.java
@@ -22,17 +22,17 @@
   @Override
   public Payload encode(PeerMessage message) {
     FieldWriter writer = new FieldWriter().number(VERSION);
-    if (message instanceof PeerMessage.RenewRequest) {
-      write(writer.number(RENEW_REQUEST), (PeerMessage.RenewRequest) message);
-    } else if (message instanceof PeerMessage.RenewAnswer) {
-      write(writer.number(RENEW_ANSWER), (PeerMessage.RenewAnswer) message);
-    } else if (message instanceof PeerMessage.LeaderView) {
-      Optional<InstanceId> leader = ((PeerMessage.LeaderView) message).leader();
+    if (message instanceof PeerMessage.RenewRequest renewRequest) {
+      write(writer.number(RENEW_REQUEST), renewRequest);
+    } else if (message instanceof PeerMessage.RenewAnswer renewAnswer) {
+      write(writer.number(RENEW_ANSWER), renewAnswer);
+    } else if (message instanceof PeerMessage.LeaderView leaderView) {
+      Optional<InstanceId> leader = leaderView.leader();
       writer.number(LEADER_VIEW).optionalText(leader.map(InstanceId::name));
-    } else if (message instanceof PeerMessage.PublishForward) {
-      write(writer.number(PUBLISH_FORWARD), (PeerMessage.PublishForward) message);
-    } else if (message instanceof PeerMessage.PublishReply) {
-      write(writer.number(PUBLISH_REPLY), (PeerMessage.PublishReply) message);
+    } else if (message instanceof PeerMessage.PublishForward publishForward) {
+      write(writer.number(PUBLISH_FORWARD), publishForward);
+    } else if (message instanceof PeerMessage.PublishReply publishReply) {
+      write(writer.number(PUBLISH_REPLY), publishReply);
     }
     return writer.payload();
   }
--- a/configuration/src/main/java/dev/caroblb/configuration/codec/ResultCodec.java
+++ b/configuration/src/main/java/dev/caroblb/configuration/codec/ResultCodec.java
@@ -17,22 +17,18 @@
   @Override
   public Payload encode(CommandResult result) {
     FieldWriter writer = new FieldWriter();
-    if (result instanceof CommandResult.Accepted) {
-      writer.number(ACCEPTED).number(((CommandResult.Accepted) result).number());
-    } else if (result instanceof CommandResult.Conflict) {
-      CommandResult.Conflict conflict = (CommandResult.Conflict) result;
+    if (result instanceof CommandResult.Accepted accepted) {
+      writer.number(ACCEPTED).number(accepted.number());
+    } else if (result instanceof CommandResult.Conflict conflict) {
       writer.number(CONFLICT).number(conflict.number());
       writer.text(conflict.winnerRequest()).text(conflict.winnerDigest());
-    } else if (result instanceof CommandResult.Outdated) {
-      CommandResult.Outdated outdated = (CommandResult.Outdated) result;
+    } else if (result instanceof CommandResult.Outdated outdated) {
       writer.number(OUTDATED).number(outdated.number()).number(outdated.current());
-    } else if (result instanceof CommandResult.Refused) {
+    } else if (result instanceof CommandResult.Refused refused) {
       writer.number(REFUSED);
-      writer.list(
-          ((CommandResult.Refused) result).errors(),
-          error -> CommonFields.writeError(writer, error));
-    } else if (result instanceof CommandResult.BarrierPassed) {
-      writer.number(BARRIER_PASSED).number(((CommandResult.BarrierPassed) result).number());
+      writer.list(refused.errors(), error -> CommonFields.writeError(writer, error));
+    } else if (result instanceof CommandResult.BarrierPassed barrierPassed) {
+      writer.number(BARRIER_PASSED).number(barrierPassed.number());
     } else {
       writer.number(UNREADABLE);
     }
--- a/orders/src/main/java/dev/caroblb/orders/OrdersHandler.java
+++ b/orders/src/main/java/dev/caroblb/orders/OrdersHandler.java
@@ -63,16 +63,16 @@
   @Override
   public void handle(OrdersMessage message, long now) {
     nowMs = now;
-    if (message instanceof OrdersMessage.Wanted) {
-      balance.want(((OrdersMessage.Wanted) message).models());
-    } else if (message instanceof OrdersMessage.KnownEngines) {
-      updateEngines(((OrdersMessage.KnownEngines) message).engines());
-    } else if (message instanceof OrdersMessage.StateRead) {
-      stateRead(((OrdersMessage.StateRead) message).state());
-    } else if (message instanceof OrdersMessage.OrderFinished) {
-      orderFinished((OrdersMessage.OrderFinished) message);
-    } else if (message instanceof OrdersMessage.LeaseChanged) {
-      leaseChanged(((OrdersMessage.LeaseChanged) message).lease());
+    if (message instanceof OrdersMessage.Wanted wanted) {
+      balance.want(wanted.models());
+    } else if (message instanceof OrdersMessage.KnownEngines knownEngines) {
+      updateEngines(knownEngines.engines());
+    } else if (message instanceof OrdersMessage.StateRead stateRead) {
+      stateRead(stateRead.state());
+    } else if (message instanceof OrdersMessage.OrderFinished orderFinished) {
+      orderFinished(orderFinished);
+    } else if (message instanceof OrdersMessage.LeaseChanged leaseChanged) {
+      leaseChanged(leaseChanged.lease());
     }
   }
 
