Make operator order and number types explicit

Cause: the whole test run stopped at two warnings of Error Prone. Change: parentheses and long arithmetic.

--- a/engines/src/main/java/dev/caroblb/engines/EngineLink.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineLink.java
@@ -136,7 +136,7 @@
     Payload answer = Payload.copyOf(body.toByteArray());
     if (streaming()) {
       end(new EngineEvent.Failed(true, "the stream ended without a done event"));
-    } else if (notRun || kind == AnswerKind.EVENT_STREAM && refusedBeforeStart()) {
+    } else if (notRun || (kind == AnswerKind.EVENT_STREAM && refusedBeforeStart())) {
       end(EngineLinks.rejected(status, answer));
     } else if (kind == AnswerKind.EVENT_STREAM) {
       end(new EngineEvent.Failed(true, "the engine answered " + status));
--- a/systemtests/src/test/java/dev/caroblb/systemtests/PublishFailureTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PublishFailureTest.java
@@ -181,7 +181,7 @@
         answers.add(
             operator.schedule(
                 () -> publish(number, "history", 1 + number % 99, 0),
-                i * INTERVAL_MS,
+                (long) i * INTERVAL_MS,
                 TimeUnit.MILLISECONDS));
       }
       long last = 1;
@@ -190,7 +190,7 @@
         String outcome = answers.get(i).get(200, TimeUnit.SECONDS);
         if (outcome.equals("in_force") || outcome.equals("accepted")) {
           accepted++;
-          last = 2 + i;
+          last = 2L + i;
         }
       }
       operator.shutdown();
