--- a/systemtests/src/main/java/dev/caroblb/systemtests/PathOverhead.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/PathOverhead.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.ConcurrentHistogram;
 
 /**
@@ -26,6 +27,12 @@
   private static final int[] STREAMS = {1, 100, 1_000};
   private static final int TOKENS = 100;
   private static final int INTERVAL_MS = 20;
+
+  /**
+   * Streams start evenly over this time; a burst would measure the bound of the backlog instead.
+   */
+  private static final long START_MS = 2_000;
+
   private static final int WARM_UP_STREAMS = 50;
   private static final long TIMEOUT_S = 120;
   private static final String ENTRY = "entry-1";
@@ -112,6 +119,7 @@
     Duration cpuBefore = cluster.instance(ENTRY).cpu();
     List<CompletableFuture<HttpResponse<Void>>> answers = new ArrayList<>();
     for (int i = 0; i < streams; i++) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(START_MS) / streams);
       GapReader reader = new GapReader(first, gaps, tokens);
       answers.add(
           client.sendAsync(source.next(), HttpResponse.BodyHandlers.fromLineSubscriber(reader)));
