--- a/core/src/main/java/dev/caroblb/core/RetryReason.java
+++ b/core/src/main/java/dev/caroblb/core/RetryReason.java
@@ -10,6 +10,8 @@
   RESUME_AFTER_LOSS,
   RESUME_AFTER_GAP,
   RESUME_AFTER_STALL,
+  TARGET_FAILED,
+  STREAM_CONTINUED,
   KEY_LEADER_CHANGED;
 
   public String wireName() {
--- a/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
@@ -16,12 +16,9 @@
 import dev.caroblb.agreement.journal.JournalMessage;
 import dev.caroblb.core.Duty;
 import dev.caroblb.core.GroupId;
-import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LeaderLease;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.StateMachine;
-import dev.caroblb.settings.InstanceSettings;
-import dev.caroblb.settings.PeerSettings;
 import dev.caroblb.transport.Channel;
 import dev.caroblb.transport.PeerTransport;
 import io.vavr.control.Either;
@@ -44,7 +41,7 @@
 
   /** Opens the data folder, recovers the groups and creates their duties. */
   static ControlReplica open(
-      InstanceSettings settings,
+      ReplicaPlace place,
       Map<GroupId, StateMachine> machines,
       DutyList duties,
       PeerTransport transport,
@@ -52,10 +49,7 @@
       Outlet<ReplicaFault> faults)
       throws IOException {
     Either<JournalError, DataFolder> opened =
-        DataFolder.open(
-            settings.dataFolder().orElseThrow(),
-            settings.cluster(),
-            List.copyOf(machines.keySet()));
+        DataFolder.open(place.folder(), place.cluster(), List.copyOf(machines.keySet()));
     if (opened.isLeft()) {
       throw new IOException(opened.getLeft().message());
     }
@@ -71,7 +65,7 @@
     AgreementHandler handler =
         new AgreementHandler(
             new AgreementSettings(
-                new Member(settings.instance(), folder.incarnation()), slots(settings)),
+                new Member(place.instance(), folder.incarnation()), place.slots()),
             machines,
             recover(folder, machines),
             new AgreementOutlets(peers, journal, leases, faults),
@@ -84,13 +78,6 @@
     return new ControlReplica(folder, agreement);
   }
 
-  private static List<InstanceId> slots(InstanceSettings settings) {
-    return settings.peers().stream()
-        .filter(PeerSettings::replica)
-        .map(PeerSettings::instance)
-        .toList();
-  }
-
   private static Map<GroupId, RecoveredGroup> recover(
       DataFolder folder, Map<GroupId, StateMachine> machines) {
     Map<GroupId, RecoveredGroup> recovered = new HashMap<>();
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -12,6 +12,7 @@
 import dev.caroblb.http.HttpLimits;
 import dev.caroblb.idempotency.IdempotencyMessage;
 import dev.caroblb.membership.AllTargets;
+import dev.caroblb.membership.FixedTopology;
 import dev.caroblb.membership.LocalInstance;
 import dev.caroblb.membership.MembershipHandler;
 import dev.caroblb.membership.MembershipMessage;
@@ -28,6 +29,7 @@
 import dev.caroblb.streams.StreamsMessage;
 import dev.caroblb.transport.Channel;
 import dev.caroblb.transport.Hello;
+import dev.caroblb.transport.PeerDirectory;
 import dev.caroblb.transport.PeerTransport;
 import dev.caroblb.transport.TransportCounters;
 import java.io.IOException;
@@ -106,7 +108,14 @@
             settings.instance().name(),
             Long.toString(incarnation),
             settings.clusterToken().text());
-    return new PeerTransport(hello, settings.peersAddress().toInetSocketAddress(), peers, clock);
+    PeerTransport created =
+        new PeerTransport(
+            hello,
+            settings.peersAddress().toInetSocketAddress(),
+            PeerDirectory.fixed(peers),
+            clock);
+    peers.keySet().forEach(created::connect);
+    return created;
   }
 
   /** Only replicas can lead the control group and give orders. */
@@ -183,7 +192,10 @@
         new MembershipHandler(
             new LocalInstance(
                 settings.instance(), incarnation, settings.domain(), advertisedAddress()),
-            settings.otherPeers().stream().map(PeerSettings::instance).collect(Collectors.toSet()),
+            new FixedTopology(
+                settings.otherPeers().stream()
+                    .map(PeerSettings::instance)
+                    .collect(Collectors.toSet())),
             settings.times().drainLimitMs(),
             new AllTargets(),
             outlets);
--- a/daemon/src/main/java/dev/caroblb/daemon/LogFormat.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/LogFormat.java
@@ -13,11 +13,11 @@
 import java.util.logging.Logger;
 
 /** Writes each log record as one line of key=value pairs to the standard error stream. */
-final class LogFormat extends Formatter {
+public final class LogFormat extends Formatter {
   private LogFormat() {}
 
   /** Replaces the handlers of the platform's logger. */
-  static void install(System.Logger.Level level) {
+  public static void install(System.Logger.Level level) {
     LogManager.getLogManager().reset();
     Handler handler = new ConsoleHandler();
     handler.setFormatter(new LogFormat());
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -0,0 +1,332 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.agreement.AgreementProposer;
+import dev.caroblb.agreement.ReplicaFault;
+import dev.caroblb.core.Duty;
+import dev.caroblb.core.GroupId;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LeaderLease;
+import dev.caroblb.core.LogLine;
+import dev.caroblb.core.MillisClock;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.ProposalOutcome;
+import dev.caroblb.core.Proposer;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.forwarding.CallObserver;
+import dev.caroblb.forwarding.ForwardingHandler;
+import dev.caroblb.forwarding.ForwardingMessage;
+import dev.caroblb.forwarding.TargetInfo;
+import dev.caroblb.forwarding.TargetPort;
+import dev.caroblb.membership.AllTargets;
+import dev.caroblb.membership.Announcement;
+import dev.caroblb.membership.ContactTopology;
+import dev.caroblb.membership.DrainStage;
+import dev.caroblb.membership.InstanceRecord;
+import dev.caroblb.membership.InstanceView;
+import dev.caroblb.membership.LocalInstance;
+import dev.caroblb.membership.MembershipHandler;
+import dev.caroblb.membership.MembershipMessage;
+import dev.caroblb.membership.MembershipOutlets;
+import dev.caroblb.membership.TargetChange;
+import dev.caroblb.membership.codec.MembershipCodec;
+import dev.caroblb.metrics.InstanceMetrics;
+import dev.caroblb.routing.RoutingFormat;
+import dev.caroblb.routing.RoutingHandler;
+import dev.caroblb.routing.RoutingMessage;
+import dev.caroblb.routing.RoutingOutlets;
+import dev.caroblb.routing.RoutingTable;
+import dev.caroblb.routing.codec.GroupCommandProposer;
+import dev.caroblb.routing.codec.PeerMessageCodec;
+import dev.caroblb.routing.codec.RoutingStateMachine;
+import dev.caroblb.transport.Channel;
+import dev.caroblb.transport.Hello;
+import dev.caroblb.transport.PeerTransport;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An instance that finds the others through contacts and forwards requests by the routing table in
+ * force. Adapters give it its interfaces towards callers, targets and operators.
+ */
+public final class RoutedInstance implements AutoCloseable {
+  private static final System.Logger LOGGER = System.getLogger(RoutedInstance.class.getName());
+  private static final long CHECK_STOP_MS = 100;
+
+  private final RoutedSettings settings;
+  private final DutyList duties;
+  private final PeerTransport transport;
+  private final InstanceMetrics metrics = new InstanceMetrics();
+  private final LateOutlet<RoutingMessage> routing = new LateOutlet<>();
+  private final LateOutlet<ForwardingMessage> forwarding = new LateOutlet<>();
+  private final LateOutlet<MembershipMessage> membership = new LateOutlet<>();
+  private final Optional<ControlReplica> replica;
+  private final ForwardingHandler forwardingHandler;
+  private final CountDownLatch stop = new CountDownLatch(1);
+  private volatile InstanceView view = new InstanceView(List.of(), List.of());
+  private volatile Optional<RoutingTable> table = Optional.empty();
+  private volatile Optional<DrainStage> drain = Optional.empty();
+  private volatile boolean failed;
+
+  /** Creates the duties; nothing runs before {@link #start()}. */
+  public RoutedInstance(
+      RoutedSettings settings, RoutingFormat format, TargetPort targets, MillisClock clock)
+      throws IOException {
+    this.settings = settings;
+    duties = new DutyList(clock);
+    long incarnation = clock.wallMs();
+    transport =
+        new PeerTransport(
+            new Hello(
+                settings.cluster(),
+                settings.instance().name(),
+                Long.toString(incarnation),
+                settings.token()),
+            settings.peersAddress(),
+            settings.directory(),
+            clock);
+    replica = settings.control() ? Optional.of(openReplica()) : Optional.empty();
+    createRouting(format);
+    forwardingHandler =
+        new ForwardingHandler(settings.forwarding(), targets, new MetricsCounts(), new Random());
+    forwarding.bind(duties.create("forwarding", forwardingHandler));
+    createMembership(incarnation);
+    duties.all().forEach(metrics::addDuty);
+  }
+
+  private ControlReplica openReplica() throws IOException {
+    Set<InstanceId> slots = new HashSet<>(settings.contacts());
+    slots.add(settings.instance());
+    return ControlReplica.open(
+        new ReplicaPlace(
+            settings.instance(),
+            settings.cluster(),
+            settings.dataFolder().orElseThrow(),
+            List.copyOf(slots)),
+        Map.of(GroupId.CONTROL, new RoutingStateMachine(routing)),
+        duties,
+        transport,
+        this::leaseChanged,
+        this::replicaFailed);
+  }
+
+  private boolean leaseChanged(LeaderLease lease) {
+    return routing.offer(new RoutingMessage.LeaseChanged(lease));
+  }
+
+  private boolean replicaFailed(ReplicaFault fault) {
+    LOGGER.log(
+        System.Logger.Level.ERROR,
+        LogLine.of("replica.failed").with("cause", fault.message()).toString());
+    failed = true;
+    stop.countDown();
+    return true;
+  }
+
+  private void createRouting(RoutingFormat format) {
+    PeerChannel<dev.caroblb.routing.PeerMessage> peers =
+        new PeerChannel<>(transport, Channel.CONFIGURATION, new PeerMessageCodec());
+    RoutingHandler handler =
+        new RoutingHandler(
+            format,
+            new GroupCommandProposer(proposer()),
+            new RoutingOutlets(peers, this::tableInstalled, routing));
+    Duty<RoutingMessage> duty = duties.create("routing", handler);
+    routing.bind(duty);
+    peers.receive(message -> duty.offer(new RoutingMessage.FromPeer(message)));
+  }
+
+  private Proposer proposer() {
+    if (replica.isPresent()) {
+      return new AgreementProposer(replica.get().agreement());
+    }
+    return (group, command, reply) -> reply.offer(new ProposalOutcome.NotLeader(Optional.empty()));
+  }
+
+  private boolean tableInstalled(RoutingTable installed) {
+    table = Optional.of(installed);
+    membership.offer(new MembershipMessage.ConfigurationInForce(installed.number()));
+    return forwarding.offer(new ForwardingMessage.TableInstalled(installed));
+  }
+
+  private void createMembership(long incarnation) {
+    PeerChannel<dev.caroblb.membership.PeerMessage> peers =
+        new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
+    MembershipHandler handler =
+        new MembershipHandler(
+            new LocalInstance(
+                settings.instance(),
+                incarnation,
+                settings.domain(),
+                settings.callersAddress().orElse("")),
+            new ContactTopology(
+                settings.instance(), settings.control(), Set.copyOf(settings.contacts())),
+            settings.drainLimitMs(),
+            new AllTargets(),
+            new MembershipOutlets(peers, this::targetChanged, this::viewChanged, this::drained));
+    Duty<MembershipMessage> duty = duties.create("membership", handler);
+    membership.bind(duty);
+    peers.receive(message -> duty.offer(new MembershipMessage.FromPeer(message)));
+  }
+
+  private boolean targetChanged(TargetChange change) {
+    if (change instanceof TargetChange.Leaving leaving) {
+      return forwarding.offer(
+          new ForwardingMessage.TargetLeaving(leaving.target(), leaving.incarnation()));
+    }
+    if (change instanceof TargetChange.Gone gone) {
+      return forwarding.offer(new ForwardingMessage.TargetGone(gone.target(), gone.incarnation()));
+    }
+    if (change instanceof TargetChange.Reported reported) {
+      return available(reported.latest().announcement());
+    }
+    if (change instanceof TargetChange.Restarted restarted) {
+      return available(restarted.latest().announcement());
+    }
+    return available(((TargetChange.Available) change).latest().announcement());
+  }
+
+  private boolean available(Announcement announcement) {
+    if (announcement.serves().isEmpty()) {
+      return true;
+    }
+    return forwarding.offer(
+        new ForwardingMessage.TargetAvailable(
+            new TargetInfo(
+                announcement.target(),
+                announcement.incarnation(),
+                announcement.serves().get(0),
+                announcement.address(),
+                announcement.domain())));
+  }
+
+  /** Routing tables go to the same instances that exchange the tables of targets. */
+  private boolean viewChanged(InstanceView latest) {
+    view = latest;
+    Set<InstanceId> peers = new HashSet<>(settings.contacts());
+    for (InstanceRecord known : latest.instances()) {
+      peers.add(known.id());
+    }
+    peers.remove(settings.instance());
+    return routing.offer(new RoutingMessage.PeersChanged(peers));
+  }
+
+  private boolean drained(DrainStage stage) {
+    drain = Optional.of(stage);
+    LOGGER.log(
+        System.Logger.Level.INFO, LogLine.of("instance.drain").with("stage", stage).toString());
+    return switch (stage) {
+      case ANNOUNCED -> true;
+      case REFUSE_NEW_CALLS -> forwarding.offer(new ForwardingMessage.RefuseNew());
+      case LIMIT_REACHED -> forwarding.offer(new ForwardingMessage.BreakOff());
+    };
+  }
+
+  public void start() {
+    transport.start();
+    duties.start();
+  }
+
+  /** Starts a planned stop; a second call shortens it. */
+  public void requestStop() {
+    boolean unused = membership.offer(new MembershipMessage.StopRequested());
+    if (settings.callersAddress().isEmpty()) {
+      stop.countDown();
+    }
+  }
+
+  /** Calls {@link #requestStop()} for each termination signal. */
+  public void stopOnSignal() {
+    TerminationSignal.onEach(this::requestStop);
+  }
+
+  /** Calls the action for each signal that asks to read the settings again. */
+  public void reloadOnSignal(Runnable action) {
+    TerminationSignal.onReload(action);
+  }
+
+  /** Waits for the end of a planned stop or for a fault of the replica. */
+  public void awaitStop() throws InterruptedException {
+    while (!stop.await(CHECK_STOP_MS, TimeUnit.MILLISECONDS)) {
+      if (drainOver()) {
+        return;
+      }
+    }
+  }
+
+  private boolean drainOver() {
+    if (drain.isEmpty() || drain.get() == DrainStage.ANNOUNCED) {
+      return false;
+    }
+    return forwardingHandler.running() == 0;
+  }
+
+  /** Whether the replica stopped because of a fault. */
+  public boolean failed() {
+    return failed;
+  }
+
+  public boolean draining() {
+    return drain.isPresent();
+  }
+
+  public InstanceView view() {
+    return view;
+  }
+
+  public Optional<RoutingTable> table() {
+    return table;
+  }
+
+  public InstanceMetrics metrics() {
+    return metrics;
+  }
+
+  public Outlet<RoutingMessage> routing() {
+    return routing;
+  }
+
+  public Outlet<ForwardingMessage> forwarding() {
+    return forwarding;
+  }
+
+  public Outlet<MembershipMessage> membership() {
+    return membership;
+  }
+
+  @Override
+  public void close() {
+    duties.close();
+    replica.ifPresent(ControlReplica::close);
+    transport.close();
+  }
+
+  private final class MetricsCounts implements CallObserver {
+    @Override
+    public void refused(RefusalReason reason) {
+      metrics.refused(reason);
+    }
+
+    @Override
+    public void retried(RetryReason reason) {
+      metrics.retried(reason);
+    }
+
+    @Override
+    public void answered(long elapsedMs) {
+      metrics.firstToken(elapsedMs);
+    }
+
+    @Override
+    public void paused(long pauseMs) {
+      metrics.betweenTokens(pauseMs);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedSettings.java
@@ -0,0 +1,46 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.forwarding.ForwardingSettings;
+import dev.caroblb.transport.PeerDirectory;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Settings of an instance that finds the others through contacts and serves a routing table.
+ *
+ * @param instance name of this instance
+ * @param domain its failure domain
+ * @param cluster name of the system
+ * @param token shared secret of the system's instances
+ * @param peersAddress where it listens for other instances
+ * @param directory addresses of other instances
+ * @param contacts control instances to begin with
+ * @param dataFolder folder of its control replica; empty when it has none
+ * @param callersAddress where callers connect; empty when it serves none
+ * @param drainLimitMs longest planned stop in milliseconds
+ * @param forwarding bounds of the forwarding duty
+ */
+public record RoutedSettings(
+    InstanceId instance,
+    FailureDomain domain,
+    String cluster,
+    String token,
+    InetSocketAddress peersAddress,
+    PeerDirectory directory,
+    List<InstanceId> contacts,
+    Optional<Path> dataFolder,
+    Optional<String> callersAddress,
+    long drainLimitMs,
+    ForwardingSettings forwarding) {
+  public RoutedSettings {
+    contacts = List.copyOf(contacts);
+  }
+
+  boolean control() {
+    return dataFolder.isPresent();
+  }
+}
--- a/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/SharedState.java
@@ -80,7 +80,16 @@
     }
     return Optional.of(
         ControlReplica.open(
-            settings, stateMachines(), duties, transport, this::leaseChanged, faults));
+            new ReplicaPlace(
+                settings.instance(),
+                settings.cluster(),
+                settings.dataFolder().orElseThrow(),
+                replicas()),
+            stateMachines(),
+            duties,
+            transport,
+            this::leaseChanged,
+            faults));
   }
 
   private Map<GroupId, StateMachine> stateMachines() {
--- a/daemon/src/main/java/dev/caroblb/daemon/TerminationSignal.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TerminationSignal.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.LogLine;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
+import java.util.List;
 
 /**
  * Calls an action for each termination signal. Shutdown hooks cannot serve here: they run once, and
@@ -14,7 +15,20 @@
 
   private TerminationSignal() {}
 
+  /** Calls an action for each signal that asks the process to read its settings again. */
+  static void onReload(Runnable action) {
+    if (!handle(List.of("HUP"), action)) {
+      LOGGER.log(System.Logger.Level.WARNING, LogLine.of("signal.reload_unavailable").toString());
+    }
+  }
+
   static void onEach(Runnable action) {
+    if (!handle(List.of("TERM", "INT"), action)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(action));
+    }
+  }
+
+  private static boolean handle(List<String> names, Runnable action) {
     try {
       Class<?> signalType = Class.forName("sun.misc.Signal");
       Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
@@ -22,15 +36,16 @@
       Object handler =
           Proxy.newProxyInstance(
               TerminationSignal.class.getClassLoader(), new Class<?>[] {handlerType}, invocation);
-      for (String name : new String[] {"TERM", "INT"}) {
+      for (String name : names) {
         Object signal = signalType.getConstructor(String.class).newInstance(name);
         signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler);
       }
+      return true;
     } catch (ReflectiveOperationException e) {
       LOGGER.log(
           System.Logger.Level.WARNING,
           LogLine.of("signal.unavailable").with("cause", e).toString());
-      Runtime.getRuntime().addShutdownHook(new Thread(action));
+      return false;
     }
   }
 
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CopiedMemory.java
@@ -0,0 +1,9 @@
+package dev.caroblb.forwarding;
+
+/**
+ * Memory of a generation that was copied to another engine.
+ *
+ * @param source address of the engine it was copied from
+ * @param handle name of the copy
+ */
+public record CopiedMemory(String source, String handle) {}
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -0,0 +1,242 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.routing.Route;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** State of one request from its arrival to its final answer. */
+final class Exchange {
+  /** An answer that is no stream is kept back until it is whole, up to this size. */
+  private static final int MAX_ANSWER_BYTES = 4 << 20;
+
+  /** Parts of a stream kept for a caller that does not read; the target is then not read either. */
+  private static final int MAX_PENDING_BYTES = 1 << 20;
+
+  private final ForwardCall call;
+  private final Route route;
+  private final String service;
+  private final Optional<String> workspace;
+  private final int rank;
+  private final long arrivedMs;
+  private final long deadlineMs;
+  private final Set<TargetId> tried = new HashSet<>();
+  private final EventFraming framing = new EventFraming();
+  private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+  private final ArrayDeque<Payload> pending = new ArrayDeque<>();
+
+  private int attempt;
+  private int sendings;
+  private int runs;
+  private Optional<Target> target = Optional.empty();
+  private Optional<AnswerHead> head = Optional.empty();
+  private Optional<Relocation> relocation = Optional.empty();
+  private int pendingBytes;
+  private boolean begun;
+  private boolean targetEnded;
+  private boolean waiting;
+  private long lastPartMs;
+
+  Exchange(
+      ForwardCall call,
+      Route route,
+      String service,
+      Optional<String> workspace,
+      int rank,
+      long arrivedMs) {
+    this.call = call;
+    this.route = route;
+    this.service = service;
+    this.workspace = workspace;
+    this.rank = rank;
+    this.arrivedMs = arrivedMs;
+    this.deadlineMs =
+        arrivedMs + Math.min(call.waitMs().orElse(route.timeoutMs()), route.timeoutMs());
+  }
+
+  ForwardCall call() {
+    return call;
+  }
+
+  Route route() {
+    return route;
+  }
+
+  String service() {
+    return service;
+  }
+
+  long arrivedMs() {
+    return arrivedMs;
+  }
+
+  long deadlineMs() {
+    return deadlineMs;
+  }
+
+  /** Targets that refused or failed this request. */
+  Set<TargetId> tried() {
+    return tried;
+  }
+
+  int attempt() {
+    return attempt;
+  }
+
+  /** Number of times the request was sent to a target. */
+  int sendings() {
+    return sendings;
+  }
+
+  /** Number of targets that may have run the request. */
+  int runs() {
+    return runs;
+  }
+
+  Optional<Target> target() {
+    return target;
+  }
+
+  Optional<AnswerHead> head() {
+    return head;
+  }
+
+  boolean begun() {
+    return begun;
+  }
+
+  boolean waiting() {
+    return waiting;
+  }
+
+  void setWaiting(boolean waits) {
+    waiting = waits;
+  }
+
+  Optional<Relocation> relocation() {
+    return relocation;
+  }
+
+  void relocate(Relocation current) {
+    relocation = Optional.of(current);
+  }
+
+  /** Gives a move up. */
+  void stay() {
+    relocation = Optional.empty();
+  }
+
+  /** Whether the generation was told to stop, so that the end of its stream is to be expected. */
+  boolean toldToStop() {
+    return relocation.isPresent() && relocation.get().stage() == Relocation.Stage.STOPPING;
+  }
+
+  /** The next sending belongs to the present run. */
+  void sameRun() {
+    runs--;
+  }
+
+  EventFraming framing() {
+    return framing;
+  }
+
+  /** Starts a sending to a target. */
+  AttemptOrder start(Target chosen, Optional<CopiedMemory> memory, long nowMs) {
+    release();
+    attempt++;
+    sendings++;
+    runs++;
+    waiting = false;
+    target = Optional.of(chosen);
+    tried.add(chosen.info().id());
+    chosen.started(tokens());
+    head = Optional.empty();
+    answer.reset();
+    framing.dropPartial();
+    targetEnded = false;
+    return new AttemptOrder(
+        call,
+        attempt,
+        chosen.info(),
+        Math.max(1, deadlineMs - nowMs),
+        workspace,
+        rank,
+        begun ? framing.lastEventId() : Optional.empty(),
+        memory);
+  }
+
+  private long tokens() {
+    return call.prompt().map(GenerationSize::expectedTokens).orElse(0L);
+  }
+
+  /** Ends the account of the present attempt; later messages of it are ignored. */
+  void release() {
+    target.ifPresent(current -> current.ended(tokens()));
+    target = Optional.empty();
+    relocation = Optional.empty();
+    attempt++;
+  }
+
+  /** The present attempt certainly did not run. */
+  void didNotRun() {
+    runs--;
+  }
+
+  void setHead(AnswerHead received) {
+    head = Optional.of(received);
+  }
+
+  void setBegun() {
+    begun = true;
+  }
+
+  /** Collects a part of an answer that is no stream; false when it grew too large. */
+  boolean collect(Payload part) {
+    byte[] bytes = part.toBytes();
+    answer.write(bytes, 0, bytes.length);
+    return answer.size() <= MAX_ANSWER_BYTES;
+  }
+
+  Payload answer() {
+    return Payload.copyOf(answer.toByteArray());
+  }
+
+  /** Passes whole events on, or keeps them until the caller reads; false when it keeps too many. */
+  boolean forward(Payload events) {
+    if (events.size() > 0) {
+      pending.addLast(events);
+      pendingBytes += events.size();
+    }
+    return flush() || pendingBytes <= MAX_PENDING_BYTES;
+  }
+
+  /** Writes what is kept; true when nothing is left. */
+  boolean flush() {
+    while (!pending.isEmpty()) {
+      if (!call.port().write(pending.peekFirst())) {
+        return false;
+      }
+      pendingBytes -= pending.removeFirst().size();
+    }
+    return true;
+  }
+
+  void setTargetEnded() {
+    targetEnded = true;
+  }
+
+  boolean targetEnded() {
+    return targetEnded;
+  }
+
+  /** Notes a part of a stream and returns the time since the one before, 0 for the first. */
+  long partAt(long nowMs) {
+    long pause = lastPartMs == 0 ? 0 : nowMs - lastPartMs;
+    lastPartMs = nowMs;
+    return pause;
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
@@ -0,0 +1,67 @@
+package dev.caroblb.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+/** The requests that run at this instance, and when to look at each of them again. */
+final class ExchangeTable {
+  private record Timer(long dueMs, long call) {}
+
+  private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>(Comparator.comparingLong(Timer::dueMs));
+  private volatile int size;
+
+  void add(Exchange exchange) {
+    exchanges.put(exchange.call().id(), exchange);
+    size = exchanges.size();
+    wakeAt(exchange, exchange.deadlineMs());
+  }
+
+  void remove(Exchange exchange) {
+    exchanges.remove(exchange.call().id());
+    size = exchanges.size();
+  }
+
+  Optional<Exchange> find(long call) {
+    return Optional.ofNullable(exchanges.get(call));
+  }
+
+  /** The exchange of a message about one attempt, unless that attempt was given up. */
+  Optional<Exchange> find(long call, int attempt) {
+    return find(call).filter(exchange -> exchange.attempt() == attempt);
+  }
+
+  /** A copy, so that exchanges may end while it is gone through. */
+  List<Exchange> all() {
+    return List.copyOf(exchanges.values());
+  }
+
+  /** Number of exchanges; may be read from any thread. */
+  int size() {
+    return size;
+  }
+
+  void wakeAt(Exchange exchange, long dueMs) {
+    timers.add(new Timer(dueMs, exchange.call().id()));
+  }
+
+  /** Takes the exchanges whose time has come. */
+  List<Exchange> due(long nowMs) {
+    List<Exchange> due = new ArrayList<>();
+    while (!timers.isEmpty() && timers.peek().dueMs() <= nowMs) {
+      find(timers.poll().call()).ifPresent(due::add);
+    }
+    return due;
+  }
+
+  long nextDueMs() {
+    Timer next = timers.peek();
+    return next == null ? Long.MAX_VALUE : next.dueMs();
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -0,0 +1,157 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.DutyHandler;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.routing.Route;
+import dev.caroblb.routing.RoutingTable;
+import dev.caroblb.routing.Workspace;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Decides what becomes of each request from its arrival to its final answer. */
+public final class ForwardingHandler implements DutyHandler<ForwardingMessage> {
+  private final ForwardingSettings settings;
+  private final RandomGenerator random;
+  private final ExchangeTable exchanges = new ExchangeTable();
+  private final TargetPool pool;
+  private final RetryBudget budget;
+  private final CallEnds ends;
+  private final Sender sender;
+  private final AnswerFlow answers;
+  private final Relocations relocations;
+  private Optional<RoutingTable> table = Optional.empty();
+  private boolean refuseNew;
+
+  public ForwardingHandler(
+      ForwardingSettings settings, TargetPort port, CallObserver observer, RandomGenerator random) {
+    this.settings = settings;
+    this.random = random;
+    pool = new TargetPool(settings.domain(), random);
+    budget =
+        new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
+    ends = new CallEnds(exchanges, port, observer);
+    sender = new Sender(exchanges, pool, port, budget, observer, ends);
+    answers = new AnswerFlow(port, observer, sender, ends);
+    relocations = new Relocations(exchanges, pool, port, sender, answers);
+  }
+
+  @Override
+  public void handle(ForwardingMessage message, long nowMs) {
+    if (message instanceof ForwardingMessage.OfAttempt ofAttempt) {
+      exchanges
+          .find(ofAttempt.call(), ofAttempt.attempt())
+          .ifPresent(exchange -> progressed(exchange, ofAttempt, nowMs));
+    } else if (message instanceof ForwardingMessage.Arrived arrived) {
+      arrived(arrived.call(), nowMs);
+    } else if (message instanceof ForwardingMessage.CallerGone gone) {
+      exchanges.find(gone.call()).ifPresent(exchange -> ends.callerGone(exchange, nowMs));
+    } else if (message instanceof ForwardingMessage.CallerReady ready) {
+      exchanges.find(ready.call()).ifPresent(exchange -> answers.callerReady(exchange, nowMs));
+    } else {
+      changed(message, nowMs);
+      sender.placeWaiting(nowMs);
+    }
+  }
+
+  private void progressed(Exchange exchange, ForwardingMessage.OfAttempt message, long nowMs) {
+    if (message instanceof ForwardingMessage.Body body) {
+      answers.body(exchange, body.part(), nowMs);
+      relocations.consider(exchange, table, nowMs);
+    } else if (message instanceof ForwardingMessage.Head head) {
+      answers.head(exchange, head.head(), nowMs);
+    } else if (message instanceof ForwardingMessage.Ended) {
+      answers.ended(exchange, nowMs);
+    } else if (message instanceof ForwardingMessage.Failed failed) {
+      answers.lost(exchange, failed.sent(), failed.cause(), nowMs);
+    } else if (message instanceof ForwardingMessage.Moved moved) {
+      relocations.moved(exchange, moved.last(), moved.outcome(), nowMs);
+    }
+  }
+
+  private void changed(ForwardingMessage message, long nowMs) {
+    if (message instanceof ForwardingMessage.TableInstalled installed) {
+      table = Optional.of(installed.table());
+    } else if (message instanceof ForwardingMessage.TargetAvailable available) {
+      pool.available(available.target());
+    } else if (message instanceof ForwardingMessage.TargetLeaving leaving) {
+      pool.leaving(leaving.target(), leaving.incarnation())
+          .ifPresent(target -> relocations.moveAway(target, table, nowMs));
+    } else if (message instanceof ForwardingMessage.TargetGone gone) {
+      pool.gone(gone.target(), gone.incarnation());
+    } else if (message instanceof ForwardingMessage.RefuseNew) {
+      refuseNew = true;
+    } else if (message instanceof ForwardingMessage.BreakOff) {
+      for (Exchange exchange : exchanges.all()) {
+        ends.giveUp(exchange, RefusalReason.STOPPING, "the instance ends", nowMs);
+      }
+    }
+  }
+
+  /** Number of requests that run; may be read from any thread. */
+  public int running() {
+    return exchanges.size();
+  }
+
+  private void arrived(ForwardCall call, long nowMs) {
+    long number = table.map(RoutingTable::number).orElse(0L);
+    Optional<Route> route = table.flatMap(t -> t.match(call.host(), call.path()));
+    Optional<RefusalReason> refusal = refusal(call, route);
+    if (refusal.isPresent()) {
+      ends.refuse(call, refusal.get(), number);
+      return;
+    }
+    Optional<Workspace> workspace = holder(call);
+    int rank = workspace.flatMap(Workspace::rank).orElse(route.get().rank());
+    String service = route.get().chooseService(random);
+    Exchange exchange =
+        new Exchange(call, route.get(), service, workspace.map(Workspace::name), rank, nowMs);
+    exchanges.add(exchange);
+    budget.request(service, nowMs);
+    sender.place(exchange, nowMs);
+  }
+
+  private Optional<Workspace> holder(ForwardCall call) {
+    return table.flatMap(t -> call.key().flatMap(t::holder));
+  }
+
+  private Optional<RefusalReason> refusal(ForwardCall call, Optional<Route> route) {
+    if (table.isEmpty()) {
+      return Optional.of(RefusalReason.NO_CONFIGURATION);
+    }
+    if (route.isEmpty()) {
+      return Optional.of(RefusalReason.UNKNOWN_ROUTE);
+    }
+    boolean keyNeeded = table.get().needsKeys() && !route.get().open();
+    if (keyNeeded && holder(call).isEmpty()) {
+      return Optional.of(RefusalReason.UNKNOWN_KEY);
+    }
+    if (refuseNew) {
+      return Optional.of(RefusalReason.DRAINING);
+    }
+    return exchanges.size() >= settings.maxCalls()
+        ? Optional.of(RefusalReason.STREAM_LIMIT)
+        : Optional.empty();
+  }
+
+  @Override
+  public void tick(long nowMs) {
+    for (Exchange exchange : exchanges.due(nowMs)) {
+      if (nowMs >= exchange.deadlineMs()) {
+        timedOut(exchange, nowMs);
+      } else if (exchange.waiting()) {
+        sender.place(exchange, nowMs);
+      }
+    }
+  }
+
+  private void timedOut(Exchange exchange, long nowMs) {
+    RefusalReason reason =
+        exchange.runs() > 0 ? RefusalReason.DEADLINE_AFTER_START : RefusalReason.NO_TARGET;
+    ends.giveUp(exchange, reason, "time limit", nowMs);
+  }
+
+  @Override
+  public long nextTickMs() {
+    return exchanges.nextDueMs();
+  }
+}
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingSettings.java
@@ -0,0 +1,15 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.FailureDomain;
+
+/**
+ * Bounds of the forwarding duty.
+ *
+ * @param domain failure domain of this instance
+ * @param maxCalls requests that may run at once
+ * @param retryRatio repeats allowed for each request of a service
+ * @param retryWindowMs window of the budget for repeats, in milliseconds
+ * @param retrySlack repeats that this instance may add in each window
+ */
+public record ForwardingSettings(
+    FailureDomain domain, int maxCalls, double retryRatio, long retryWindowMs, double retrySlack) {}
--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -2,16 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -70,19 +70,29 @@
       written = true;
     }
     BasicHttpRequest head =
-        new BasicHttpRequest(
-            request.method(),
-            URIScheme.HTTP.id,
-            new URIAuthority(address.getHostString(), address.getPort()),
-            request.path());
-    request.headers().forEach(head::addHeader);
+        new BasicHttpRequest(request.method(), URIScheme.HTTP.id, authority(), request.path());
+    for (HeaderField field : request.fields()) {
+      head.addHeader(field.name(), field.value());
+    }
     EntityDetails entity =
         body.hasRemaining()
-            ? new BasicEntityDetails(body.remaining(), ContentType.parse(request.contentType()))
+            ? new BasicEntityDetails(
+                body.remaining(), request.contentType().map(ContentType::parse).orElse(null))
             : null;
     channel.sendRequest(head, entity, context);
   }
 
+  private URIAuthority authority() throws ProtocolException {
+    if (request.host().isEmpty()) {
+      return new URIAuthority(address.getHostString(), address.getPort());
+    }
+    try {
+      return URIAuthority.create(request.host().get());
+    } catch (URISyntaxException e) {
+      throw new ProtocolException("the host header " + request.host().get() + " is malformed", e);
+    }
+  }
+
   @Override
   public int available() {
     return body.remaining();
@@ -101,11 +111,11 @@
 
   @Override
   public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
-    Map<String, String> headers = new HashMap<>();
+    List<HeaderField> fields = new ArrayList<>();
     for (Header header : response.getHeaders()) {
-      headers.put(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+      fields.add(new HeaderField(header.getName(), header.getValue()));
     }
-    sink.head(response.getCode(), headers);
+    sink.head(response.getCode(), fields);
     if (entity == null) {
       finish();
     }
--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/HeaderField.java
@@ -0,0 +1,30 @@
+package dev.caroblb.http;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** One line of a message head, as it was received or is sent. */
+public record HeaderField(String name, String value) {
+  /** Whether the field has the given name, in any case. */
+  public boolean named(String other) {
+    return name.equalsIgnoreCase(other);
+  }
+
+  /** Values by name in lower case; the last one of a name counts. */
+  public static Map<String, String> byName(List<HeaderField> fields) {
+    Map<String, String> values = new HashMap<>();
+    for (HeaderField field : fields) {
+      values.put(field.name().toLowerCase(Locale.ROOT), field.value());
+    }
+    return values;
+  }
+
+  static List<HeaderField> of(Map<String, String> values) {
+    List<HeaderField> fields = new ArrayList<>();
+    values.forEach((name, value) -> fields.add(new HeaderField(name, value)));
+    return fields;
+  }
+}
--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -39,7 +39,10 @@
   public ClientExchange execute(
       InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
     ClientExchange exchange = new ClientExchange(address, request, sink);
-    HttpHost host = new HttpHost("http", address.getAddress(), address.getPort());
+    // Without a name given here the library looks up the name of the address, which blocks.
+    HttpHost host =
+        new HttpHost(
+            "http", address.getAddress(), address.getAddress().getHostAddress(), address.getPort());
     var unused =
         requester.connect(
             host,
--- a/http/src/main/java/dev/caroblb/http/Reply.java
+++ b/http/src/main/java/dev/caroblb/http/Reply.java
@@ -1,6 +1,7 @@
 package dev.caroblb.http;
 
 import dev.caroblb.core.Payload;
+import java.util.List;
 import java.util.Map;
 
 /** Answer to one request. May be used from any thread. */
@@ -17,6 +18,15 @@
   /** Ends the body after what was written. */
   void end();
 
+  /** Sends a whole answer with the given header lines. */
+  void send(int status, List<HeaderField> fields, Payload body);
+
+  /** Sends the head of an answer with the given header lines; its body follows. */
+  void startStream(int status, List<HeaderField> fields);
+
+  /** Closes the connection, so that an answer that was started does not look complete. */
+  void abort();
+
   /** Sets what to call once the buffer has room again after it was full. */
   void onReady(Runnable action);
 
--- a/http/src/main/java/dev/caroblb/http/ResponseSink.java
+++ b/http/src/main/java/dev/caroblb/http/ResponseSink.java
@@ -1,6 +1,7 @@
 package dev.caroblb.http;
 
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -11,6 +12,11 @@
   /** The head arrived; header names are in lower case. */
   void head(int status, Map<String, String> headers);
 
+  /** The head arrived, with its header lines as they were received. */
+  default void head(int status, List<HeaderField> fields) {
+    head(status, HeaderField.byName(fields));
+  }
+
   /** A part of the body arrived; all of it must be read. */
   void data(ByteBuffer part);
 
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -5,15 +5,15 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -29,6 +29,7 @@
   private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
+  private static final Map<String, String> CLOSE = Map.of(HttpHeaders.CONNECTION, "close");
 
   private final HttpLimits limits;
   private final RequestHandler handler;
@@ -42,6 +43,8 @@
   private DataStreamChannel channel;
   private int outputBytes;
   private boolean tooLarge;
+  private boolean rejected;
+  private boolean aborted;
   private boolean dispatched;
   private boolean ended;
   private boolean endSent;
@@ -61,18 +64,34 @@
       HttpRequest request, EntityDetails entity, ResponseChannel channel, HttpContext context) {
     this.responses = channel;
     this.context = context;
-    Map<String, String> headers = new HashMap<>();
+    List<HeaderField> fields = new ArrayList<>();
     for (Header header : request.getHeaders()) {
-      headers.put(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+      fields.add(new HeaderField(header.getName(), header.getValue()));
     }
     String target = request.getPath() == null ? "/" : request.getPath();
-    String path = target.split("\\?", 2)[0];
-    head = new IncomingRequest(request.getMethod(), path, headers, Payload.empty());
+    head = new IncomingRequest(request.getMethod(), target, fields, Payload.empty());
+    if (request.containsHeader(HttpHeaders.CONTENT_LENGTH)
+        && request.containsHeader(HttpHeaders.TRANSFER_ENCODING)) {
+      reject(BAD_REQUEST, "send either Content-Length or Transfer-Encoding, not both");
+      return;
+    }
+    if (entity != null && entity.getContentLength() > limits.maxBodyBytes()) {
+      reject(BODY_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+      return;
+    }
     if (entity == null) {
       dispatch();
     }
   }
 
+  /** Answers before the body was read; what follows on the connection cannot be told from it. */
+  private void reject(int status, String message) {
+    rejected = true;
+    dispatched = true;
+    observer.rejected(status);
+    send(status, "text/plain", Payload.ofText(message), CLOSE);
+  }
+
   @Override
   public void updateCapacity(CapacityChannel capacity) throws IOException {
     capacity.update(Integer.MAX_VALUE);
@@ -80,6 +99,10 @@
 
   @Override
   public void consume(ByteBuffer source) {
+    if (rejected) {
+      source.position(source.limit());
+      return;
+    }
     if (tooLarge || body.size() + source.remaining() > limits.maxBodyBytes()) {
       tooLarge = true;
       source.position(source.limit());
@@ -92,7 +115,9 @@
 
   @Override
   public void streamEnd(List<? extends Header> trailers) {
-    dispatch();
+    if (!rejected) {
+      dispatch();
+    }
   }
 
   private void dispatch() {
@@ -108,7 +133,7 @@
     }
     IncomingRequest request =
         new IncomingRequest(
-            head.method(), head.path(), head.headers(), Payload.copyOf(body.toByteArray()));
+            head.method(), head.target(), head.fields(), Payload.copyOf(body.toByteArray()));
     try {
       handler.handle(request, this);
     } catch (RuntimeException e) {
@@ -117,25 +142,54 @@
     }
   }
 
+  @Override
+  public void send(int status, List<HeaderField> fields, Payload content) {
+    addOutput(content);
+    respond(status, Optional.empty(), content.size(), fields);
+  }
+
+  @Override
+  public void startStream(int status, List<HeaderField> fields) {
+    respond(status, Optional.empty(), -1, fields);
+  }
+
+  @Override
+  public void abort() {
+    DataStreamChannel current;
+    synchronized (this) {
+      aborted = true;
+      current = channel;
+    }
+    requestOutput(current);
+  }
+
   @Override
   public void send(int status, String contentType, Payload content, Map<String, String> headers) {
+    addOutput(content);
+    respond(status, Optional.of(contentType), content.size(), HeaderField.of(headers));
+  }
+
+  private void addOutput(Payload content) {
     synchronized (this) {
       output.add(content.buffer());
       outputBytes += content.size();
       ended = true;
     }
-    respond(status, contentType, content.size(), headers);
   }
 
   @Override
   public void startStream(int status, String contentType, Map<String, String> headers) {
-    respond(status, contentType, -1, headers);
+    respond(status, Optional.of(contentType), -1, HeaderField.of(headers));
   }
 
-  private void respond(int status, String contentType, long length, Map<String, String> headers) {
+  private void respond(
+      int status, Optional<String> contentType, long length, List<HeaderField> fields) {
     ExchangeResponse response = new ExchangeResponse(status);
-    headers.forEach(response::addHeader);
-    EntityDetails details = new BasicEntityDetails(length, ContentType.parse(contentType));
+    for (HeaderField field : fields) {
+      response.addHeader(field.name(), field.value());
+    }
+    EntityDetails details =
+        new BasicEntityDetails(length, contentType.map(ContentType::parse).orElse(null));
     try {
       responses.sendResponse(response, details, context);
     } catch (HttpException | IOException e) {
@@ -180,7 +234,7 @@
 
   @Override
   public synchronized int available() {
-    return ended && outputBytes == 0 ? 1 : outputBytes;
+    return aborted || (ended && outputBytes == 0) ? 1 : outputBytes;
   }
 
   @Override
@@ -188,6 +242,9 @@
     Optional<Runnable> ready;
     synchronized (this) {
       this.channel = channel;
+      if (aborted) {
+        throw new IOException("the answer was given up before its end");
+      }
       writeOutput(channel);
       if (ended && output.isEmpty() && !endSent) {
         endSent = true;
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -27,6 +27,7 @@
   private final TargetSelection selection;
   private final Outlet<InstanceView> viewOutlet;
   private final TransitTimes transit;
+  private final Topology topology;
   private final PeerSender sender;
   private final TargetTable targets = new TargetTable();
   private final InstanceTable instances = new InstanceTable();
@@ -47,7 +48,7 @@
 
   public MembershipHandler(
       LocalInstance self,
-      Set<InstanceId> peers,
+      Topology topology,
       long drainLimitMs,
       TargetSelection selection,
       MembershipOutlets outlets) {
@@ -55,7 +56,8 @@
     this.selection = selection;
     this.viewOutlet = outlets.view();
     this.transit = new TransitTimes(self.incarnation());
-    this.sender = new PeerSender(peers, outlets.peers(), transit);
+    this.topology = topology;
+    this.sender = new PeerSender(topology, outlets.peers(), transit);
     this.publisher = new TargetPublisher(outlets.targets());
     this.drain = new LocalDrain(drainLimitMs, outlets.drain());
   }
@@ -68,6 +70,8 @@
       fromPeer(peer.received().peer(), peer.received().message(), nowMs);
     } else if (message instanceof MembershipMessage.ConfigurationInForce inForce) {
       configuration = Math.max(configuration, inForce.number());
+    } else if (message instanceof MembershipMessage.Withdrawn withdrawn) {
+      withdrawn.known().offer(withdraw(withdrawn.target(), nowMs));
     } else if (message instanceof MembershipMessage.StopRequested) {
       drain.request(nowMs);
       drain.report(nowMs);
@@ -87,6 +91,17 @@
         .ifPresent(merged -> sender.forward(merged.agedAt(nowMs), nowMs));
   }
 
+  private boolean withdraw(TargetId target, long nowMs) {
+    Optional<TargetRecord> known = targets.find(target);
+    if (known.isEmpty()) {
+      return false;
+    }
+    if (merge(known.get().asLeaving())) {
+      sender.forward(known.get().asLeaving().agedAt(nowMs), nowMs);
+    }
+    return true;
+  }
+
   /** A copy that the network delivers late is no sign of life. */
   private boolean repeated(Announcement announcement) {
     return targets
@@ -108,6 +123,12 @@
   }
 
   private void heartbeat(InstanceId peer, PeerMessage.Heartbeat heartbeat, long nowMs) {
+    boolean known = topology.peers().contains(peer);
+    topology.heard(peer, heartbeat.contacts(), nowMs);
+    if (!known && topology.peers().contains(peer)) {
+      sender.send(peer, heartbeatMessage(nowMs));
+      sender.send(peer, new PeerMessage.Digest(targets.digest()));
+    }
     InstanceTable.Merge merge = instances.merge(peer, heartbeat, nowMs);
     if (merge == InstanceTable.Merge.STALE) {
       return;
@@ -193,7 +214,9 @@
       sender.digest(targets.digest());
       forget(nowMs);
     }
-    publisher.touchSilent(targets, nowMs);
+    if (!topology.outOfTouch(nowMs)) {
+      publisher.touchSilent(targets, nowMs);
+    }
     publishTargets(nowMs);
     drain.report(nowMs);
     publishView(nowMs);
@@ -210,16 +233,21 @@
 
   private void sendHeartbeat(long nowMs) {
     nextHeartbeatMs = nowMs + HEARTBEAT_MS;
+    topology.expire(nowMs);
+    sender.toAll(heartbeatMessage(nowMs));
+  }
+
+  private PeerMessage.Heartbeat heartbeatMessage(long nowMs) {
     heartbeatSequence++;
-    sender.toAll(
-        new PeerMessage.Heartbeat(
-            self.incarnation(),
-            heartbeatSequence,
-            drain.state(),
-            configuration,
-            self.domain(),
-            self.address(),
-            nowMs));
+    return new PeerMessage.Heartbeat(
+        self.incarnation(),
+        heartbeatSequence,
+        drain.state(),
+        configuration,
+        self.domain(),
+        self.address(),
+        nowMs,
+        topology.contacts());
   }
 
   private void publishView(long nowMs) {
--- a/membership/src/main/java/dev/caroblb/membership/PeerMessage.java
+++ b/membership/src/main/java/dev/caroblb/membership/PeerMessage.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
 import java.util.List;
 import java.util.Optional;
 
@@ -16,6 +17,7 @@
    * @param domain failure domain of the instance
    * @param address where callers connect, empty when the instance is no entry
    * @param sentAtMs monotonic time of the sender, which the receiver returns in an {@link Echo}
+   * @param contacts instances that others may contact, as far as the sender knows
    */
   record Heartbeat(
       long incarnation,
@@ -24,8 +26,13 @@
       long configuration,
       FailureDomain domain,
       String address,
-      long sentAtMs)
-      implements PeerMessage {}
+      long sentAtMs,
+      List<InstanceId> contacts)
+      implements PeerMessage {
+    public Heartbeat {
+      contacts = List.copyOf(contacts);
+    }
+  }
 
   /** Announcements that are forwarded or were asked for. */
   record Records(Optional<Echo> echo, List<AgedAnnouncement> records) implements PeerMessage {
--- a/membership/src/main/java/dev/caroblb/membership/PeerSender.java
+++ b/membership/src/main/java/dev/caroblb/membership/PeerSender.java
@@ -5,8 +5,6 @@
 import dev.caroblb.core.Outlet;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
 
 /** Sends to the other instances; what finds no room is lost and repaired by a later digest. */
 final class PeerSender {
@@ -22,27 +20,25 @@
   /** Keeps a message far below the frame limit of 4 MiB. */
   static final int RECORDS_IN_MESSAGE = 64;
 
-  private final List<InstanceId> peers;
+  private final Topology topology;
   private final Outlet<Addressed<PeerMessage>> outlet;
   private final TransitTimes transit;
   private int nextDigestPeer;
   private int nextDigestTarget;
   private long refused;
 
-  PeerSender(Set<InstanceId> peers, Outlet<Addressed<PeerMessage>> outlet, TransitTimes transit) {
-    Set<InstanceId> sorted = new TreeSet<>((a, b) -> a.name().compareTo(b.name()));
-    sorted.addAll(peers);
-    this.peers = List.copyOf(sorted);
+  PeerSender(Topology topology, Outlet<Addressed<PeerMessage>> outlet, TransitTimes transit) {
+    this.topology = topology;
     this.outlet = outlet;
     this.transit = transit;
   }
 
   void toAll(PeerMessage message) {
-    peers.forEach(peer -> send(peer, message));
+    topology.peers().forEach(peer -> send(peer, message));
   }
 
   void forward(AgedAnnouncement announcement, long nowMs) {
-    peers.forEach(peer -> records(peer, List.of(announcement), nowMs));
+    topology.peers().forEach(peer -> records(peer, List.of(announcement), nowMs));
   }
 
   void records(InstanceId peer, List<AgedAnnouncement> records, long nowMs) {
@@ -59,11 +55,14 @@
    * part is sent each time, which is sound because a digest says nothing of targets not in it.
    */
   void digest(List<TargetSummary> targets) {
+    List<InstanceId> peers =
+        topology.peers().stream().sorted((a, b) -> a.name().compareTo(b.name())).toList();
     int fitting = Math.max(1, DIGEST_SUMMARIES / Math.max(1, targets.size()));
     int count = Math.min(fitting, Math.min(DIGEST_PEERS, peers.size()));
     for (int i = 0; i < count; i++) {
+      nextDigestPeer = nextDigestPeer % peers.size();
       send(peers.get(nextDigestPeer), new PeerMessage.Digest(nextPart(targets)));
-      nextDigestPeer = (nextDigestPeer + 1) % peers.size();
+      nextDigestPeer++;
     }
   }
 
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership.codec;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.MessageCodec;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
@@ -30,7 +31,7 @@
   private static final int TYPE_DIGEST = 3;
   private static final int TYPE_REQUEST = 4;
 
-  private static final int HEARTBEAT_FIELDS = 7;
+  private static final int HEARTBEAT_FIELDS = 8;
   private static final int RECORDS_FIELDS = 2;
   private static final int SUMMARIES_FIELDS = 1;
   private static final int SUMMARY_FIELDS = 4;
@@ -41,6 +42,9 @@
 
   private static final int MAX_RECORDS = 256;
 
+  /** Well above the instances that are set aside for control at the planned size. */
+  private static final int MAX_CONTACTS = 128;
+
   @Override
   public Payload encode(PeerMessage message) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -74,6 +78,10 @@
     out.packString(heartbeat.domain().name());
     out.packString(heartbeat.address());
     out.packLong(heartbeat.sentAtMs());
+    out.packArrayHeader(heartbeat.contacts().size());
+    for (InstanceId contact : heartbeat.contacts()) {
+      out.packString(contact.name());
+    }
   }
 
   private static void writeRecords(MessagePacker out, PeerMessage.Records records)
@@ -143,7 +151,9 @@
         in.number(),
         new FailureDomain(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
         in.text(Announcement.MAX_ADDRESS_LENGTH),
-        in.number());
+        in.number(),
+        in.list(
+            MAX_CONTACTS, name -> new InstanceId(name.text(AnnouncementFormat.MAX_NAME_BYTES))));
   }
 
   private static PeerMessage records(BoundedReader in) throws IOException {
--- a/membership/src/test/java/dev/caroblb/membership/MembershipMeasurement.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipMeasurement.java
@@ -57,7 +57,7 @@
     handler =
         new MembershipHandler(
             new LocalInstance(new InstanceId("entry-0"), 1, new FailureDomain("d1"), "10.0.0.1:80"),
-            peers,
+            new FixedTopology(peers),
             MembershipHandler.DEFAULT_DRAIN_LIMIT_MS,
             new AllTargets(),
             new MembershipOutlets(this::send, c -> true, v -> true, s -> true));
@@ -149,7 +149,14 @@
 
   private PeerMessage heartbeat(int second) {
     return new PeerMessage.Heartbeat(
-        1, second, InstanceState.READY, 25_000, new FailureDomain("d1"), "10.0.0.1:8080", nowMs);
+        1,
+        second,
+        InstanceState.READY,
+        25_000,
+        new FailureDomain("d1"),
+        "10.0.0.1:8080",
+        nowMs,
+        List.of());
   }
 
   private PeerMessage records(Announcement announcement) {
--- a/membership/src/test/java/dev/caroblb/membership/Node.java
+++ b/membership/src/test/java/dev/caroblb/membership/Node.java
@@ -36,7 +36,7 @@
     this.handler =
         new MembershipHandler(
             new LocalInstance(id, 1, new FailureDomain("d1"), name + ":80"),
-            peers,
+            new FixedTopology(peers),
             60_000,
             new AllTargets(),
             new MembershipOutlets(sent::add, this::change, this::showView, this::stage));
--- a/membership/src/test/java/dev/caroblb/membership/PeerSenderTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/PeerSenderTest.java
@@ -18,7 +18,9 @@
   private final List<Addressed<PeerMessage>> sent = new ArrayList<>();
   private final PeerSender sender =
       new PeerSender(
-          Set.of(new InstanceId("a"), new InstanceId("b")), sent::add, new TransitTimes(1));
+          new FixedTopology(Set.of(new InstanceId("a"), new InstanceId("b"))),
+          sent::add,
+          new TransitTimes(1));
 
   private void digest(int targets) {
     sender.digest(
--- a/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.membership.AgedAnnouncement;
@@ -44,7 +45,14 @@
   private static final List<PeerMessage> MESSAGES =
       List.of(
           new PeerMessage.Heartbeat(
-              1, 2, InstanceState.DRAINING, 3, new FailureDomain("d1"), "", -4),
+              1,
+              2,
+              InstanceState.DRAINING,
+              3,
+              new FailureDomain("d1"),
+              "",
+              -4,
+              List.of(new InstanceId("control-1"))),
           new PeerMessage.Records(
               Optional.of(new Echo(1, 2, 3)), List.of(new AgedAnnouncement(ANNOUNCEMENT, 9))),
           new PeerMessage.Records(Optional.empty(), List.of()),
--- /dev/null
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingFormat.java
@@ -0,0 +1,11 @@
+package dev.caroblb.routing;
+
+import dev.caroblb.core.Payload;
+import io.vavr.control.Either;
+
+/** Format in which routing tables are published. */
+@FunctionalInterface
+public interface RoutingFormat {
+  /** Reads and checks a whole document. */
+  Either<RoutingError, RoutingTable> read(Payload body);
+}
--- /dev/null
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
@@ -0,0 +1,272 @@
+package dev.caroblb.routing;
+
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.DutyHandler;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LogLine;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.ProposalOutcome;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Keeps the newest accepted document, puts it in force at this instance and passes it on.
+ *
+ * <p>A read is answered after a command that the control group committed later than the question
+ * came. A lease would not do: a suspended instance does not notice that its lease has run out.
+ */
+public final class RoutingHandler implements DutyHandler<RoutingMessage> {
+  private static final System.Logger LOGGER = System.getLogger(RoutingHandler.class.getName());
+
+  /** Pause in milliseconds between two statements of the number in force. */
+  static final long ANNOUNCE_MS = 500;
+
+  /**
+   * Time in milliseconds for a proposal; an operator moves on to another instance after a second.
+   */
+  static final long PROPOSAL_LIMIT_MS = 900;
+
+  private sealed interface Waiting {
+    record Publish(RoutingDocument document, Outlet<PublishOutcome> reply) implements Waiting {}
+
+    record Reads(List<Outlet<ReadOutcome>> replies) implements Waiting {}
+  }
+
+  private record Pending(Waiting waiting, long limitMs) {}
+
+  private final RoutingFormat format;
+  private final CommandProposer proposer;
+  private final RoutingOutlets outlets;
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private final List<Outlet<ReadOutcome>> readsWaiting = new ArrayList<>();
+  private Set<InstanceId> peers = Set.of();
+  private Optional<RoutingDocument> accepted = Optional.empty();
+  private Optional<RoutingTable> undelivered = Optional.empty();
+  private Optional<InstanceId> leader = Optional.empty();
+  private boolean leads;
+  private boolean readProposed;
+  private long nextProposal;
+  private long nextAnnounceMs;
+
+  public RoutingHandler(RoutingFormat format, CommandProposer proposer, RoutingOutlets outlets) {
+    this.format = format;
+    this.proposer = proposer;
+    this.outlets = outlets;
+  }
+
+  @Override
+  public void handle(RoutingMessage message, long nowMs) {
+    if (message instanceof RoutingMessage.Publish publish) {
+      publish(publish, nowMs);
+    } else if (message instanceof RoutingMessage.Read read) {
+      read(read.reply(), nowMs);
+    } else if (message instanceof RoutingMessage.Applied applied) {
+      install(applied.document(), true);
+    } else if (message instanceof RoutingMessage.Proposed proposed) {
+      proposed(proposed.proposal(), proposed.outcome(), nowMs);
+    } else if (message instanceof RoutingMessage.LeaseChanged changed) {
+      leads = changed.lease().local();
+      leader = changed.lease().leader();
+    } else if (message instanceof RoutingMessage.PeersChanged changed) {
+      peers = changed.peers();
+      announce();
+    } else if (message instanceof RoutingMessage.FromPeer fromPeer) {
+      received(fromPeer.received().peer(), fromPeer.received().message());
+    }
+  }
+
+  private void publish(RoutingMessage.Publish publish, long nowMs) {
+    if (accepted.isPresent() && accepted.get().number() >= publish.document().number()) {
+      publish.reply().offer(new PublishOutcome.Accepted(accepted.get().number()));
+      return;
+    }
+    if (!leads) {
+      publish.reply().offer(elsewhere());
+      return;
+    }
+    boolean proposed =
+        propose(
+            new RoutingCommand.Accept(publish.document()),
+            new Waiting.Publish(publish.document(), publish.reply()),
+            nowMs);
+    if (!proposed) {
+      publish.reply().offer(new PublishOutcome.Unanswered());
+    }
+  }
+
+  private PublishOutcome elsewhere() {
+    return leader
+        .<PublishOutcome>map(PublishOutcome.AskLeader::new)
+        .orElseGet(PublishOutcome.Unanswered::new);
+  }
+
+  private void read(Outlet<ReadOutcome> reply, long nowMs) {
+    if (!leads) {
+      reply.offer(
+          leader.<ReadOutcome>map(ReadOutcome.AskLeader::new).orElseGet(ReadOutcome.Unsure::new));
+      return;
+    }
+    readsWaiting.add(reply);
+    proposeRead(nowMs);
+  }
+
+  /** Questions that come while a barrier is under way share the next one. */
+  private void proposeRead(long nowMs) {
+    if (readProposed || readsWaiting.isEmpty()) {
+      return;
+    }
+    Waiting.Reads reads = new Waiting.Reads(List.copyOf(readsWaiting));
+    readsWaiting.clear();
+    readProposed = propose(new RoutingCommand.Barrier(), reads, nowMs);
+    if (!readProposed) {
+      answer(reads, new ReadOutcome.Unsure());
+    }
+  }
+
+  private boolean propose(RoutingCommand command, Waiting waiting, long nowMs) {
+    long proposal = nextProposal++;
+    pending.put(proposal, new Pending(waiting, nowMs + PROPOSAL_LIMIT_MS));
+    boolean proposed =
+        proposer.propose(
+            command,
+            outcome -> outlets.self().offer(new RoutingMessage.Proposed(proposal, outcome)));
+    if (!proposed) {
+      pending.remove(proposal);
+    }
+    return proposed;
+  }
+
+  private void proposed(long proposal, ProposalOutcome outcome, long nowMs) {
+    Pending known = pending.remove(proposal);
+    if (known == null) {
+      return;
+    }
+    boolean applied = outcome instanceof ProposalOutcome.Applied;
+    if (known.waiting() instanceof Waiting.Publish publish) {
+      answerPublish(publish, applied);
+      return;
+    }
+    readProposed = false;
+    answer((Waiting.Reads) known.waiting(), applied ? newest() : new ReadOutcome.Unsure());
+    proposeRead(nowMs);
+  }
+
+  /** The state machine offers what it applied before the outcome, so the document is known here. */
+  private void answerPublish(Waiting.Publish publish, boolean applied) {
+    if (!applied) {
+      publish.reply().offer(new PublishOutcome.Unanswered());
+      return;
+    }
+    long number = accepted.map(RoutingDocument::number).orElse(publish.document().number());
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of("routing.accepted")
+            .with("number", publish.document().number())
+            .with("in_force", number)
+            .toString());
+    publish.reply().offer(new PublishOutcome.Accepted(number));
+  }
+
+  private ReadOutcome newest() {
+    return accepted.<ReadOutcome>map(ReadOutcome.Newest::new).orElseGet(ReadOutcome.Nothing::new);
+  }
+
+  private static void answer(Waiting.Reads reads, ReadOutcome outcome) {
+    reads.replies().forEach(reply -> reply.offer(outcome));
+  }
+
+  private void received(InstanceId peer, PeerMessage message) {
+    if (message instanceof PeerMessage.Accepted newer) {
+      install(newer.document(), false);
+    } else if (message instanceof PeerMessage.InForce theirs) {
+      accepted
+          .filter(document -> document.number() > theirs.number())
+          .ifPresent(document -> send(peer, new PeerMessage.Accepted(document)));
+    }
+  }
+
+  /** Takes over a greater number; an instance never goes back to a smaller one. */
+  private void install(RoutingDocument document, boolean passOn) {
+    if (accepted.isPresent() && accepted.get().number() >= document.number()) {
+      return;
+    }
+    Either<RoutingError, RoutingTable> read = format.read(document.body());
+    if (read.isLeft()) {
+      LOGGER.log(
+          System.Logger.Level.ERROR,
+          LogLine.of("routing.unreadable")
+              .with("number", document.number())
+              .with("cause", read.getLeft().message())
+              .toString());
+      return;
+    }
+    accepted = Optional.of(document);
+    undelivered = Optional.of(read.get());
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of("routing.in_force")
+            .with("number", document.number())
+            .with("source", passOn ? "agreement" : "peer")
+            .toString());
+    deliver();
+    if (passOn) {
+      for (InstanceId peer : peers) {
+        send(peer, new PeerMessage.Accepted(document));
+      }
+    }
+  }
+
+  private void deliver() {
+    if (undelivered.isPresent() && outlets.tables().offer(undelivered.get())) {
+      undelivered = Optional.empty();
+    }
+  }
+
+  private void announce() {
+    long number = accepted.map(RoutingDocument::number).orElse(0L);
+    for (InstanceId peer : peers) {
+      send(peer, new PeerMessage.InForce(number));
+    }
+  }
+
+  private void send(InstanceId peer, PeerMessage message) {
+    boolean unused = outlets.peers().offer(new Addressed<>(peer, message));
+  }
+
+  @Override
+  public void tick(long nowMs) {
+    deliver();
+    if (nowMs >= nextAnnounceMs) {
+      nextAnnounceMs = nowMs + ANNOUNCE_MS;
+      announce();
+    }
+    expire(nowMs);
+  }
+
+  private void expire(long nowMs) {
+    List<Long> late = new ArrayList<>();
+    pending.forEach(
+        (proposal, known) -> {
+          if (nowMs >= known.limitMs()) {
+            late.add(proposal);
+          }
+        });
+    for (long proposal : late) {
+      proposed(proposal, new ProposalOutcome.Unknown(), nowMs);
+    }
+  }
+
+  @Override
+  public long nextTickMs() {
+    long due = nextAnnounceMs;
+    for (Pending known : pending.values()) {
+      due = Math.min(due, known.limitMs());
+    }
+    return due;
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
@@ -0,0 +1,72 @@
+package dev.caroblb.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Routes, services, limits and keys under one number; immutable. */
+public final class RoutingTable {
+  private final long number;
+  private final Map<String, List<Route>> routesByHost;
+  private final Map<String, Service> services;
+  private final CallerLimits limits;
+  private final Optional<Map<String, Workspace>> workspacesByKey;
+
+  /**
+   * Creates a table.
+   *
+   * @param workspacesByKey who holds each key; empty when requests need no key
+   */
+  public RoutingTable(
+      long number,
+      List<Route> routes,
+      Map<String, Service> services,
+      CallerLimits limits,
+      Optional<Map<String, Workspace>> workspacesByKey) {
+    this.number = number;
+    this.services = Map.copyOf(services);
+    this.limits = limits;
+    this.workspacesByKey = workspacesByKey.map(Map::copyOf);
+    routesByHost = new HashMap<>();
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    for (List<Route> ofHost : routesByHost.values()) {
+      ofHost.sort((a, b) -> b.prefix().length() - a.prefix().length());
+    }
+  }
+
+  public long number() {
+    return number;
+  }
+
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  public Optional<Route> match(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(route.prefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  public Optional<Service> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Whether requests of routes that are not open need a key. */
+  public boolean needsKeys() {
+    return workspacesByKey.isPresent();
+  }
+
+  /** Who holds a key. */
+  public Optional<Workspace> holder(String key) {
+    return workspacesByKey.map(keys -> keys.get(key));
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/dev/caroblb/routing/codec/PeerMessageCodec.java
@@ -0,0 +1,59 @@
+package dev.caroblb.routing.codec;
+
+import dev.caroblb.core.MessageCodec;
+import dev.caroblb.core.Payload;
+import dev.caroblb.routing.PeerMessage;
+import dev.caroblb.transport.codec.BoundedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
+public final class PeerMessageCodec implements MessageCodec<PeerMessage> {
+  private static final int TYPE_IN_FORCE = 1;
+  private static final int TYPE_ACCEPTED = 2;
+  private static final int IN_FORCE_FIELDS = 1;
+
+  @Override
+  public Payload encode(PeerMessage message) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      if (message instanceof PeerMessage.InForce inForce) {
+        out.packArrayHeader(1 + IN_FORCE_FIELDS);
+        out.packInt(TYPE_IN_FORCE);
+        out.packLong(inForce.number());
+      } else if (message instanceof PeerMessage.Accepted accepted) {
+        out.packArrayHeader(1 + DocumentFormat.FIELDS);
+        out.packInt(TYPE_ACCEPTED);
+        DocumentFormat.write(out, accepted.document());
+      }
+      return Payload.copyOf(out.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("packing into memory failed", e);
+    }
+  }
+
+  @Override
+  public Optional<PeerMessage> decode(Payload bytes) {
+    return BoundedReader.decode(bytes, in -> in.variant(new Variants()));
+  }
+
+  private static final class Variants implements BoundedReader.Variants<PeerMessage> {
+    @Override
+    public int fields(int type) {
+      return switch (type) {
+        case TYPE_IN_FORCE -> IN_FORCE_FIELDS;
+        case TYPE_ACCEPTED -> DocumentFormat.FIELDS;
+        default -> -1;
+      };
+    }
+
+    @Override
+    public PeerMessage read(int type, BoundedReader in) throws IOException {
+      return type == TYPE_IN_FORCE
+          ? new PeerMessage.InForce(in.number())
+          : new PeerMessage.Accepted(DocumentFormat.read(in));
+    }
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/dev/caroblb/routing/codec/RoutingStateMachine.java
@@ -0,0 +1,77 @@
+package dev.caroblb.routing.codec;
+
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.StateMachine;
+import dev.caroblb.routing.RoutingCommand;
+import dev.caroblb.routing.RoutingDocument;
+import dev.caroblb.routing.RoutingMessage;
+import java.util.Optional;
+
+/**
+ * Replicated state: the accepted document with the greatest number. The first content under a
+ * number stays, whatever else is published under it.
+ */
+public final class RoutingStateMachine implements StateMachine {
+  private final CommandCodec commands = new CommandCodec();
+  private final Outlet<RoutingMessage> duty;
+  private Optional<RoutingDocument> accepted = Optional.empty();
+
+  /** Creates an empty state whose changes are offered to the ring of the routing duty. */
+  public RoutingStateMachine(Outlet<RoutingMessage> duty) {
+    this.duty = duty;
+  }
+
+  @Override
+  public Payload apply(Payload command) {
+    RoutingCommand decoded =
+        commands
+            .decode(command)
+            .orElseThrow(
+                () ->
+                    new IllegalStateException(
+                        "a committed routing command has an unknown format; start this replica"
+                            + " with the software version of the control leader"));
+    if (decoded instanceof RoutingCommand.Accept accept && newer(accept.document())) {
+      accepted = Optional.of(accept.document());
+    }
+    offerAccepted();
+    return Payload.empty();
+  }
+
+  private boolean newer(RoutingDocument document) {
+    return accepted.isEmpty() || document.number() > accepted.get().number();
+  }
+
+  @Override
+  public Payload snapshot() {
+    return accepted
+        .map(document -> commands.encode(new RoutingCommand.Accept(document)))
+        .orElseGet(Payload::empty);
+  }
+
+  @Override
+  public void restore(Payload snapshot) {
+    accepted = snapshot.size() == 0 ? Optional.empty() : Optional.of(restored(snapshot));
+    offerAccepted();
+  }
+
+  private RoutingDocument restored(Payload snapshot) {
+    return commands
+        .decode(snapshot)
+        .filter(RoutingCommand.Accept.class::isInstance)
+        .map(command -> ((RoutingCommand.Accept) command).document())
+        .orElseThrow(
+            () ->
+                new IllegalArgumentException(
+                    "the routing snapshot has an unknown format; start a software version that"
+                        + " reads it, or restore the data folder"));
+  }
+
+  private void offerAccepted() {
+    accepted.ifPresent(
+        document -> {
+          boolean unused = duty.offer(new RoutingMessage.Applied(document));
+        });
+  }
+}
--- a/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
@@ -14,6 +14,7 @@
   private static final System.Logger LOGGER = System.getLogger(InboundPeer.class.getName());
 
   private final SocketChannel channel;
+  private final ByteBuffer acknowledgement = ByteBuffer.allocate(1);
   private final FrameSplitter splitter = new FrameSplitter();
   private final Predicate<Hello> accepts;
   private final Map<Channel, PeerReceiver> receivers;
@@ -43,6 +44,7 @@
         process(frame.get());
         frame = nextFrame();
       }
+      acknowledge();
     } catch (IOException e) {
       LOGGER.log(
           System.Logger.Level.DEBUG,
@@ -51,6 +53,12 @@
     }
   }
 
+  /** A byte that finds no room in the send buffer is not missed: earlier ones are under way. */
+  private void acknowledge() throws IOException {
+    acknowledgement.clear();
+    channel.write(acknowledgement);
+  }
+
   private Optional<ByteBuffer> nextFrame() throws IOException {
     try {
       return splitter.next();
--- a/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
@@ -23,6 +23,13 @@
    */
   private static final long WRITE_STALL_MS = 2_000;
 
+  /**
+   * The receiver acknowledges what it reads with single bytes. Without one for this time after a
+   * write the connection is dialled again: writes into a connection whose packets are lost succeed
+   * until the send buffer is full.
+   */
+  private static final long ACKNOWLEDGE_MS = 1_500;
+
   private final InstanceId peer;
   private final InetSocketAddress address;
   private final Hello hello;
@@ -30,6 +37,7 @@
   private final TransportCounters counters;
   private final ArrayBlockingQueue<ByteBuffer> queue = new ArrayBlockingQueue<>(QUEUE_FRAMES);
 
+  private final ByteBuffer acknowledgements = ByteBuffer.allocate(64);
   private SocketChannel channel;
   private SelectionKey key;
   private ByteBuffer writing;
@@ -37,6 +45,8 @@
   private long nextDialMs;
   private long backoffMs = MIN_BACKOFF_MS;
   private long lastProgressMs;
+  private long unacknowledgedSinceMs = Long.MAX_VALUE;
+  private volatile long usedAtMs;
 
   OutboundPeer(
       InstanceId peer,
@@ -49,6 +59,17 @@
     this.hello = hello;
     this.clock = clock;
     this.counters = counters;
+    this.usedAtMs = clock.nowMs();
+  }
+
+  /** Whether the peer needs attention soon, even when its connection reports nothing. */
+  boolean busy() {
+    return !connected || writing != null || !queue.isEmpty();
+  }
+
+  /** Time in milliseconds since the last message to this peer. */
+  long unusedFor(long nowMs) {
+    return nowMs - usedAtMs;
   }
 
   InstanceId peer() {
@@ -57,6 +78,7 @@
 
   /** Queues a frame from any thread; false when the queue is full. */
   boolean enqueue(ByteBuffer frame) {
+    usedAtMs = clock.nowMs();
     if (queue.offer(frame)) {
       return true;
     }
@@ -71,8 +93,11 @@
       dialIfDue(selector, nowMs);
       return;
     }
-    boolean pending = !connected || writing != null || !queue.isEmpty();
-    if (!pending) {
+    if (connected && nowMs - ACKNOWLEDGE_MS >= unacknowledgedSinceMs) {
+      disconnect();
+      return;
+    }
+    if (!busy()) {
       lastProgressMs = nowMs;
       return;
     }
@@ -110,7 +135,7 @@
         onConnected();
       }
       if (key.isValid() && key.isReadable()) {
-        checkOpen();
+        readAcknowledgements();
       }
       if (key.isValid() && key.isWritable()) {
         write();
@@ -124,15 +149,21 @@
     connected = true;
     backoffMs = MIN_BACKOFF_MS;
     lastProgressMs = clock.nowMs();
+    unacknowledgedSinceMs = Long.MAX_VALUE;
     writing = FrameCodec.encode(hello);
     key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
   }
 
-  /** Nothing is ever sent on a dialled connection by the other side, so bytes mean an error. */
-  private void checkOpen() throws IOException {
-    if (channel.read(ByteBuffer.allocate(1)) != 0) {
+  /** The other side sends only acknowledgements on a connection that it accepted. */
+  private void readAcknowledgements() throws IOException {
+    acknowledgements.clear();
+    int bytes = channel.read(acknowledgements);
+    if (bytes < 0) {
       throw new IOException("the peer closed the connection");
     }
+    if (bytes > 0) {
+      unacknowledgedSinceMs = Long.MAX_VALUE;
+    }
   }
 
   private void write() throws IOException {
@@ -147,6 +178,7 @@
       int bytes = channel.write(writing);
       if (bytes > 0) {
         lastProgressMs = clock.nowMs();
+        unacknowledgedSinceMs = Math.min(unacknowledgedSinceMs, lastProgressMs);
       }
       if (writing.hasRemaining()) {
         return;
--- a/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
+++ b/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
+import dev.caroblb.core.Names;
 import dev.caroblb.core.Payload;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,8 +16,9 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -29,10 +31,18 @@
   private static final System.Logger LOGGER = System.getLogger(PeerTransport.class.getName());
   private static final long MAINTAIN_MS = 50;
 
+  /** Pause of the selector while all connections are up and nothing waits to be sent. */
+  private static final long IDLE_MAINTAIN_MS = 250;
+
+  /** A peer to which nothing was sent for this time loses its connection and its queue. */
+  private static final long FORGET_AFTER_MS = 30_000;
+
   private final Hello self;
   private final Selector selector;
   private final ServerSocketChannel listener;
-  private final Map<InstanceId, OutboundPeer> peers = new HashMap<>();
+  private final Map<InstanceId, OutboundPeer> peers = new ConcurrentHashMap<>();
+  private final PeerDirectory directory;
+  private final MillisClock clock;
   private final Map<Channel, PeerReceiver> receivers = new EnumMap<>(Channel.class);
   private final TransportCounters counters = new TransportCounters();
   private final AtomicBoolean wakeupPending = new AtomicBoolean();
@@ -42,21 +52,35 @@
 
   /** Binds the listening address; port 0 lets the system choose one. */
   public PeerTransport(
-      Hello self,
-      InetSocketAddress address,
-      Map<InstanceId, InetSocketAddress> peerAddresses,
-      MillisClock clock)
+      Hello self, InetSocketAddress address, PeerDirectory directory, MillisClock clock)
       throws IOException {
     this.self = self;
+    this.directory = directory;
+    this.clock = clock;
     selector = Selector.open();
     listener = ServerSocketChannel.open();
     listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
     listener.configureBlocking(false);
     listener.bind(address);
     listener.register(selector, SelectionKey.OP_ACCEPT);
-    peerAddresses.forEach(
-        (peer, peerAddress) ->
-            peers.put(peer, new OutboundPeer(peer, peerAddress, self, clock, counters)));
+  }
+
+  /** Dials a peer before the first message to it. */
+  public void connect(InstanceId peer) {
+    peer(peer);
+  }
+
+  private Optional<OutboundPeer> peer(InstanceId id) {
+    OutboundPeer known = peers.get(id);
+    if (known != null) {
+      return Optional.of(known);
+    }
+    return directory
+        .address(id)
+        .map(
+            address ->
+                peers.computeIfAbsent(
+                    id, key -> new OutboundPeer(key, address, self, clock, counters)));
   }
 
   /** Sets who receives a channel; to be called before {@link #start()}. */
@@ -79,8 +103,8 @@
 
   /** Sends a message without waiting; false when the peer is unknown or its queue is full. */
   public boolean send(InstanceId to, Channel channel, Payload body) {
-    OutboundPeer peer = peers.get(to);
-    if (peer == null) {
+    Optional<OutboundPeer> peer = peer(to);
+    if (peer.isEmpty()) {
       return false;
     }
     ByteBuffer frame = FrameCodec.encode(new Frame(channel, body));
@@ -88,7 +112,7 @@
       counters.dropped();
       return false;
     }
-    boolean queued = peer.enqueue(frame);
+    boolean queued = peer.get().enqueue(frame);
     if (wakeupPending.compareAndSet(false, true)) {
       selector.wakeup();
     }
@@ -98,13 +122,13 @@
   private void run() {
     while (!stopped) {
       try {
-        selector.select(MAINTAIN_MS);
+        selector.select(pauseMs());
         wakeupPending.set(false);
         for (SelectionKey key : selector.selectedKeys()) {
           onReady(key);
         }
         selector.selectedKeys().clear();
-        peers.values().forEach(peer -> peer.maintain(selector));
+        maintain();
       } catch (IOException | RuntimeException e) {
         LOGGER.log(
             System.Logger.Level.ERROR,
@@ -114,6 +138,27 @@
     }
   }
 
+  private long pauseMs() {
+    for (OutboundPeer peer : peers.values()) {
+      if (peer.busy()) {
+        return MAINTAIN_MS;
+      }
+    }
+    return IDLE_MAINTAIN_MS;
+  }
+
+  private void maintain() {
+    long nowMs = clock.nowMs();
+    for (OutboundPeer peer : peers.values()) {
+      if (peer.unusedFor(nowMs) < FORGET_AFTER_MS) {
+        peer.maintain(selector);
+      } else {
+        peer.disconnect();
+      }
+    }
+    peers.values().removeIf(peer -> peer.unusedFor(nowMs) >= FORGET_AFTER_MS);
+  }
+
   private void onReady(SelectionKey key) throws IOException {
     if (!key.isValid()) {
       return;
@@ -139,7 +184,8 @@
 
   private boolean accepts(Hello hello) {
     return hello.cluster().equals(self.cluster())
-        && peers.keySet().stream().anyMatch(peer -> peer.name().equals(hello.instance()))
+        && Names.valid(hello.instance())
+        && directory.address(new InstanceId(hello.instance())).isPresent()
         && MessageDigest.isEqual(
             hello.token().getBytes(StandardCharsets.UTF_8),
             self.token().getBytes(StandardCharsets.UTF_8));
--- a/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
+++ b/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
@@ -41,7 +41,10 @@
   private PeerTransport receiver(int port) throws IOException {
     PeerTransport transport =
         new PeerTransport(
-            hello(B), loopback(port), Map.of(A, loopback(1)), new ManualMillisClock(0));
+            hello(B),
+            loopback(port),
+            PeerDirectory.fixed(Map.of(A, loopback(1))),
+            new ManualMillisClock(0));
     transport.receive(Channel.MEMBERSHIP, (from, body) -> received.add(from + ":" + body.text()));
     transport.start();
     return transport;
@@ -50,7 +53,10 @@
   private PeerTransport sender() throws IOException {
     PeerTransport transport =
         new PeerTransport(
-            hello(A), loopback(0), Map.of(B, receiver.address()), new SystemMillisClock());
+            hello(A),
+            loopback(0),
+            PeerDirectory.fixed(Map.of(B, receiver.address())),
+            new SystemMillisClock());
     transport.start();
     return transport;
   }
@@ -119,7 +125,10 @@
     void fullQueueIsCounted() throws Exception {
       try (PeerTransport sender =
           new PeerTransport(
-              hello(A), loopback(0), Map.of(B, receiver.address()), new ManualMillisClock(0))) {
+              hello(A),
+              loopback(0),
+              PeerDirectory.fixed(Map.of(B, receiver.address())),
+              new ManualMillisClock(0))) {
         int refused = 0;
         for (int i = 0; i < 5_000; i++) {
           refused += sender.send(B, Channel.MEMBERSHIP, Payload.empty()) ? 0 : 1;
