Await answers beyond the connect timeout and bound moves of a generation

Moves that failed were ordered again at each event, 246 times without any engine left to try. The idle limit is now set with the request, and a generation is moved three times at most from one engine.

HttpConnectorTest failed before with 'expected complete but was SocketTimeoutException: 200 MILLISECONDS'.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
@@ -74,6 +74,8 @@
             .with("cause", cause)
             .with("target", target)
             .with("sendings", exchange.sendings())
+            .with("first_ms", exchange.firstPartAfterMs())
+            .with("longest_pause_ms", exchange.longestPauseMs())
             .with("elapsed_ms", nowMs - exchange.arrivedMs())
             .toString());
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -32,6 +32,7 @@
   private int attempt;
   private int sendings;
   private int runs;
+  private int moves;
   private Optional<Target> target = Optional.empty();
   private Optional<AnswerHead> head = Optional.empty();
   private Optional<Relocation> relocation = Optional.empty();
@@ -39,7 +40,9 @@
   private boolean begun;
   private boolean targetEnded;
   private boolean waiting;
+  private long firstPartMs;
   private long lastPartMs;
+  private long longestPauseMs;
 
   Exchange(
       ForwardCall call,
@@ -125,6 +128,12 @@
     relocation = Optional.of(current);
   }
 
+  /** Counts a move away from the present target; false when there were too many. */
+  boolean countMove(int most) {
+    moves++;
+    return moves <= most;
+  }
+
   /** Gives a move up. */
   void stay() {
     relocation = Optional.empty();
@@ -158,6 +167,7 @@
     answer.reset();
     framing.dropPartial();
     targetEnded = false;
+    moves = 0;
     return new AttemptOrder(
         call,
         attempt,
@@ -235,8 +245,24 @@
 
   /** Notes a part of a stream and returns the time since the one before, 0 for the first. */
   long partAt(long nowMs) {
-    long pause = lastPartMs == 0 ? 0 : nowMs - lastPartMs;
+    if (firstPartMs == 0) {
+      firstPartMs = nowMs;
+      lastPartMs = nowMs;
+      return 0;
+    }
+    long pause = nowMs - lastPartMs;
     lastPartMs = nowMs;
+    longestPauseMs = Math.max(longestPauseMs, pause);
     return pause;
   }
+
+  /** Time in milliseconds from the arrival to the first part; 0 when none came. */
+  long firstPartAfterMs() {
+    return firstPartMs == 0 ? 0 : firstPartMs - arrivedMs;
+  }
+
+  /** Longest time in milliseconds between two parts. */
+  long longestPauseMs() {
+    return longestPauseMs;
+  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocation.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocation.java
@@ -6,9 +6,8 @@
  *
  * @param destination the engine that gets the copy
  * @param stage how far it is
- * @param tries destinations tried so far, this one included
  */
-record Relocation(Target destination, Stage stage, int tries) {
+record Relocation(Target destination, Stage stage) {
   enum Stage {
     /** The generation goes on while its memory is copied. */
     COPYING,
@@ -17,6 +16,6 @@
   }
 
   Relocation stopping() {
-    return new Relocation(destination, Stage.STOPPING, tries);
+    return new Relocation(destination, Stage.STOPPING);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
@@ -53,7 +53,7 @@
     if (source.isEmpty() || !movable(exchange, table)) {
       return;
     }
-    start(exchange, source.get(), 1, nowMs);
+    start(exchange, source.get(), nowMs);
   }
 
   private static boolean movable(Exchange exchange, Optional<RoutingTable> table) {
@@ -64,14 +64,17 @@
         .isPresent();
   }
 
-  private void start(Exchange exchange, Target source, int tries, long nowMs) {
+  private void start(Exchange exchange, Target source, long nowMs) {
+    if (!exchange.countMove(MAX_TRIES)) {
+      return;
+    }
     Optional<Target> destination = pool.choose(exchange.service(), exchange.tried(), nowMs);
     if (destination.isEmpty()) {
       log(exchange, "forwarding.move_impossible", "no destination");
       return;
     }
     exchange.tried().add(destination.get().info().id());
-    exchange.relocate(new Relocation(destination.get(), Relocation.Stage.COPYING, tries));
+    exchange.relocate(new Relocation(destination.get(), Relocation.Stage.COPYING));
     port.move(order(exchange, source, destination.get(), false));
   }
 
@@ -102,9 +105,8 @@
       stopped(exchange, source.get(), outcome, nowMs);
       return;
     }
-    boolean running = !(outcome instanceof MoveOutcome.NotRunning);
-    if (running && relocation.get().tries() < MAX_TRIES) {
-      start(exchange, source.get(), relocation.get().tries() + 1, nowMs);
+    if (!(outcome instanceof MoveOutcome.NotRunning)) {
+      start(exchange, source.get(), nowMs);
     }
   }
 
--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -18,17 +18,23 @@
   private final HttpAsyncRequester requester;
   private final Timeout connectTimeout;
 
+  /**
+   * @param connectTimeoutMs time in milliseconds for a connection to come up
+   * @param idleMs time in milliseconds for which a connection may be silent
+   */
   public HttpConnector(int ioThreads, long connectTimeoutMs, long idleMs) {
     connectTimeout = Timeout.ofMilliseconds(connectTimeoutMs);
+    Timeout idleTimeout = Timeout.ofMilliseconds(idleMs);
     requester =
         AsyncRequesterBootstrap.bootstrap()
             .setIOReactorConfig(
                 IOReactorConfig.custom()
                     .setIoThreadCount(ioThreads)
-                    .setSoTimeout(Timeout.ofMilliseconds(idleMs))
+                    .setSoTimeout(idleTimeout)
                     .setTcpNoDelay(true)
                     .build())
             .setHttp1Config(Http1Config.custom().setInitialWindowSize(1).build())
+            .setStreamListener(new IdleLimit(idleTimeout))
             .setMaxTotal(MAX_CONNECTIONS)
             .setDefaultMaxPerRoute(MAX_CONNECTIONS)
             .create();
