Carry generations over from engines that leave, and share work counts

A generation now goes on at its engine until that breaks off and then from the copy; a last copy is ordered only for an engine that fell silent. Instances state their work at targets to the control instances, one of which answers with the sum of the others. Prompts not read yet weigh 20 tokens each, moves are drawn from two candidates, memory is set aside for them, and engines near their memory are avoided.

--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -18,6 +18,7 @@
 import dev.caroblb.forwarding.ForwardingMessage;
 import dev.caroblb.forwarding.TargetInfo;
 import dev.caroblb.forwarding.TargetPort;
+import dev.caroblb.forwarding.codec.WorkCodec;
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.ContactTopology;
@@ -94,9 +95,7 @@
             clock);
     replica = settings.control() ? Optional.of(openReplica()) : Optional.empty();
     createRouting(format);
-    forwardingHandler =
-        new ForwardingHandler(settings.forwarding(), targets, new MetricsCounts(), new Random());
-    forwarding.bind(duties.create("forwarding", forwardingHandler));
+    forwardingHandler = createForwarding(targets);
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
@@ -156,6 +155,18 @@
     return forwarding.offer(new ForwardingMessage.TableInstalled(installed));
   }
 
+  private ForwardingHandler createForwarding(TargetPort targets) {
+    PeerChannel<dev.caroblb.forwarding.PeerMessage> peers =
+        new PeerChannel<>(transport, Channel.FORWARDING, new WorkCodec());
+    ForwardingHandler handler =
+        new ForwardingHandler(
+            settings.forwarding(), targets, peers, new MetricsCounts(), new Random());
+    Duty<ForwardingMessage> duty = duties.create("forwarding", handler);
+    forwarding.bind(duty);
+    peers.receive(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
+    return handler;
+  }
+
   private void createMembership(long incarnation) {
     PeerChannel<dev.caroblb.membership.PeerMessage> peers =
         new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
@@ -215,6 +226,15 @@
       peers.add(known.id());
     }
     peers.remove(settings.instance());
+    List<InstanceId> contacts =
+        latest.instances().stream()
+            .filter(known -> known.address().isEmpty())
+            .map(InstanceRecord::id)
+            .filter(id -> !id.equals(settings.instance()))
+            .toList();
+    forwarding.offer(
+        new ForwardingMessage.ContactsChanged(
+            settings.control() ? List.of() : contacts, latest.instances().size()));
     return routing.offer(new RoutingMessage.PeersChanged(peers));
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/AnswerFlow.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/AnswerFlow.java
@@ -39,6 +39,7 @@
     exchange.setHead(head);
     if (head.success() && head.stream() && !exchange.begun()) {
       exchange.setBegun();
+      exchange.promptRead();
       exchange.call().port().begin(head);
     }
   }
@@ -88,9 +89,6 @@
       answerWhole(exchange, nowMs);
       return;
     }
-    if (exchange.toldToStop()) {
-      return;
-    }
     if (exchange.framing().partial()) {
       targetFailed(exchange, "stream ended within an event", nowMs);
       return;
@@ -127,9 +125,6 @@
 
   /** The attempt ended without a whole answer. */
   void lost(Exchange exchange, boolean sent, String cause, long nowMs) {
-    if (exchange.toldToStop()) {
-      return;
-    }
     if (sent) {
       targetFailed(exchange, cause, nowMs);
       return;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -33,6 +33,7 @@
   private int sendings;
   private int runs;
   private int moves;
+  private long unreadTokens;
   private Optional<Target> target = Optional.empty();
   private Optional<AnswerHead> head = Optional.empty();
   private Optional<Relocation> relocation = Optional.empty();
@@ -125,6 +126,9 @@
   }
 
   void relocate(Relocation current) {
+    if (relocation.isEmpty()) {
+      current.destination().reserve(tokens());
+    }
     relocation = Optional.of(current);
   }
 
@@ -136,6 +140,7 @@
 
   /** Gives a move up. */
   void stay() {
+    relocation.ifPresent(current -> current.destination().reserve(-tokens()));
     relocation = Optional.empty();
   }
 
@@ -162,7 +167,9 @@
     waiting = false;
     target = Optional.of(chosen);
     tried.add(chosen.info().id());
-    chosen.started(tokens());
+    unreadTokens =
+        memory.isPresent() ? 0 : call.prompt().map(GenerationSize::promptTokens).orElse(0L);
+    chosen.started(tokens(), unreadTokens);
     head = Optional.empty();
     answer.reset();
     framing.dropPartial();
@@ -179,15 +186,23 @@
         memory);
   }
 
-  private long tokens() {
+  /** The target answers, so it has read the prompt. */
+  void promptRead() {
+    target.ifPresent(current -> current.read(unreadTokens));
+    unreadTokens = 0;
+  }
+
+  /** Tokens that the request is expected to hold in memory when it ends; 0 for a plain one. */
+  long tokens() {
     return call.prompt().map(GenerationSize::expectedTokens).orElse(0L);
   }
 
   /** Ends the account of the present attempt; later messages of it are ignored. */
   void release() {
+    promptRead();
     target.ifPresent(current -> current.ended(tokens()));
     target = Optional.empty();
-    relocation = Optional.empty();
+    stay();
     attempt++;
   }
 
@@ -256,6 +271,11 @@
     return pause;
   }
 
+  /** Time in milliseconds since the last part of a stream. */
+  long silentFor(long nowMs) {
+    return nowMs - lastPartMs;
+  }
+
   /** Time in milliseconds from the arrival to the first part; 0 when none came. */
   long firstPartAfterMs() {
     return firstPartMs == 0 ? 0 : firstPartMs - arrivedMs;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -1,6 +1,9 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.Addressed;
 import dev.caroblb.core.DutyHandler;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Outlet;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
@@ -19,11 +22,16 @@
   private final Sender sender;
   private final AnswerFlow answers;
   private final Relocations relocations;
+  private final WorkExchange work;
   private Optional<RoutingTable> table = Optional.empty();
   private boolean refuseNew;
 
   public ForwardingHandler(
-      ForwardingSettings settings, TargetPort port, CallObserver observer, RandomGenerator random) {
+      ForwardingSettings settings,
+      TargetPort port,
+      Outlet<Addressed<PeerMessage>> peers,
+      CallObserver observer,
+      RandomGenerator random) {
     this.settings = settings;
     this.random = random;
     pool = new TargetPool(settings.domain(), random);
@@ -32,6 +40,7 @@
     ends = new CallEnds(exchanges, port, observer);
     sender = new Sender(exchanges, pool, port, budget, observer, ends);
     answers = new AnswerFlow(port, observer, sender, ends);
+    work = new WorkExchange(peers, settings.instance().name().hashCode());
     relocations = new Relocations(exchanges, pool, port, sender, answers);
   }
 
@@ -47,6 +56,8 @@
       exchanges.find(gone.call()).ifPresent(exchange -> ends.callerGone(exchange, nowMs));
     } else if (message instanceof ForwardingMessage.CallerReady ready) {
       exchanges.find(ready.call()).ifPresent(exchange -> answers.callerReady(exchange, nowMs));
+    } else if (message instanceof ForwardingMessage.FromPeer fromPeer) {
+      fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else {
       changed(message, nowMs);
       sender.placeWaiting(nowMs);
@@ -60,24 +71,41 @@
     } else if (message instanceof ForwardingMessage.Head head) {
       answers.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
-      answers.ended(exchange, nowMs);
+      if (!exchange.toldToStop()) {
+        answers.ended(exchange, nowMs);
+      }
     } else if (message instanceof ForwardingMessage.Failed failed) {
+      if (relocations.sourceLost(exchange, nowMs)) {
+        return;
+      }
       answers.lost(exchange, failed.sent(), failed.cause(), nowMs);
     } else if (message instanceof ForwardingMessage.Moved moved) {
       relocations.moved(exchange, moved.last(), moved.outcome(), nowMs);
     }
   }
 
+  private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
+    if (message instanceof PeerMessage.OwnWork own) {
+      work.received(peer, own, nowMs);
+    } else if (message instanceof PeerMessage.OthersWork others) {
+      work.answered(nowMs);
+      pool.othersWork(others.work(), nowMs);
+    }
+  }
+
   private void changed(ForwardingMessage message, long nowMs) {
     if (message instanceof ForwardingMessage.TableInstalled installed) {
       table = Optional.of(installed.table());
+      pool.memory(installed.table().engineMemory());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
     } else if (message instanceof ForwardingMessage.TargetLeaving leaving) {
-      pool.leaving(leaving.target(), leaving.incarnation())
+      pool.leaving(leaving.target(), leaving.incarnation(), nowMs)
           .ifPresent(target -> relocations.moveAway(target, table, nowMs));
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
+    } else if (message instanceof ForwardingMessage.ContactsChanged contacts) {
+      work.follow(contacts.contacts(), contacts.instances());
     } else if (message instanceof ForwardingMessage.RefuseNew) {
       refuseNew = true;
     } else if (message instanceof ForwardingMessage.BreakOff) {
@@ -140,8 +168,13 @@
         timedOut(exchange, nowMs);
       } else if (exchange.waiting()) {
         sender.place(exchange, nowMs);
+      } else {
+        relocations.due(exchange, nowMs);
       }
     }
+    if (nowMs >= work.nextMs()) {
+      work.tick(pool.ownWork(), nowMs);
+    }
   }
 
   private void timedOut(Exchange exchange, long nowMs) {
@@ -152,6 +185,6 @@
 
   @Override
   public long nextTickMs() {
-    return exchanges.nextDueMs();
+    return Math.min(exchanges.nextDueMs(), work.nextMs());
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -1,8 +1,11 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.RoutingTable;
+import java.util.List;
 
 /** Input of the forwarding duty. */
 public sealed interface ForwardingMessage {
@@ -37,6 +40,16 @@
   /** A copy of a generation's memory is complete or failed. */
   record Moved(long call, int attempt, boolean last, MoveOutcome outcome) implements OfAttempt {}
 
+  /** Who coordinates, and how many instances there are. */
+  record ContactsChanged(List<InstanceId> contacts, int instances) implements ForwardingMessage {
+    public ContactsChanged {
+      contacts = List.copyOf(contacts);
+    }
+  }
+
+  /** A message from another instance. */
+  record FromPeer(Addressed<PeerMessage> received) implements ForwardingMessage {}
+
   /** Another routing table is in force. */
   record TableInstalled(RoutingTable table) implements ForwardingMessage {}
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingSettings.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingSettings.java
@@ -1,10 +1,12 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
 
 /**
  * Bounds of the forwarding duty.
  *
+ * @param instance this instance
  * @param domain failure domain of this instance
  * @param maxCalls requests that may run at once
  * @param retryRatio repeats allowed for each request of a service
@@ -12,4 +14,9 @@
  * @param retrySlack repeats that this instance may add in each window
  */
 public record ForwardingSettings(
-    FailureDomain domain, int maxCalls, double retryRatio, long retryWindowMs, double retrySlack) {}
+    InstanceId instance,
+    FailureDomain domain,
+    int maxCalls,
+    double retryRatio,
+    long retryWindowMs,
+    double retrySlack) {}
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -0,0 +1,25 @@
+package dev.caroblb.forwarding;
+
+import java.util.List;
+
+/** Messages by which instances learn what the others have given to targets. */
+public sealed interface PeerMessage {
+  /**
+   * Work that the sender has given to targets.
+   *
+   * @param answer whether the receiver shall tell the sender of the work of others
+   * @param work one entry for each target with work
+   */
+  record OwnWork(boolean answer, List<TargetWork> work) implements PeerMessage {
+    public OwnWork {
+      work = List.copyOf(work);
+    }
+  }
+
+  /** Sum of the work of all instances other than the receiver. */
+  record OthersWork(List<TargetWork> work) implements PeerMessage {
+    public OthersWork {
+      work = List.copyOf(work);
+    }
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 
 /**
- * Moves the generations of an engine that leaves to other engines of its service. A copy is made
- * while the generation goes on, so that the last copy, for which it stops, is short.
+ * Moves the generations of an engine that leaves to other engines of its service. A generation goes
+ * on at its engine while its memory is copied, and from the copy once the engine breaks off. What
+ * it made after the copy is read again, which takes less time than a last copy behind the copies of
+ * other generations on the same link.
  */
 final class Relocations {
   private static final System.Logger LOGGER = System.getLogger(Relocations.class.getName());
@@ -16,6 +18,15 @@
   /** More destinations are not tried: the engine is gone before another copy would be complete. */
   private static final int MAX_TRIES = 3;
 
+  /** Pause in milliseconds between two looks at a generation whose copy is complete. */
+  private static final long LOOK_MS = 100;
+
+  /** An engine that leaves and sent nothing for this time in milliseconds is told to stop. */
+  private static final long SILENCE_MS = 400;
+
+  /** A copy that is older than this, in milliseconds, is brought up to date. */
+  private static final long REFRESH_MS = 2_000;
+
   private final ExchangeTable exchanges;
   private final TargetPool pool;
   private final TargetPort port;
@@ -50,7 +61,8 @@
       return;
     }
     Optional<Target> source = exchange.target().filter(Target::leaving);
-    if (source.isEmpty() || !movable(exchange, table)) {
+    // A stream that may be resumed needs no copy: it is resumed when its engine breaks off.
+    if (source.isEmpty() || exchange.route().resumable() || !movable(exchange, table)) {
       return;
     }
     start(exchange, source.get(), nowMs);
@@ -68,13 +80,14 @@
     if (!exchange.countMove(MAX_TRIES)) {
       return;
     }
-    Optional<Target> destination = pool.choose(exchange.service(), exchange.tried(), nowMs);
+    Optional<Target> destination = pool.chooseDestination(exchange, source, nowMs);
     if (destination.isEmpty()) {
       log(exchange, "forwarding.move_impossible", "no destination");
       return;
     }
     exchange.tried().add(destination.get().info().id());
-    exchange.relocate(new Relocation(destination.get(), Relocation.Stage.COPYING));
+    log(exchange, "forwarding.move", "to " + destination.get().info().id());
+    exchange.relocate(Relocation.to(destination.get()));
     port.move(order(exchange, source, destination.get(), false));
   }
 
@@ -96,44 +109,91 @@
       return;
     }
     if (outcome instanceof MoveOutcome.Copied copied) {
-      copied(exchange, source.get(), relocation.get(), last, copied.handle(), nowMs);
+      CopiedMemory memory = new CopiedMemory(source.get().info().address(), copied.handle());
+      copied(exchange, relocation.get(), last, memory, nowMs);
       return;
     }
     log(exchange, "forwarding.move_failed", outcome.toString());
-    exchange.stay();
     if (last) {
-      stopped(exchange, source.get(), outcome, nowMs);
+      stopped(exchange, source.get(), relocation.get(), outcome, nowMs);
+      return;
+    }
+    if (relocation.get().copy().isPresent()) {
       return;
     }
+    exchange.stay();
     if (!(outcome instanceof MoveOutcome.NotRunning)) {
       start(exchange, source.get(), nowMs);
     }
   }
 
   private void copied(
-      Exchange exchange,
-      Target source,
-      Relocation relocation,
-      boolean last,
-      String handle,
-      long nowMs) {
-    if (!last) {
-      exchange.relocate(relocation.stopping());
-      port.move(order(exchange, source, relocation.destination(), true));
+      Exchange exchange, Relocation relocation, boolean last, CopiedMemory memory, long nowMs) {
+    if (last) {
+      goOn(exchange, relocation.destination(), memory, nowMs);
       return;
     }
-    log(exchange, "forwarding.moved", "to " + relocation.destination().info().id());
-    CopiedMemory memory = new CopiedMemory(source.info().address(), handle);
-    sender.goOn(exchange, relocation.destination(), memory, nowMs);
+    log(exchange, "forwarding.copied", "to " + relocation.destination().info().id());
+    exchange.relocate(relocation.copied(memory, nowMs));
+    exchanges.wakeAt(exchange, nowMs + LOOK_MS);
   }
 
-  /** The generation stopped and the last copy failed; its memory may still be at the source. */
-  private void stopped(Exchange exchange, Target source, MoveOutcome outcome, long nowMs) {
+  /** Looks after a generation whose copy is complete and that still goes on at its engine. */
+  void due(Exchange exchange, long nowMs) {
+    Optional<Relocation> relocation = exchange.relocation();
+    Optional<Target> source = exchange.target();
+    if (relocation.isEmpty()
+        || source.isEmpty()
+        || relocation.get().stage() != Relocation.Stage.COPIED) {
+      return;
+    }
+    Relocation current = relocation.get();
+    exchanges.wakeAt(exchange, nowMs + LOOK_MS);
+    if (exchange.silentFor(nowMs) >= SILENCE_MS) {
+      log(exchange, "forwarding.stopping", "silent for " + exchange.silentFor(nowMs) + " ms");
+      exchange.relocate(current.stopping());
+      port.move(order(exchange, source.get(), current.destination(), true));
+    } else if (nowMs - current.copiedAtMs() >= REFRESH_MS) {
+      exchange.relocate(current.refreshing(nowMs));
+      port.move(order(exchange, source.get(), current.destination(), false));
+    }
+  }
+
+  /**
+   * The engine broke off while its generation was being moved. Returns whether that is dealt with:
+   * the generation goes on from the copy, or the outcome of the last copy decides.
+   */
+  boolean sourceLost(Exchange exchange, long nowMs) {
+    if (exchange.toldToStop()) {
+      return true;
+    }
+    Optional<CopiedMemory> copy = exchange.relocation().flatMap(Relocation::copy);
+    copy.ifPresent(
+        memory -> goOn(exchange, exchange.relocation().orElseThrow().destination(), memory, nowMs));
+    return copy.isPresent();
+  }
+
+  private void goOn(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
+    log(exchange, "forwarding.moved", "to " + destination.info().id());
+    sender.goOn(exchange, destination, memory, nowMs);
+  }
+
+  /**
+   * The last copy failed. The memory may still be at the source, which stopped the generation, or
+   * an earlier copy at the destination.
+   */
+  private void stopped(
+      Exchange exchange, Target source, Relocation relocation, MoveOutcome outcome, long nowMs) {
     if (outcome instanceof MoveOutcome.NoRoom noRoom && noRoom.handle().isPresent()) {
       CopiedMemory memory = new CopiedMemory(source.info().address(), noRoom.handle().get());
       sender.goOn(exchange, source, memory, nowMs);
       return;
     }
+    if (relocation.copy().isPresent()) {
+      goOn(exchange, relocation.destination(), relocation.copy().get(), nowMs);
+      return;
+    }
+    exchange.stay();
     answers.targetFailed(exchange, "move failed: " + outcome, nowMs);
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -41,7 +41,7 @@
 
   /** Sends a request that was not sent before, or lets it wait for a target. */
   void place(Exchange exchange, long nowMs) {
-    Optional<Target> target = pool.choose(exchange.service(), exchange.tried(), nowMs);
+    Optional<Target> target = pool.choose(exchange, nowMs);
     if (target.isPresent()) {
       send(exchange, target.get(), Optional.empty(), nowMs);
       return;
@@ -85,7 +85,7 @@
             .with("sending", exchange.sendings())
             .with("target", target.info().id())
             .with("running", target.running())
-            .with("tokens", target.runningTokens())
+            .with("tokens", target.work().tokens())
             .with("after", order.lastEventId().orElse("none"))
             .with("left_ms", order.waitMs())
             .toString());
@@ -114,8 +114,7 @@
     port.cancel(exchange.call().id(), exchange.attempt());
     exchange.release();
     boolean possible = exchange.sendings() < MAX_SENDINGS && nowMs < exchange.deadlineMs();
-    Optional<Target> target =
-        possible ? pool.choose(exchange.service(), exchange.tried(), nowMs) : Optional.empty();
+    Optional<Target> target = possible ? pool.choose(exchange, nowMs) : Optional.empty();
     if (target.isEmpty() || !budget.take(exchange.service(), nowMs)) {
       ends.giveUp(exchange, otherwise, reason.wireName(), nowMs);
       return;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
@@ -9,8 +9,10 @@
 
   private final TargetInfo info;
   private boolean leaving;
+  private long leavingSinceMs;
   private int running;
-  private long runningTokens;
+  private long tokens;
+  private long unreadTokens;
   private long penaltyUntilMs = Long.MIN_VALUE;
   private long penaltyMs = MIN_PENALTY_MS;
 
@@ -26,26 +28,43 @@
     return leaving;
   }
 
-  void leave() {
+  long leavingSinceMs() {
+    return leavingSinceMs;
+  }
+
+  void leave(long nowMs) {
     leaving = true;
+    leavingSinceMs = nowMs;
   }
 
   int running() {
     return running;
   }
 
-  long runningTokens() {
-    return runningTokens;
+  /** Work of this instance at the target. */
+  TargetWork work() {
+    return new TargetWork(info.id(), info.incarnation(), running, tokens, unreadTokens);
   }
 
-  void started(long tokens) {
+  void started(long expectedTokens, long promptTokens) {
     running++;
-    runningTokens += tokens;
+    tokens += expectedTokens;
+    unreadTokens += promptTokens;
+  }
+
+  /** The prompt of a request was read. */
+  void read(long promptTokens) {
+    unreadTokens -= promptTokens;
+  }
+
+  /** Sets memory aside for a generation that is being moved here; negative to give it back. */
+  void reserve(long expectedTokens) {
+    tokens += expectedTokens;
   }
 
-  void ended(long tokens) {
+  void ended(long expectedTokens) {
     running--;
-    runningTokens -= tokens;
+    tokens -= expectedTokens;
   }
 
   /** A request failed for a reason that lies with the target. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -3,7 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,9 +13,38 @@
 
 /** The targets that this instance knows, and the choice among those of a service. */
 final class TargetPool {
+  /**
+   * Weight of a prompt token that is not read yet against a token in memory. Prompts delay the
+   * requests beside them at once, memory only once it is full.
+   */
+  private static final double UNREAD_WEIGHT = 20;
+
+  /**
+   * What a copy to another failure domain costs, in tokens of load: it takes twice as long, which a
+   * generation of usual size makes up for only at a much busier engine.
+   */
+  private static final double REMOTE_MOVE_TOKENS = 10_000;
+
+  /**
+   * Part of an engine's memory above which its load counts many times: what is expected of running
+   * requests is uncertain, and a full memory preempts.
+   */
+  private static final double FULL = 0.85;
+
+  private static final double FULL_WEIGHT = 20;
+
+  /**
+   * Candidates drawn for a move. All generations of an engine are moved at the same moment by
+   * instances that do not know of each other's moves; the least loaded one would get them all.
+   */
+  private static final int MOVE_CANDIDATES = 2;
+
   private final FailureDomain domain;
   private final RandomGenerator random;
   private final Map<TargetId, Target> targets = new HashMap<>();
+  private Map<TargetRun, TargetWork> others = Map.of();
+  private long othersAtMs;
+  private Map<String, Long> memoryTokens = Map.of();
 
   TargetPool(FailureDomain domain, RandomGenerator random) {
     this.domain = domain;
@@ -32,12 +61,12 @@
   }
 
   /** Marks a run as leaving; returns it unless it is unknown or was marked before. */
-  Optional<Target> leaving(TargetId id, long incarnation) {
+  Optional<Target> leaving(TargetId id, long incarnation, long nowMs) {
     Target known = targets.get(id);
     if (known == null || known.info().incarnation() != incarnation || known.leaving()) {
       return Optional.empty();
     }
-    known.leave();
+    known.leave(nowMs);
     return Optional.of(known);
   }
 
@@ -48,23 +77,62 @@
     }
   }
 
-  Collection<Target> all() {
-    return targets.values();
+  /** Work of this instance at each target that has some. */
+  List<TargetWork> ownWork() {
+    List<TargetWork> work = new ArrayList<>();
+    for (Target target : targets.values()) {
+      if (target.running() > 0) {
+        work.add(target.work());
+      }
+    }
+    work.sort((a, b) -> a.target().name().compareTo(b.target().name()));
+    return work;
+  }
+
+  /** Takes over the sum of the work of the other instances. */
+  void othersWork(List<TargetWork> work, long nowMs) {
+    Map<TargetRun, TargetWork> latest = new HashMap<>();
+    for (TargetWork entry : work) {
+      latest.put(TargetRun.of(entry), entry);
+    }
+    others = latest;
+    othersAtMs = nowMs;
+  }
+
+  /** Sets the memory of the engines of each service, in tokens. */
+  void memory(Map<String, Long> tokensByService) {
+    memoryTokens = Map.copyOf(tokensByService);
   }
 
   /**
-   * Chooses the target of a service with the least work of this instance, ties at random and the
-   * own failure domain first. Targets in {@code tried} and those that failed lately are taken only
-   * when no other is left.
+   * Chooses the target of a service with the least work, ties at random and the own failure domain
+   * first. Targets that failed lately are taken only when no other is left.
    */
-  Optional<Target> choose(String service, Set<TargetId> tried, long nowMs) {
+  Optional<Target> choose(Exchange exchange, long nowMs) {
+    return least(usable(exchange.service(), exchange.tried(), nowMs), exchange, domain, 0, nowMs);
+  }
+
+  /** Chooses where to move a generation; a copy within a failure domain is faster. */
+  Optional<Target> chooseDestination(Exchange exchange, Target source, long nowMs) {
+    List<Target> candidates = usable(exchange.service(), exchange.tried(), nowMs);
+    shuffle(candidates);
+    return least(
+        candidates.subList(0, Math.min(MOVE_CANDIDATES, candidates.size())),
+        exchange,
+        source.info().domain(),
+        REMOTE_MOVE_TOKENS,
+        nowMs);
+  }
+
+  private List<Target> usable(String service, Set<TargetId> tried, long nowMs) {
     List<Target> usable = new ArrayList<>();
     List<Target> preferred = new ArrayList<>();
     for (Target target : targets.values()) {
-      if (!target.info().service().equals(service) || target.leaving()) {
-        continue;
-      }
-      if (tried.contains(target.info().id())) {
+      boolean candidate =
+          target.info().service().equals(service)
+              && !target.leaving()
+              && !tried.contains(target.info().id());
+      if (!candidate) {
         continue;
       }
       usable.add(target);
@@ -72,14 +140,28 @@
         preferred.add(target);
       }
     }
-    return least(preferred.isEmpty() ? usable : preferred);
+    return preferred.isEmpty() ? usable : preferred;
   }
 
-  private Optional<Target> least(List<Target> candidates) {
+  private void shuffle(List<Target> candidates) {
+    for (int i = candidates.size() - 1; i > 0; i--) {
+      Collections.swap(candidates, i, random.nextInt(i + 1));
+    }
+  }
+
+  private Optional<Target> least(
+      List<Target> candidates,
+      Exchange exchange,
+      FailureDomain near,
+      double remoteTokens,
+      long nowMs) {
     Optional<Target> best = Optional.empty();
     double bestLoad = Double.MAX_VALUE;
     for (Target candidate : candidates) {
-      double load = load(candidate);
+      double load = load(candidate, exchange.tokens(), nowMs);
+      if (!candidate.info().domain().equals(near)) {
+        load += remoteTokens + 0.5;
+      }
       if (load < bestLoad) {
         best = Optional.of(candidate);
         bestLoad = load;
@@ -88,12 +170,19 @@
     return best;
   }
 
-  /** Work in tokens, or in requests where none have tokens; less than one of either breaks ties. */
-  private double load(Target target) {
-    double tie = random.nextDouble() / 2;
-    if (!target.info().domain().equals(domain)) {
-      tie += 0.5;
+  /** Work in tokens, or in requests where these have no tokens; less than one breaks ties. */
+  private double load(Target target, long addedTokens, long nowMs) {
+    TargetWork work = target.work();
+    if (nowMs - othersAtMs < WorkExchange.STALE_MS) {
+      TargetWork theirs = others.get(TargetRun.of(target.info()));
+      work = theirs == null ? work : work.plus(theirs);
     }
-    return target.running() + target.runningTokens() + tie;
+    long memory = memoryTokens.getOrDefault(target.info().service(), Long.MAX_VALUE);
+    double excess = Math.max(0, work.tokens() + addedTokens - FULL * memory);
+    return work.requests()
+        + work.tokens()
+        + UNREAD_WEIGHT * work.unreadTokens()
+        + FULL_WEIGHT * excess
+        + random.nextDouble() / 2;
   }
 }
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack format of the messages between forwarding duties. */
+package dev.caroblb.forwarding.codec;
--- a/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
@@ -60,6 +60,15 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Memory in tokens of the engines of each service that has engines. */
+  public Map<String, Long> engineMemory() {
+    Map<String, Long> memory = new HashMap<>();
+    for (Service service : services.values()) {
+      service.engine().ifPresent(engine -> memory.put(service.name(), engine.memoryTokens()));
+    }
+    return memory;
+  }
+
   /** Whether requests of routes that are not open need a key. */
   public boolean needsKeys() {
     return workspacesByKey.isPresent();
--- a/transport/src/main/java/dev/caroblb/transport/Channel.java
+++ b/transport/src/main/java/dev/caroblb/transport/Channel.java
@@ -7,7 +7,8 @@
   MEMBERSHIP(1),
   AGREEMENT(2),
   CONFIGURATION(3),
-  IDEMPOTENCY(4);
+  IDEMPOTENCY(4),
+  FORWARDING(5);
 
   private final int number;
 
