Let control replicas join at new addresses and take the place of silent ones

Cause: the slots of a group were fixed by the settings, so a machine of the core that was replaced at a new address never became a member and the next loss stopped the group. Replicas are now found when they are heard of; a caught-up replica takes the place of a member that was silent for 2 s, and a spare silent member is removed so that the number of members stays odd. Both lists must agree until the change is committed, as before. Only the contacts of the first start form a group.

--- a/agreement/src/main/java/dev/caroblb/agreement/AgreementHandler.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/AgreementHandler.java
@@ -127,7 +127,7 @@
     if (message instanceof AgreementMessage.FromPeer fromPeer) {
       InstanceId peer = fromPeer.received().peer();
       PeerMessage received = fromPeer.received().message();
-      if (!settings.slots().contains(peer)) {
+      if (!settings.accept(peer)) {
         return;
       }
       group(received.group()).ifPresent(group -> group.receive(peer, received, nowMs));
--- a/agreement/src/main/java/dev/caroblb/agreement/Formation.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/Formation.java
@@ -27,15 +27,15 @@
   /** Forms the group if this is the coordinator and all slots are blank. */
   boolean tryForm() {
     AgreementSettings settings = context.settings();
-    if (!log.isBlank() || !settings.coordinator().equals(context.self().instance())) {
+    if (!log.isBlank() || !settings.coordinates()) {
       return false;
     }
-    if (!reports.allBlank(settings.otherSlots())) {
+    if (!reports.allBlank(settings.otherFounders())) {
       return false;
     }
     List<Member> members = reportedMembers();
     PeerMessage form = new PeerMessage.Form(context.group(), context.self().incarnation(), members);
-    for (InstanceId slot : settings.otherSlots()) {
+    for (InstanceId slot : settings.otherFounders()) {
       context.peers().send(slot, form);
     }
     return adopt(members);
@@ -44,7 +44,7 @@
   /** Takes over the members that the coordinator proposes; false if they change nothing here. */
   boolean receive(InstanceId peer, PeerMessage.Form form) {
     AgreementSettings settings = context.settings();
-    if (!log.isBlank() || !peer.equals(settings.coordinator())) {
+    if (!log.isBlank() || settings.coordinator().filter(peer::equals).isEmpty()) {
       return false;
     }
     if (!form.members().contains(context.self())) {
@@ -65,7 +65,7 @@
 
   private List<Member> reportedMembers() {
     List<Member> members = new ArrayList<>();
-    for (InstanceId slot : context.settings().slots()) {
+    for (InstanceId slot : context.settings().founders()) {
       if (slot.equals(context.self().instance())) {
         members.add(context.self());
         continue;
--- a/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
@@ -71,12 +71,33 @@
         return Optional.of(without(members, member));
       }
     }
-    if (learner.isEmpty() || !caughtUp(learner.get(), commitIndex, replication, nowMs)) {
-      return Optional.empty();
+    Optional<Member> silent = silent(members, replication, nowMs);
+    if (learner.isPresent() && caughtUp(learner.get(), commitIndex, replication, nowMs)) {
+      List<Member> changed = new ArrayList<>(members);
+      silent.filter(member -> members.size() >= settings.baseline()).ifPresent(changed::remove);
+      changed.add(learner.get());
+      return Optional.of(changed);
+    }
+    boolean spare = members.size() > settings.baseline() && members.size() % 2 == 0;
+    return spare ? silent.map(member -> without(members, member)) : Optional.empty();
+  }
+
+  /**
+   * A member that has long been silent. It makes place for a new replica, and a number of members
+   * that is even without it bears the loss of no more than one less. Should it come back, it is
+   * added again.
+   */
+  private Optional<Member> silent(List<Member> members, Replication replication, long nowMs) {
+    for (Member member : members) {
+      Optional<Progress> progress = replication.progress(member);
+      boolean other = !member.equals(settings.self());
+      if (other
+          && progress.isPresent()
+          && !progress.get().heardSince(nowMs - Timing.MEMBER_SILENCE_MS)) {
+        return Optional.of(member);
+      }
     }
-    List<Member> extended = new ArrayList<>(members);
-    extended.add(learner.get());
-    return Optional.of(extended);
+    return Optional.empty();
   }
 
   private static boolean caughtUp(
--- a/agreement/src/main/java/dev/caroblb/agreement/Timing.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/Timing.java
@@ -26,6 +26,12 @@
   /** A replica that did not answer for this time counts as silent. */
   static final long SILENCE_MS = 1_000;
 
+  /**
+   * A member that did not answer for this time may be replaced by a new replica. A replaced machine
+   * has to be made up for within four seconds of the start of its successor.
+   */
+  static final long MEMBER_SILENCE_MS = 2_000;
+
   /** A learner that did not answer for this time makes place for another one. */
   static final long LEARNER_SILENCE_MS = 5_000;
 
--- /dev/null
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaReplacementTest.java
@@ -0,0 +1,149 @@
+package dev.caroblb.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.GroupId;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Replicas that join at addresses which no settings file named before. */
+class ReplicaReplacementTest {
+  private static final GroupId GROUP = SimulatedCluster.GROUP;
+  private static final long LIMIT_MS = 30_000;
+
+  /** A successor has to be made use of within this time of its start. */
+  private static final long CATCH_UP_MS = 4_000;
+
+  private static final List<Integer> FOUNDERS = List.of(0, 1, 2);
+
+  private static SimulatedCluster settled(long seed) {
+    SimulatedCluster cluster = SimulatedCluster.growing(3, seed);
+    assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "not settled");
+    propose(cluster, "before");
+    return cluster;
+  }
+
+  private static void propose(SimulatedCluster cluster, String command) {
+    int known = cluster.acknowledged().size();
+    cluster.propose(GROUP, command);
+    assertTrue(
+        cluster.runUntil(LIMIT_MS, () -> cluster.acknowledged().size() > known),
+        command + " is not acknowledged");
+  }
+
+  private static Optional<List<Member>> members(SimulatedCluster cluster) {
+    return cluster.leader(GROUP).flatMap(leader -> leader.status(GROUP)).map(GroupStatus::members);
+  }
+
+  private static boolean member(SimulatedCluster cluster, int index) {
+    Member member = cluster.replica(index).member();
+    return members(cluster).filter(list -> list.contains(member)).isPresent();
+  }
+
+  private static int follower(SimulatedCluster cluster) {
+    int leader = cluster.replicas().indexOf(cluster.leader(GROUP).orElseThrow());
+    return (leader + 1) % 3;
+  }
+
+  @Nested
+  class WhenAMachineIsReplacedAtANewAddress {
+    /** Guards against a successor that is never counted, so that the next loss stops the group. */
+    @Test
+    void theNextLossIsBorne() {
+      SimulatedCluster cluster = settled(21);
+      int gone = follower(cluster);
+      cluster.crash(gone);
+      cluster.run(1_000);
+      int successor = cluster.join(FOUNDERS);
+      cluster.run(CATCH_UP_MS);
+      assertTrue(member(cluster, successor), "not added in time");
+      assertFalse(member(cluster, gone), "not removed in time");
+      assertEquals(3, members(cluster).orElseThrow().size());
+      cluster.crash(cluster.replicas().indexOf(cluster.leader(GROUP).orElseThrow()));
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()), "no leader");
+      propose(cluster, "after");
+    }
+
+    /** Guards against an even number of members after the old machine has left. */
+    @Test
+    void aSuccessorThatCameFirstTakesThePlace() {
+      SimulatedCluster cluster = settled(22);
+      int successor = cluster.join(FOUNDERS);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> member(cluster, successor)), "not added");
+      int gone = follower(cluster);
+      cluster.crash(gone);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> !member(cluster, gone)), "not removed");
+      assertEquals(3, members(cluster).orElseThrow().size());
+    }
+
+    /** Guards against a replica that was only cut off and stays out for good. */
+    @Test
+    void aMachineThatComesBackIsAddedAgain() {
+      SimulatedCluster cluster = settled(23);
+      int cut = follower(cluster);
+      cluster.cutOff(cut, true);
+      cluster.run(1_000);
+      int successor = cluster.join(FOUNDERS);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> member(cluster, successor)), "not added");
+      cluster.cutOff(cut, false);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> member(cluster, cut)), "not added again");
+    }
+  }
+
+  @Nested
+  class WhenBlankReplicasMeet {
+    /** Guards against a second group formed by replicas that lost their disks or are new. */
+    @Test
+    void theyFormNothingAfterTheFirstStart() {
+      SimulatedCluster cluster = settled(24);
+      FOUNDERS.forEach(cluster::crash);
+      int first = cluster.join(List.of(3, 4, 5).subList(0, 0));
+      int second = cluster.join(List.of(first));
+      cluster.join(List.of(first, second));
+      assertFalse(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()));
+    }
+  }
+
+  @Nested
+  class WhenMachinesAreReplacedAgainAndAgain {
+    /** Guards against commands lost or leaders doubled while members change. */
+    @Test
+    void nothingAcknowledgedIsLost() {
+      for (long seed = 0; seed < 20; seed++) {
+        SimulatedCluster cluster = settled(100 + seed);
+        Random random = new Random(seed);
+        for (int round = 0; round < 3; round++) {
+          replaceOne(cluster, random);
+          propose(cluster, "round-" + round);
+        }
+        int acknowledged = cluster.acknowledged().size();
+        int applied = cluster.leader(GROUP).orElseThrow().machine(GROUP).applied().size();
+        assertTrue(applied >= acknowledged, "seed " + seed + " lost a command");
+      }
+    }
+
+    private void replaceOne(SimulatedCluster cluster, Random random) {
+      List<SimulatedReplica> running =
+          cluster.replicas().stream().filter(SimulatedReplica::running).toList();
+      SimulatedReplica gone = running.get(random.nextInt(running.size()));
+      int goneIndex = cluster.replicas().indexOf(gone);
+      cluster.crash(goneIndex);
+      cluster.run(random.nextInt(3_000));
+      List<Integer> contacts =
+          running.stream()
+              .filter(SimulatedReplica::running)
+              .map(replica -> cluster.replicas().indexOf(replica))
+              .toList();
+      int successor = cluster.join(contacts);
+      assertTrue(
+          cluster.runUntil(
+              LIMIT_MS, () -> member(cluster, successor) && !member(cluster, goneIndex)),
+          "not replaced");
+    }
+  }
+}
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
@@ -41,6 +41,15 @@
   private int maxDelayMs = 2;
 
   SimulatedCluster(int size, long seed, GroupId... groups) {
+    this(size, seed, false, groups);
+  }
+
+  /** Replicas whose settings name the first ones only. */
+  static SimulatedCluster growing(int size, long seed) {
+    return new SimulatedCluster(size, seed, true);
+  }
+
+  private SimulatedCluster(int size, long seed, boolean growing, GroupId... groups) {
     random = new Random(seed);
     for (GroupId group : groups.length == 0 ? new GroupId[] {GROUP} : groups) {
       histories.put(group, new ArrayList<>());
@@ -50,15 +59,33 @@
       slots.add(new InstanceId("replica-" + i));
     }
     for (int i = 0; i < size; i++) {
-      int from = i;
-      double rate = 0.9951 + 0.0098 * random.nextDouble();
-      replicas.add(
-          new SimulatedReplica(
-              slots.get(i), slots, rate, random, message -> send(from, message), histories));
+      add(slots.get(i), slots, growing, true);
     }
     replicas.forEach(replica -> replica.start(trueUs));
   }
 
+  private void add(
+      InstanceId instance, List<InstanceId> slots, boolean growing, boolean firstStart) {
+    int from = replicas.size();
+    double rate = 0.9951 + 0.0098 * random.nextDouble();
+    SimulatedReplica replica =
+        new SimulatedReplica(
+            instance, slots, rate, random, message -> send(from, message), histories);
+    if (growing) {
+      replica.grow(firstStart);
+    }
+    replicas.add(replica);
+  }
+
+  /** Starts a replica at a new address; its settings name some of the others. */
+  int join(List<Integer> contacts) {
+    List<InstanceId> known = new ArrayList<>();
+    contacts.forEach(index -> known.add(replicas.get(index).instance()));
+    add(new InstanceId("replica-" + replicas.size()), known, true, false);
+    replicas.get(replicas.size() - 1).start(trueUs);
+    return replicas.size() - 1;
+  }
+
   SimulatedReplica replica(int index) {
     return replicas.get(index);
   }
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
@@ -28,6 +28,8 @@
   private final List<ReplicaFault> faults = new ArrayList<>();
   private final double rate;
   private final long offsetUs;
+  private boolean growing;
+  private boolean firstStart;
   private SimulatedDisk disk;
   private Optional<AgreementHandler> handler = Optional.empty();
   private long syncDelayMs = 1;
@@ -99,7 +101,7 @@
     handler =
         Optional.of(
             new AgreementHandler(
-                new AgreementSettings(member(), slots),
+                settings(),
                 new HashMap<>(machines),
                 disk.recover(),
                 outlets,
@@ -108,6 +110,18 @@
                 localMs(trueUs)));
   }
 
+  private AgreementSettings settings() {
+    return growing
+        ? AgreementSettings.growing(member(), slots, firstStart)
+        : new AgreementSettings(member(), slots);
+  }
+
+  /** Lists only some replicas in the settings, which a later start reads. */
+  void grow(boolean isFirstStart) {
+    growing = true;
+    firstStart = isFirstStart;
+  }
+
   void crash() {
     handler = Optional.empty();
     disk.crash(random);
--- a/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ControlReplica.java
@@ -3,7 +3,6 @@
 import dev.caroblb.agreement.AgreementHandler;
 import dev.caroblb.agreement.AgreementMessage;
 import dev.caroblb.agreement.AgreementOutlets;
-import dev.caroblb.agreement.AgreementSettings;
 import dev.caroblb.agreement.Member;
 import dev.caroblb.agreement.PeerMessage;
 import dev.caroblb.agreement.RecoveredGroup;
@@ -64,8 +63,7 @@
         new PeerChannel<>(transport, Channel.AGREEMENT, new PeerMessageCodec());
     AgreementHandler handler =
         new AgreementHandler(
-            new AgreementSettings(
-                new Member(place.instance(), folder.incarnation()), place.slots()),
+            place.settings(new Member(place.instance(), folder.incarnation())),
             machines,
             recover(folder, machines),
             new AgreementOutlets(peers, journal, leases, faults),
--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -101,14 +101,13 @@
   }
 
   private ControlReplica openReplica() throws IOException {
-    Set<InstanceId> slots = new HashSet<>(settings.contacts());
-    slots.add(settings.instance());
     return ControlReplica.open(
         new ReplicaPlace(
             settings.instance(),
             settings.cluster(),
             settings.dataFolder().orElseThrow(),
-            List.copyOf(slots)),
+            settings.contacts(),
+            Optional.of(settings.firstStart())),
         Map.of(GroupId.CONTROL, new RoutingStateMachine(routing)),
         duties,
         transport,
--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedSettings.java
@@ -19,6 +19,7 @@
  * @param peersAddress where it listens for other instances
  * @param directory addresses of other instances
  * @param contacts control instances to begin with
+ * @param firstStart whether the whole system starts for the first time, with empty disks
  * @param dataFolder folder of its control replica; empty when it has none
  * @param callersAddress where callers connect; empty when it serves none
  * @param drainLimitMs longest planned stop in milliseconds
@@ -32,6 +33,7 @@
     InetSocketAddress peersAddress,
     PeerDirectory directory,
     List<InstanceId> contacts,
+    boolean firstStart,
     Optional<Path> dataFolder,
     Optional<String> callersAddress,
     long drainLimitMs,
