Write logs on a thread of their own and tell refused callers when to return

The platform's log goes to standard output through a bounded queue with a limit of 2,000 lines a second; lines dropped are counted in the metrics and named in the log.

--- a/daemon/src/main/java/dev/caroblb/daemon/LogFormat.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/LogFormat.java
@@ -1,25 +1,30 @@
 package dev.caroblb.daemon;
 
 import dev.caroblb.core.LogLine;
+import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
-import java.util.logging.ConsoleHandler;
+import java.util.function.LongSupplier;
 import java.util.logging.Formatter;
-import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/** Writes each log record as one line of key=value pairs to the standard error stream. */
+/** Writes each log record as one line of key=value pairs to a stream. */
 public final class LogFormat extends Formatter {
   private LogFormat() {}
 
-  /** Replaces the handlers of the platform's logger. */
-  public static void install(System.Logger.Level level) {
+  /** Writes lines to the standard error stream. */
+  static void install(System.Logger.Level level) {
+    install(level, System.err);
+  }
+
+  /** Replaces the handlers of the JDK's logger; returns what counts the lines not written. */
+  public static LongSupplier install(System.Logger.Level level, PrintStream out) {
     LogManager.getLogManager().reset();
-    Handler handler = new ConsoleHandler();
+    LogQueue handler = new LogQueue(out);
     handler.setFormatter(new LogFormat());
     handler.setLevel(Level.ALL);
     Logger root = Logger.getLogger("");
@@ -27,6 +32,7 @@
     root.addHandler(handler);
     Logger own = Logger.getLogger("dev.caroblb");
     own.setLevel(levelOf(level));
+    return handler::dropped;
   }
 
   private static Level levelOf(System.Logger.Level level) {
--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/LogQueue.java
@@ -0,0 +1,117 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.LogLine;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own. A duty never waits for the reader of the log: lines that
+ * find no room, or come faster than the limit, are dropped and counted.
+ */
+final class LogQueue extends Handler {
+  private static final int MAX_LINES = 4_096;
+
+  /** Bounds the volume under load; a usual instance writes a tenth of it. */
+  private static final int MAX_LINES_PER_SECOND = 2_000;
+
+  private static final long SECOND_MS = 1_000;
+  private static final long CLOSE_MS = 500;
+
+  private final PrintStream out;
+  private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_LINES);
+  private final LongAdder dropped = new LongAdder();
+  private final ExecutorService executor =
+      Executors.newSingleThreadExecutor(
+          task -> {
+            Thread thread = new Thread(task, "log");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private long secondStartMs;
+  private int inSecond;
+  private long reported;
+  private volatile boolean closed;
+
+  LogQueue(PrintStream out) {
+    this.out = out;
+    executor.execute(this::run);
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (!isLoggable(record)) {
+      return;
+    }
+    if (!withinRate(record.getMillis()) || !lines.offer(getFormatter().format(record))) {
+      dropped.increment();
+    }
+  }
+
+  private synchronized boolean withinRate(long nowMs) {
+    if (Math.abs(nowMs - secondStartMs) >= SECOND_MS) {
+      secondStartMs = nowMs;
+      inSecond = 0;
+    }
+    inSecond++;
+    return inSecond <= MAX_LINES_PER_SECOND;
+  }
+
+  /** Number of lines that were not written. */
+  long dropped() {
+    return dropped.sum();
+  }
+
+  private void run() {
+    List<String> batch = new ArrayList<>();
+    try {
+      while (!closed || !lines.isEmpty()) {
+        String first = lines.poll(SECOND_MS, TimeUnit.MILLISECONDS);
+        if (first == null) {
+          continue;
+        }
+        batch.add(first);
+        lines.drainTo(batch);
+        write(batch);
+        batch.clear();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void write(List<String> batch) {
+    StringBuilder text = new StringBuilder();
+    batch.forEach(text::append);
+    long total = dropped.sum();
+    if (total > reported) {
+      text.append(LogLine.of("log.dropped").with("total", total)).append('\n');
+      reported = total;
+    }
+    out.print(text);
+    out.flush();
+  }
+
+  @Override
+  public void flush() {}
+
+  /** Writes what waits, for a bounded time. */
+  @Override
+  public void close() {
+    closed = true;
+    lines.offer("");
+    executor.shutdown();
+    try {
+      executor.awaitTermination(CLOSE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
@@ -8,9 +8,6 @@
 final class CallEnds {
   private static final System.Logger LOGGER = System.getLogger(CallEnds.class.getName());
 
-  /** Time in milliseconds after which a refused caller may try again. */
-  private static final long RETRY_AFTER_MS = 500;
-
   private final ExchangeTable exchanges;
   private final TargetPort port;
   private final CallObserver observer;
@@ -31,7 +28,7 @@
             .with("reason", reason.wireName())
             .with("table", table)
             .toString());
-    call.port().refuse(Refusal.of(reason).retryAfter(RETRY_AFTER_MS));
+    call.port().refuse(Refusal.of(reason).retryAfter(RetryAfter.ms(reason)));
   }
 
   /** Ends a request for which no answer of a target is to be had. */
@@ -47,7 +44,7 @@
     }
     RefusalReason told = exchange.runs() > 0 ? mayHaveRun(reason) : reason;
     observer.refused(told);
-    exchange.call().port().refuse(Refusal.of(told, cause).retryAfter(RETRY_AFTER_MS));
+    exchange.call().port().refuse(Refusal.of(told, cause).retryAfter(RetryAfter.ms(told)));
     finish(exchange, told.wireName(), cause, nowMs);
   }
 
