Refuse requests whose end is ambiguous, and test the new path

Cause: the HTTP library took a request with Content-Length and chunked framing, and answered the request hidden behind it even after a 400 with Connection: close; two lengths, a negative one or two encodings ended the connection without an answer. The head is now checked where it is parsed, so that the library answers 400 and closes. A body announced above the limit is refused with 413 before it comes, and the connection is closed half a second after a last answer.

--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EventFramingTest.java
@@ -0,0 +1,54 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.Payload;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EventFramingTest {
+  private static final String STREAM =
+      "weight: 3\nid: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: d\n\n";
+
+  private final EventFraming framing = new EventFraming();
+
+  private String add(String part) {
+    return framing.add(Payload.ofText(part)).text();
+  }
+
+  @Nested
+  class Division {
+    /** Guards against bytes that reach the caller before their event is whole. */
+    @Test
+    void keepsAnEventUntilItIsWhole() {
+      assertEquals("", add("id: 1\ndata: a\n"));
+      assertTrue(framing.partial());
+      assertEquals("id: 1\ndata: a\n\n", add("\nid: 2"));
+      assertEquals(Optional.of("1"), framing.lastEventId());
+      framing.dropPartial();
+      assertFalse(framing.partial());
+      assertEquals("id: 5\n\n", add("id: 5\n\n"));
+      assertEquals(Optional.of("5"), framing.lastEventId());
+    }
+  }
+
+  /** Guards against lost or changed bytes, however a stream is divided into parts. */
+  @Property(seed = "7")
+  void passesEveryByteOn(@ForAll @IntRange(min = 1, max = 70) int size) {
+    EventFraming fresh = new EventFraming();
+    StringBuilder passed = new StringBuilder();
+    for (int from = 0; from < STREAM.length(); from += size) {
+      String part = STREAM.substring(from, Math.min(STREAM.length(), from + size));
+      passed.append(fresh.add(Payload.ofText(part)).text());
+    }
+    assertEquals(STREAM, passed.toString());
+    assertFalse(fresh.partial());
+    assertEquals(Optional.of("4"), fresh.lastEventId());
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RecordingCaller.java
@@ -0,0 +1,46 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.Refusal;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Records what a caller gets. */
+final class RecordingCaller implements CallerPort {
+  final List<String> events = new ArrayList<>();
+  boolean full;
+
+  @Override
+  public void refuse(Refusal refusal) {
+    events.add("refused " + refusal.reason());
+  }
+
+  @Override
+  public void answer(AnswerHead head, Payload body) {
+    events.add("answer " + head.status() + " " + body.text());
+  }
+
+  @Override
+  public void begin(AnswerHead head) {
+    events.add("begin " + head.status());
+  }
+
+  @Override
+  public boolean write(Payload part) {
+    if (full) {
+      return false;
+    }
+    events.add("part " + part.text().replace("\n", "|"));
+    return true;
+  }
+
+  @Override
+  public void complete() {
+    events.add("complete");
+  }
+
+  @Override
+  public void abort() {
+    events.add("abort");
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RetryBudgetTest.java
@@ -0,0 +1,52 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+  private static final double RATIO = 0.2;
+  private static final long WINDOW_MS = 10_000;
+  private static final double SLACK = 5;
+
+  private final RetryBudget budget = new RetryBudget(RATIO, WINDOW_MS, SLACK);
+
+  private int taken(long nowMs) {
+    int taken = 0;
+    while (budget.take("s", nowMs)) {
+      taken++;
+    }
+    return taken;
+  }
+
+  @Nested
+  class Window {
+    /** Guards against more repeats in a window than the share of this instance. */
+    @Test
+    void boundsRepeats() {
+      for (int i = 0; i < 100; i++) {
+        budget.request("s", i);
+      }
+      int taken = taken(100);
+      assertTrue(taken > 0 && taken <= RATIO * 100 + SLACK, "taken " + taken);
+      assertFalse(budget.take("s", 5_000));
+    }
+
+    /** Guards against repeats of long ago that count for ever. */
+    @Test
+    void slides() {
+      int first = taken(0);
+      assertEquals(first, taken(WINDOW_MS));
+    }
+
+    /** Guards against one service that uses up the budget of another. */
+    @Test
+    void isOneForEachService() {
+      taken(0);
+      assertTrue(budget.take("other", 0));
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/codec/WorkCodecTest.java
@@ -0,0 +1,39 @@
+package dev.caroblb.forwarding.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.PeerMessage;
+import dev.caroblb.forwarding.TargetWork;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class WorkCodecTest {
+  private final WorkCodec codec = new WorkCodec();
+
+  @Nested
+  class RoundTrip {
+    /** Guards against fields that are lost or swapped on the way. */
+    @Test
+    void keepsEveryField() {
+      List<TargetWork> work = List.of(new TargetWork(new TargetId("t"), 1, 2, 3, 4));
+      for (PeerMessage message :
+          List.of(new PeerMessage.OwnWork(true, work), new PeerMessage.OthersWork(work))) {
+        assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
+      }
+    }
+  }
+
+  @Nested
+  class Malformed {
+    /** Guards against a faulty peer that ends the duty. */
+    @Test
+    void isNoMessage() {
+      assertEquals(Optional.empty(), codec.decode(Payload.ofText("no message")));
+      assertEquals(Optional.empty(), codec.decode(Payload.empty()));
+    }
+  }
+}
--- a/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
+++ b/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
@@ -17,6 +17,9 @@
   /** Longer than any deadline, since a call may wait for its answer without traffic. */
   private static final Timeout ANSWER_TIMEOUT = Timeout.ofHours(25);
 
+  /** After a last answer the caller has this time to take it and to stop sending. */
+  private static final Timeout LAST_TIMEOUT = Timeout.ofMilliseconds(500);
+
   private final ListenerObserver observer;
   private final Timeout requestTimeout;
 
@@ -39,6 +42,6 @@
 
   @Override
   public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
-    connection.setSocketTimeout(requestTimeout);
+    connection.setSocketTimeout(keepAlive ? requestTimeout : LAST_TIMEOUT);
   }
 }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -5,9 +5,15 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
@@ -33,27 +39,7 @@
       RequestHandler handler,
       ListenerObserver observer)
       throws IOException {
-    HttpAsyncServer server =
-        AsyncServerBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom()
-                    .setIoThreadCount(limits.ioThreads())
-                    .setSoTimeout(Timeout.ofMilliseconds(limits.requestTimeMs()))
-                    .setSoReuseAddress(true)
-                    .setTcpNoDelay(true)
-                    .setBacklogSize(limits.backlog())
-                    .build())
-            .setHttp1Config(
-                Http1Config.custom()
-                    .setMaxLineLength(limits.maxLineBytes())
-                    .setMaxHeaderCount(limits.maxHeaders())
-                    .build())
-            .setStreamListener(new ExchangeMonitor(observer, limits.requestTimeMs()))
-            .setExceptionCallback(HttpListener::onException)
-            .register("*", () -> new ServerExchange(limits, handler, observer))
-            .setRequestRouter(
-                (request, context) -> () -> new ServerExchange(limits, handler, observer))
-            .create();
+    HttpAsyncServer server = create(limits, handler, observer);
     server.start();
     try {
       ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
@@ -68,6 +54,42 @@
     }
   }
 
+  private static HttpAsyncServer create(
+      HttpLimits limits, RequestHandler handler, ListenerObserver observer) {
+    Http1Config config =
+        Http1Config.custom()
+            .setMaxLineLength(limits.maxLineBytes())
+            .setMaxHeaderCount(limits.maxHeaders())
+            .build();
+    ServerHttp1StreamDuplexerFactory connections =
+        new ServerHttp1StreamDuplexerFactory(
+            HttpProcessors.server(),
+            (request, context) ->
+                new BasicAsyncServerExpectationDecorator(
+                    new ServerExchange(limits, handler, observer), HttpListener::onException),
+            config,
+            CharCodingConfig.DEFAULT,
+            DefaultConnectionReuseStrategy.INSTANCE,
+            () -> new StrictRequestParser(config),
+            DefaultHttpResponseWriterFactory.INSTANCE,
+            new ExchangeMonitor(observer, limits.requestTimeMs()),
+            HttpListener::onException);
+    IOReactorConfig reactor =
+        IOReactorConfig.custom()
+            .setIoThreadCount(limits.ioThreads())
+            .setSoTimeout(Timeout.ofMilliseconds(limits.requestTimeMs()))
+            .setSoReuseAddress(true)
+            .setTcpNoDelay(true)
+            .setBacklogSize(limits.backlog())
+            .build();
+    return new HttpAsyncServer(
+        new ServerHttp1IOEventHandlerFactory(connections, null, null),
+        reactor,
+        null,
+        HttpListener::onException,
+        null);
+  }
+
   private static void onException(Exception cause) {
     LOGGER.log(
         System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -70,11 +70,6 @@
     }
     String target = request.getPath() == null ? "/" : request.getPath();
     head = new IncomingRequest(request.getMethod(), target, fields, Payload.empty());
-    if (request.containsHeader(HttpHeaders.CONTENT_LENGTH)
-        && request.containsHeader(HttpHeaders.TRANSFER_ENCODING)) {
-      reject(BAD_REQUEST, "send either Content-Length or Transfer-Encoding, not both");
-      return;
-    }
     if (entity != null && entity.getContentLength() > limits.maxBodyBytes()) {
       reject(BODY_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
       return;
--- /dev/null
+++ b/routing/src/test/java/dev/caroblb/routing/RoutingHandlerTest.java
@@ -0,0 +1,197 @@
+package dev.caroblb.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.Addressed;
+import dev.caroblb.core.GroupId;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LeaderLease;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.ProposalOutcome;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RoutingHandlerTest {
+  private static final InstanceId SELF = new InstanceId("self");
+  private static final InstanceId PEER = new InstanceId("peer");
+
+  private record Proposal(RoutingCommand command, Outlet<ProposalOutcome> reply) {}
+
+  private final List<Proposal> proposals = new ArrayList<>();
+  private final List<Addressed<PeerMessage>> sent = new ArrayList<>();
+  private final List<Long> installed = new ArrayList<>();
+  private final List<PublishOutcome> published = new ArrayList<>();
+  private final List<ReadOutcome> read = new ArrayList<>();
+  private final List<RoutingMessage> self = new ArrayList<>();
+  private long nowMs;
+  private final RoutingHandler handler =
+      new RoutingHandler(
+          RoutingHandlerTest::parse,
+          (command, reply) -> proposals.add(new Proposal(command, reply)),
+          new RoutingOutlets(sent::add, table -> installed.add(table.number()), self::add));
+
+  private static Either<RoutingError, RoutingTable> parse(Payload body) {
+    return Either.right(
+        new RoutingTable(
+            Long.parseLong(body.text()),
+            List.of(),
+            Map.of(),
+            new CallerLimits(1, 1, 1, 1),
+            Optional.empty()));
+  }
+
+  private static RoutingDocument document(long number) {
+    return new RoutingDocument(number, Payload.ofText(Long.toString(number)));
+  }
+
+  private void give(RoutingMessage message) {
+    handler.handle(message, nowMs);
+  }
+
+  private void lead(boolean local) {
+    give(
+        new RoutingMessage.LeaseChanged(
+            new LeaderLease(GroupId.CONTROL, 1, Optional.of(local ? SELF : PEER), local, 0)));
+  }
+
+  private void publish(long number) {
+    give(new RoutingMessage.Publish(document(number), published::add));
+  }
+
+  private void outcome(int proposal, ProposalOutcome outcome) {
+    proposals.get(proposal).reply().offer(outcome);
+    self.forEach(this::give);
+    self.clear();
+  }
+
+  private void apply(int proposal, long number) {
+    give(new RoutingMessage.Applied(document(number)));
+    outcome(proposal, new ProposalOutcome.Applied(Payload.empty()));
+  }
+
+  @Nested
+  class Publishing {
+    /** Guards against an acknowledgement before the document is committed. */
+    @Test
+    void isAcknowledgedOnceApplied() {
+      lead(true);
+      publish(4);
+      assertEquals(List.of(), published);
+      apply(0, 4);
+      assertEquals(List.of(new PublishOutcome.Accepted(4)), published);
+      assertEquals(List.of(4L), installed);
+    }
+
+    /** Guards against a refusal of a change that is sent again after its answer was lost. */
+    @Test
+    void anOldNumberIsAcknowledgedAndChangesNothing() {
+      lead(true);
+      give(new RoutingMessage.Applied(document(7)));
+      publish(7);
+      publish(3);
+      assertEquals(0, proposals.size());
+      assertEquals(
+          List.of(new PublishOutcome.Accepted(7), new PublishOutcome.Accepted(7)), published);
+    }
+
+    /** Guards against an outcome that is claimed although leadership was lost. */
+    @Test
+    void anUnknownOutcomeIsSaidToBeUnknown() {
+      lead(true);
+      publish(4);
+      outcome(0, new ProposalOutcome.Unknown());
+      publish(5);
+      nowMs += RoutingHandler.PROPOSAL_LIMIT_MS;
+      handler.tick(nowMs);
+      assertEquals(
+          List.of(new PublishOutcome.Unanswered(), new PublishOutcome.Unanswered()), published);
+    }
+
+    /** Guards against a follower that accepts by itself. */
+    @Test
+    void isSentToTheLeader() {
+      lead(false);
+      publish(4);
+      assertEquals(List.of(new PublishOutcome.AskLeader(PEER)), published);
+    }
+  }
+
+  @Nested
+  class Reading {
+    /** Guards against an answer from a leader that was replaced while it was suspended. */
+    @Test
+    void waitsForACommitThatIsLaterThanTheQuestion() {
+      lead(true);
+      give(new RoutingMessage.Applied(document(4)));
+      give(new RoutingMessage.Read(read::add));
+      assertEquals(List.of(), read);
+      outcome(0, new ProposalOutcome.NotLeader(Optional.of(PEER)));
+      assertEquals(List.of(new ReadOutcome.Unsure()), read);
+    }
+
+    /** Guards against a question that is answered by a commit proposed before it. */
+    @Test
+    void aQuestionDuringABarrierWaitsForTheNextOne() {
+      lead(true);
+      give(new RoutingMessage.Applied(document(4)));
+      give(new RoutingMessage.Read(read::add));
+      give(new RoutingMessage.Read(read::add));
+      outcome(0, new ProposalOutcome.Applied(Payload.empty()));
+      assertEquals(1, read.size());
+      assertEquals(2, proposals.size());
+      outcome(1, new ProposalOutcome.Applied(Payload.empty()));
+      assertEquals(new ReadOutcome.Newest(document(4)), read.get(1));
+    }
+
+    /** Guards against a guess where no leader is known. */
+    @Test
+    void isUnsureWithoutALeader() {
+      give(new RoutingMessage.Read(read::add));
+      assertEquals(List.of(new ReadOutcome.Unsure()), read);
+    }
+  }
+
+  @Nested
+  class Distribution {
+    /** Guards against an instance that goes back to an older document. */
+    @Test
+    void neverGoesBack() {
+      for (long number : new long[] {5, 3, 8, 8, 6}) {
+        give(
+            new RoutingMessage.FromPeer(
+                new Addressed<>(PEER, new PeerMessage.Accepted(document(number)))));
+      }
+      assertEquals(List.of(5L, 8L), installed);
+    }
+
+    /** Guards against an instance that missed a document and stays behind. */
+    @Test
+    void answersAStatementOfAnOlderNumber() {
+      give(new RoutingMessage.Applied(document(5)));
+      give(new RoutingMessage.FromPeer(new Addressed<>(PEER, new PeerMessage.InForce(4))));
+      assertEquals(
+          List.of(new Addressed<PeerMessage>(PEER, new PeerMessage.Accepted(document(5)))), sent);
+      sent.clear();
+      give(new RoutingMessage.FromPeer(new Addressed<>(PEER, new PeerMessage.InForce(5))));
+      assertTrue(sent.isEmpty());
+    }
+
+    /** Guards against a change that waits for the next statement of the peers. */
+    @Test
+    void passesAChangeOnAtOnce() {
+      give(new RoutingMessage.PeersChanged(Set.of(PEER)));
+      sent.clear();
+      give(new RoutingMessage.Applied(document(5)));
+      assertEquals(
+          List.of(new Addressed<PeerMessage>(PEER, new PeerMessage.Accepted(document(5)))), sent);
+    }
+  }
+}
--- a/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
+++ b/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.Map;
@@ -140,6 +141,32 @@
     }
   }
 
+  @Nested
+  class SilentConnection {
+    /**
+     * Guards against a connection whose packets are lost: writes into it succeed, so that only a
+     * missing acknowledgement shows it.
+     */
+    @Test
+    void isDialledAgain() throws Exception {
+      try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+          PeerTransport sender =
+              new PeerTransport(
+                  hello(A),
+                  loopback(0),
+                  PeerDirectory.fixed(Map.of(B, loopback(silent.getLocalPort()))),
+                  new SystemMillisClock())) {
+        silent.setSoTimeout(WAIT_MS);
+        sender.start();
+        sender.send(B, Channel.MEMBERSHIP, Payload.ofText("lost"));
+        try (Socket first = silent.accept();
+            Socket second = silent.accept()) {
+          assertTrue(first.isConnected() && second.isConnected());
+        }
+      }
+    }
+  }
+
   @Nested
   class Refusal {
     /** Sends bytes and waits until the receiver closes the connection. */
