--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -0,0 +1,152 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.routing.CallerLimits;
+import dev.caroblb.routing.EngineLimits;
+import dev.caroblb.routing.RepeatRule;
+import dev.caroblb.routing.Route;
+import dev.caroblb.routing.RoutingTable;
+import dev.caroblb.routing.Service;
+import dev.caroblb.routing.WeightedService;
+import dev.caroblb.routing.Workspace;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/** A handler with recorded targets and a recorded caller. */
+abstract class ForwardingFixture {
+  static final FailureDomain ZONE = new FailureDomain("zone-a");
+  static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+  static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
+
+  final RecordingTargets targets = new RecordingTargets();
+  final RecordingCaller caller = new RecordingCaller();
+  final List<RetryReason> retries = new ArrayList<>();
+  final ForwardingHandler handler =
+      new ForwardingHandler(
+          new ForwardingSettings(new InstanceId("entry"), ZONE, 10, 0.2, 10_000, 20),
+          targets,
+          message -> true,
+          new Counts(),
+          new Random(1));
+  long nowMs = 1_000;
+
+  final class Counts implements CallObserver {
+    @Override
+    public void refused(RefusalReason reason) {}
+
+    @Override
+    public void retried(RetryReason reason) {
+      retries.add(reason);
+    }
+
+    @Override
+    public void answered(long elapsedMs) {}
+
+    @Override
+    public void paused(long pauseMs) {}
+  }
+
+  static Route route(String prefix, RepeatRule repeat, int attempts, boolean resumable) {
+    return new Route(
+        "r" + prefix.replace("/", ""),
+        "host",
+        prefix,
+        repeat,
+        5_000,
+        800,
+        1,
+        List.of(new WeightedService("service", 1)),
+        attempts,
+        prefix.equals("/open/"),
+        false,
+        resumable,
+        180);
+  }
+
+  static RoutingTable table() {
+    return new RoutingTable(
+        3,
+        List.of(
+            route("/safe/", RepeatRule.REPEATABLE, 2, false),
+            route("/once/", RepeatRule.ONCE, 1, false),
+            route("/long/", RepeatRule.STREAM, 1, false),
+            route("/short/", RepeatRule.STREAM, 2, true),
+            route("/open/", RepeatRule.REPEATABLE, 1, false)),
+        Map.of(
+            "service",
+            new Service("service", 100, Optional.of(new EngineLimits(24, 34_000, true, true, 4)))),
+        new CallerLimits(1, 1, 1, 1),
+        Optional.of(Map.of("key", new Workspace("farm", Optional.empty()))));
+  }
+
+  void give(ForwardingMessage message) {
+    handler.handle(message, nowMs);
+  }
+
+  void installed(int count) {
+    give(new ForwardingMessage.TableInstalled(table()));
+    for (int i = 0; i < count; i++) {
+      available(i);
+    }
+  }
+
+  void available(int index) {
+    give(
+        new ForwardingMessage.TargetAvailable(
+            new TargetInfo(
+                new TargetId("t" + index), 1, "service", "10.0.0." + index + ":80", ZONE)));
+  }
+
+  void arrive(String path) {
+    arrive(path, Optional.of("key"));
+  }
+
+  void arrive(String path, Optional<String> key) {
+    give(
+        new ForwardingMessage.Arrived(
+            new ForwardCall(
+                7, "id-7", "host", path, Optional.of(4_000L), key, Optional.empty(), caller)));
+  }
+
+  static AnswerHead head(int status, boolean stream) {
+    return new AnswerHead(status, false, true, stream, new AnswerFields() {});
+  }
+
+  int attempt() {
+    return targets.last().attempt();
+  }
+
+  void answered(int status, String body) {
+    int attempt = attempt();
+    give(new ForwardingMessage.Head(7, attempt, head(status, false)));
+    give(new ForwardingMessage.Body(7, attempt, Payload.ofText(body)));
+    give(new ForwardingMessage.Ended(7, attempt));
+  }
+
+  void refusedByTarget() {
+    give(
+        new ForwardingMessage.Head(
+            7, attempt(), new AnswerHead(503, true, true, false, new AnswerFields() {})));
+  }
+
+  void streamBegins() {
+    give(new ForwardingMessage.Head(7, attempt(), head(200, true)));
+    give(new ForwardingMessage.Body(7, attempt(), Payload.ofText(FIRST_EVENT + "id: 2\nda")));
+  }
+
+  void lost() {
+    give(new ForwardingMessage.Failed(7, attempt(), true, "reset"));
+  }
+
+  String lastEvent() {
+    return caller.events.get(caller.events.size() - 1);
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -0,0 +1,167 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ForwardingStreamTest extends ForwardingFixture {
+  @Nested
+  class Stream {
+    /** Guards against parts of events that reach the caller before an event is whole. */
+    @Test
+    void passesWholeEventsOn() {
+      installed(1);
+      arrive("/long/x");
+      streamBegins();
+      assertEquals("part id: 1|data: a||", lastEvent());
+      give(new ForwardingMessage.Body(7, attempt(), Payload.ofText("ta: b\n\n")));
+      assertEquals("part id: 2|data: b||", lastEvent());
+      give(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals("complete", lastEvent());
+    }
+
+    /** Guards against a broken stream that looks complete. */
+    @Test
+    void isBrokenOffWhenItsTargetIsLost() {
+      installed(2);
+      arrive("/long/x");
+      streamBegins();
+      lost();
+      assertEquals("abort", lastEvent());
+      assertEquals(1, targets.sent.size());
+    }
+
+    /** Guards against a stream that ends within an event and looks complete. */
+    @Test
+    void isBrokenOffWhenItEndsWithinAnEvent() {
+      installed(2);
+      arrive("/long/x");
+      streamBegins();
+      give(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals("abort", lastEvent());
+    }
+
+    /** Guards against gaps and repeats where a stream goes on at another target. */
+    @Test
+    void goesOnAfterTheLastWholeEventWhereItMayBeResumed() {
+      installed(2);
+      arrive("/short/x");
+      streamBegins();
+      lost();
+      assertEquals(Optional.of("1"), targets.last().lastEventId());
+      give(new ForwardingMessage.Head(7, attempt(), head(200, true)));
+      give(new ForwardingMessage.Body(7, attempt(), Payload.ofText(SECOND_EVENT)));
+      give(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals(
+          List.of("begin 200", "part id: 1|data: a||", "part id: 2|data: b||", "complete"),
+          caller.events);
+    }
+
+    /** Guards against unbounded memory for a caller that does not read. */
+    @Test
+    void aSlowCallerHoldsTheTargetUp() {
+      installed(1);
+      arrive("/long/x");
+      give(new ForwardingMessage.Head(7, attempt(), head(200, true)));
+      caller.full = true;
+      String large = "data: " + "x".repeat(1 << 19) + "\n\n";
+      give(new ForwardingMessage.Body(7, attempt(), Payload.ofText(large)));
+      int before = targets.acknowledged;
+      give(new ForwardingMessage.Body(7, attempt(), Payload.ofText(large + large)));
+      assertEquals(before, targets.acknowledged);
+      caller.full = false;
+      give(new ForwardingMessage.CallerReady(7));
+      assertEquals(before + 1, targets.acknowledged);
+    }
+  }
+
+  @Nested
+  class TargetThatLeaves {
+    /** Guards against new requests at a target that said it leaves. */
+    @Test
+    void getsNothingNew() {
+      installed(2);
+      give(new ForwardingMessage.TargetLeaving(new TargetId("t0"), 1));
+      for (int i = 0; i < 5; i++) {
+        arrive("/safe/x");
+        assertEquals("t1", targets.last().target().id().name());
+      }
+    }
+
+    private void streamAtLeavingTarget() {
+      installed(3);
+      arrive("/long/x");
+      streamBegins();
+      give(new ForwardingMessage.TargetLeaving(targets.last().target().id(), 1));
+      assertEquals(1, targets.moves.size());
+      assertTrue(!targets.moves.get(0).last());
+    }
+
+    private void copied(boolean last) {
+      give(
+          new ForwardingMessage.Moved(
+              7, attempt(), last, new MoveOutcome.Copied(last ? "h2" : "h1")));
+    }
+
+    /** Guards against a generation that is lost with its engine although a copy was made. */
+    @Test
+    void itsGenerationGoesOnFromTheCopy() {
+      streamAtLeavingTarget();
+      String source = targets.last().target().address();
+      copied(false);
+      assertEquals(1, targets.sent.size());
+      lost();
+      assertEquals(2, targets.sent.size());
+      assertEquals(Optional.of(new CopiedMemory(source, "h1")), targets.last().memory());
+      assertEquals(Optional.of("1"), targets.last().lastEventId());
+      assertEquals(targets.moves.get(0).destination(), targets.last().target().address());
+    }
+
+    /** Guards against a generation that hangs at an engine that fell silent. */
+    @Test
+    void aSilentEngineIsToldToStop() {
+      streamAtLeavingTarget();
+      copied(false);
+      nowMs += 500;
+      handler.tick(nowMs);
+      assertTrue(targets.moves.get(1).last());
+      give(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals(1, targets.sent.size());
+      copied(true);
+      assertEquals("h2", targets.last().memory().orElseThrow().handle());
+    }
+
+    /** Guards against a lost generation when the last copy fails and an earlier one is there. */
+    @Test
+    void anEarlierCopyServesWhenTheLastOneFails() {
+      streamAtLeavingTarget();
+      copied(false);
+      nowMs += 500;
+      handler.tick(nowMs);
+      give(new ForwardingMessage.Moved(7, attempt(), true, new MoveOutcome.Failed("closed")));
+      assertEquals("h1", targets.last().memory().orElseThrow().handle());
+    }
+
+    /** Guards against orders without end: a move that failed was once ordered at each event. */
+    @Test
+    void movesAreTriedThreeTimes() {
+      installed(9);
+      arrive("/long/x");
+      streamBegins();
+      give(new ForwardingMessage.TargetLeaving(targets.last().target().id(), 1));
+      for (int i = 0; i < 8; i++) {
+        give(
+            new ForwardingMessage.Moved(
+                7, attempt(), false, new MoveOutcome.NoRoom(Optional.empty())));
+        give(new ForwardingMessage.Body(7, attempt(), Payload.ofText(SECOND_EVENT)));
+      }
+      assertEquals(3, targets.moves.size());
+    }
+  }
+}
