End a stream whose copied memory is gone instead of running it again

Cause: a generation that went on from copied memory and was refused, or whose new engine could not be reached, counted as not run and was sent to a third engine without memory. A continuation is part of the run before; that it did not run says nothing of that run.

ForwardingStreamTest failed before with three sendings instead of two.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/AnswerFlow.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/AnswerFlow.java
@@ -22,6 +22,10 @@
   }
 
   void head(Exchange exchange, AnswerHead head, long nowMs) {
+    if (head.refused() && exchange.goesOn()) {
+      targetFailed(exchange, "the copied memory is gone", nowMs);
+      return;
+    }
     if (head.refused()) {
       exchange.didNotRun();
       sender.again(exchange, RetryReason.TARGET_REFUSED, RefusalReason.TARGET_REFUSED, nowMs);
@@ -125,7 +129,7 @@
 
   /** The attempt ended without a whole answer. */
   void lost(Exchange exchange, boolean sent, String cause, long nowMs) {
-    if (sent) {
+    if (sent || exchange.goesOn()) {
       targetFailed(exchange, cause, nowMs);
       return;
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -33,6 +33,7 @@
   private int sendings;
   private int runs;
   private int moves;
+  private boolean goesOn;
   private long unreadTokens;
   private Optional<Target> target = Optional.empty();
   private Optional<AnswerHead> head = Optional.empty();
@@ -149,9 +150,12 @@
     return relocation.isPresent() && relocation.get().stage() == Relocation.Stage.STOPPING;
   }
 
-  /** The next sending belongs to the present run. */
-  void sameRun() {
-    runs--;
+  /**
+   * Whether the present attempt goes on from copied memory, as a part of the run before. That its
+   * target did not run it says nothing of that run.
+   */
+  boolean goesOn() {
+    return goesOn;
   }
 
   EventFraming framing() {
@@ -163,7 +167,8 @@
     release();
     attempt++;
     sendings++;
-    runs++;
+    goesOn = memory.isPresent();
+    runs += goesOn ? 0 : 1;
     waiting = false;
     target = Optional.of(chosen);
     tried.add(chosen.info().id());
@@ -208,7 +213,7 @@
 
   /** The present attempt certainly did not run. */
   void didNotRun() {
-    runs--;
+    runs -= goesOn ? 0 : 1;
   }
 
   void setHead(AnswerHead received) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -96,7 +96,6 @@
   void goOn(Exchange exchange, Target target, CopiedMemory memory, long nowMs) {
     port.cancel(exchange.call().id(), exchange.attempt());
     exchange.release();
-    exchange.sameRun();
     send(exchange, target, Optional.of(memory), nowMs);
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -148,6 +148,28 @@
       assertEquals("h1", targets.last().memory().orElseThrow().handle());
     }
 
+    /** Guards against a second run: the first one happened even if its copy is gone. */
+    @Test
+    void aCopyThatIsGoneEndsTheStream() {
+      streamAtLeavingTarget();
+      copied(false);
+      lost();
+      refusedByTarget();
+      assertEquals(2, targets.sent.size());
+      assertEquals("abort", lastEvent());
+    }
+
+    /** Guards against a second run when the engine that holds the copy cannot be reached. */
+    @Test
+    void anUnreachableCopyEndsTheStream() {
+      streamAtLeavingTarget();
+      copied(false);
+      lost();
+      give(new ForwardingMessage.Failed(7, attempt(), false, "refused"));
+      assertEquals(2, targets.sent.size());
+      assertEquals("abort", lastEvent());
+    }
+
     /** Guards against orders without end: a move that failed was once ordered at each event. */
     @Test
     void movesAreTriedThreeTimes() {
