Install only the newest document of a batch after a restart

Documents that are applied in one batch are now installed once.

RoutingHandlerTest failed before: installed 2, 10, 16, 101.

--- a/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
@@ -46,6 +46,7 @@
   private final List<Outlet<ReadOutcome>> readsWaiting = new ArrayList<>();
   private Set<InstanceId> peers = Set.of();
   private Optional<RoutingDocument> accepted = Optional.empty();
+  private Optional<RoutingDocument> latestApplied = Optional.empty();
   private Optional<RoutingTable> undelivered = Optional.empty();
   private Optional<InstanceId> leader = Optional.empty();
   private boolean leads;
@@ -61,12 +62,15 @@
 
   @Override
   public void handle(RoutingMessage message, long nowMs) {
+    if (message instanceof RoutingMessage.Applied applied) {
+      applied(applied.document());
+      return;
+    }
+    installApplied();
     if (message instanceof RoutingMessage.Publish publish) {
       publish(publish, nowMs);
     } else if (message instanceof RoutingMessage.Read read) {
       read(read.reply(), nowMs);
-    } else if (message instanceof RoutingMessage.Applied applied) {
-      install(applied.document(), true);
     } else if (message instanceof RoutingMessage.Proposed proposed) {
       proposed(proposed.proposal(), proposed.outcome(), nowMs);
     } else if (message instanceof RoutingMessage.LeaseChanged changed) {
@@ -80,6 +84,23 @@
     }
   }
 
+  /** A replica that starts again applies its whole log; only the newest document is installed. */
+  private void applied(RoutingDocument document) {
+    if (latestApplied.isEmpty() || document.number() > latestApplied.get().number()) {
+      latestApplied = Optional.of(document);
+    }
+  }
+
+  private void installApplied() {
+    latestApplied.ifPresent(document -> install(document, true));
+    latestApplied = Optional.empty();
+  }
+
+  @Override
+  public void batchEnd(long nowMs) {
+    installApplied();
+  }
+
   private void publish(RoutingMessage.Publish publish, long nowMs) {
     if (accepted.isPresent() && accepted.get().number() >= publish.document().number()) {
       publish.reply().offer(new PublishOutcome.Accepted(accepted.get().number()));
--- a/routing/src/test/java/dev/caroblb/routing/RoutingHandlerTest.java
+++ b/routing/src/test/java/dev/caroblb/routing/RoutingHandlerTest.java
@@ -184,12 +184,26 @@
       assertTrue(sent.isEmpty());
     }
 
+    /** Guards against an instance that obeys each document of the log in turn after a restart. */
+    @Test
+    void installsOnlyTheNewestOfABatch() {
+      give(new RoutingMessage.PeersChanged(Set.of(PEER)));
+      sent.clear();
+      for (long number : new long[] {2, 10, 16, 101}) {
+        give(new RoutingMessage.Applied(document(number)));
+      }
+      handler.batchEnd(nowMs);
+      assertEquals(List.of(101L), installed);
+      assertEquals(1, sent.size());
+    }
+
     /** Guards against a change that waits for the next statement of the peers. */
     @Test
     void passesAChangeOnAtOnce() {
       give(new RoutingMessage.PeersChanged(Set.of(PEER)));
       sent.clear();
       give(new RoutingMessage.Applied(document(5)));
+      handler.batchEnd(nowMs);
       assertEquals(
           List.of(new Addressed<PeerMessage>(PEER, new PeerMessage.Accepted(document(5)))), sent);
     }
