--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -232,8 +232,7 @@
             .filter(id -> !id.equals(settings.instance()))
             .toList();
     forwarding.offer(
-        new ForwardingMessage.ContactsChanged(
-            settings.control() ? List.of() : contacts, latest.instances().size()));
+        new ForwardingMessage.ContactsChanged(settings.control() ? List.of() : contacts));
     return routing.offer(new RoutingMessage.PeersChanged(peers));
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -88,7 +88,8 @@
     if (message instanceof PeerMessage.OwnWork own) {
       work.received(peer, own, nowMs);
     } else if (message instanceof PeerMessage.OthersWork others) {
-      work.answered(nowMs);
+      work.answered(others.instances(), nowMs);
+      budget.shareWith(others.instances());
       pool.othersWork(others.work(), nowMs);
     }
   }
@@ -105,7 +106,7 @@
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ContactsChanged contacts) {
-      work.follow(contacts.contacts(), contacts.instances());
+      work.follow(contacts.contacts());
     } else if (message instanceof ForwardingMessage.RefuseNew) {
       refuseNew = true;
     } else if (message instanceof ForwardingMessage.BreakOff) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -40,8 +40,8 @@
   /** A copy of a generation's memory is complete or failed. */
   record Moved(long call, int attempt, boolean last, MoveOutcome outcome) implements OfAttempt {}
 
-  /** Who coordinates, and how many instances there are. */
-  record ContactsChanged(List<InstanceId> contacts, int instances) implements ForwardingMessage {
+  /** The control instances, other than this one. */
+  record ContactsChanged(List<InstanceId> contacts) implements ForwardingMessage {
     public ContactsChanged {
       contacts = List.copyOf(contacts);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingSettings.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingSettings.java
@@ -11,7 +11,7 @@
  * @param maxCalls requests that may run at once
  * @param retryRatio repeats allowed for each request of a service
  * @param retryWindowMs window of the budget for repeats, in milliseconds
- * @param retrySlack repeats that this instance may add in each window
+ * @param retrySlack repeats that all instances together may add in each window
  */
 public record ForwardingSettings(
     InstanceId instance,
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -16,8 +16,13 @@
     }
   }
 
-  /** Sum of the work of all instances other than the receiver. */
-  record OthersWork(List<TargetWork> work) implements PeerMessage {
+  /**
+   * Sum of the work of all instances other than the receiver.
+   *
+   * @param instances number of instances that state their work, the receiver included
+   * @param work one entry for each target with work
+   */
+  record OthersWork(int instances, List<TargetWork> work) implements PeerMessage {
     public OthersWork {
       work = List.copyOf(work);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
@@ -50,9 +50,8 @@
     this.preference = preference;
   }
 
-  void follow(List<InstanceId> controls, int count) {
+  void follow(List<InstanceId> controls) {
     contacts = List.copyOf(controls);
-    instances = Math.max(1, count);
   }
 
   long nextMs() {
@@ -84,6 +83,9 @@
 
   private void stateOthers(long nowMs) {
     stated.values().removeIf(known -> nowMs - known.atMs() >= STALE_MS);
+    if (!stated.isEmpty()) {
+      instances = stated.size();
+    }
     Map<TargetRun, TargetWork> total = new HashMap<>();
     for (Stated known : stated.values()) {
       known.work().forEach(work -> total.merge(TargetRun.of(work), work, TargetWork::plus));
@@ -91,7 +93,7 @@
     stated.forEach(
         (peer, known) -> {
           if (known.answer()) {
-            send(peer, new PeerMessage.OthersWork(without(total, known.work())));
+            send(peer, new PeerMessage.OthersWork(stated.size(), without(total, known.work())));
           }
         });
   }
@@ -121,7 +123,8 @@
     stated.put(peer, new Stated(own.work(), own.answer(), nowMs));
   }
 
-  void answered(long nowMs) {
+  void answered(int count, long nowMs) {
+    instances = Math.max(1, count);
     answeredMs = nowMs;
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
@@ -19,7 +19,7 @@
   private static final int TYPE_OWN = 1;
   private static final int TYPE_OTHERS = 2;
   private static final int OWN_FIELDS = 2;
-  private static final int OTHERS_FIELDS = 1;
+  private static final int OTHERS_FIELDS = 2;
   private static final int WORK_FIELDS = 5;
   private static final int MAX_NAME_BYTES = 63;
 
@@ -37,6 +37,7 @@
       } else if (message instanceof PeerMessage.OthersWork others) {
         out.packArrayHeader(1 + OTHERS_FIELDS);
         out.packInt(TYPE_OTHERS);
+        out.packInt(others.instances());
         write(out, others.work());
       }
       return Payload.copyOf(out.toByteArray());
@@ -76,7 +77,7 @@
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return type == TYPE_OWN
           ? new PeerMessage.OwnWork(in.flag(), work(in))
-          : new PeerMessage.OthersWork(work(in));
+          : new PeerMessage.OthersWork(in.smallNumber(), work(in));
     }
   }
 
