Limit how long a stand-in waits for the answer to an announcement

Cause: IsolatedLeaderTest failed once beside load, 'not within 60000 ms: the successor loads the second engine', and took 47 s in a repetition. The second engine announced itself to the frozen instance and waited for the idle limit of its connections, 60 s, which the connector had not applied before; until then the limit for connecting, 1 s, ended such calls.

--- a/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
+++ b/standins/src/main/java/dev/caroblb/standins/process/StandinMain.java
@@ -26,7 +26,9 @@
   private static final long ANNOUNCE_MS = 1_000;
   private static final long TICK_MS = 2;
   private static final long CONNECT_TIMEOUT_MS = 1_000;
-  private static final long IDLE_MS = 60_000;
+
+  /** An announcement without an answer for this time goes to another entry. */
+  private static final long IDLE_MS = 2_000;
 
   @Parameter(names = "--kind", required = true, description = "engine or service")
   private String kind = "";
