Take reports of engines without models and keep the logs of system tests

Cause: PredictivePolicy.forecast read the first model of an engine that serves none, so each report of an empty engine failed the placement duty. The log of IsolatedLeaderTest showed it as duty.fault. Change: an engine without models is not forecast; a test that failed first (ArrayIndexOutOfBoundsException) covers its reports and the periodic review. System tests copy the logs of their processes to target/process-logs, since the two failures of PlannedStopTest (five refusals; a stand-in that did not listen within a minute) left nothing to trace.

--- a/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
+++ b/placement/src/main/java/dev/caroblb/placement/PredictivePolicy.java
@@ -190,6 +190,9 @@
   }
 
   private void forecast(Target target, long nowMs) {
+    if (target.view().serves().isEmpty()) {
+      return;
+    }
     String kind = target.view().serves().get(0);
     forecaster.update(target, kind, others(kind), fleet.serving(kind).size(), settings, nowMs);
   }
--- a/placement/src/test/java/dev/caroblb/placement/PredictivePolicyTest.java
+++ b/placement/src/test/java/dev/caroblb/placement/PredictivePolicyTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -118,4 +119,24 @@
       assertTrue(target.forecast.risk(1_000, call, 1) > fresh);
     }
   }
+
+  @Nested
+  class WhenAnEngineHasNoModel {
+    /** Guards against a report of an engine without models that fails the duty. */
+    @Test
+    void itsReportsAndReviewsAreTaken() {
+      TargetView empty =
+          new TargetView(
+              new TargetId("engine-1"),
+              1,
+              new FailureDomain("domain-1"),
+              "127.0.0.1:7001",
+              List.of(),
+              TargetState.AVAILABLE,
+              Optional.of(new LoadReport(0, 0, 0, 1_000, 0, 0)));
+      see(empty, 0);
+      handler.tick(PlacementHandler.TICK_MS);
+      assertEquals(Optional.empty(), place(Views.request(1, 50, 0), 300));
+    }
+  }
 }
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
@@ -211,9 +211,24 @@
     for (ManagedProcess process : standins.values()) {
       process.close();
     }
+    keepLogs();
     deleteTree(folder);
   }
 
+  /** Keeps what the processes wrote, so that a failure that shows once can be traced. */
+  private void keepLogs() throws IOException {
+    Path kept =
+        Repository.root().resolve("systemtests/target/process-logs").resolve(folder.getFileName());
+    Files.createDirectories(kept);
+    List<Path> logs;
+    try (Stream<Path> files = Files.list(folder)) {
+      logs = files.filter(file -> file.toString().endsWith(".log")).toList();
+    }
+    for (Path log : logs) {
+      Files.copy(log, kept.resolve(log.getFileName()));
+    }
+  }
+
   private static void deleteTree(Path tree) throws IOException {
     if (!Files.exists(tree)) {
       return;
