Keep backups of long generations at a second engine

Change: a generation that is expected to last names a second engine of its failure domain, which gets its memory as it grows while it has room; the generation goes on there when its engine ends, also without notice. Such generations are moved only when the backup leaves too. Memory for backups counts as work of the engine.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/AttemptOrder.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/AttemptOrder.java
@@ -13,6 +13,7 @@
  * @param rank urgency; 0 is the most urgent
  * @param lastEventId the event after which a stream goes on
  * @param memory copied memory from which a generation goes on
+ * @param backup engine that gets a copy of the generation's memory as it grows
  */
 public record AttemptOrder(
     ForwardCall call,
@@ -22,4 +23,5 @@
     Optional<String> workspace,
     int rank,
     Optional<String> lastEventId,
-    Optional<CopiedMemory> memory) {}
+    Optional<CopiedMemory> memory,
+    Optional<TargetInfo> backup) {}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -38,6 +38,7 @@
   private Optional<Target> target = Optional.empty();
   private Optional<AnswerHead> head = Optional.empty();
   private Optional<Relocation> relocation = Optional.empty();
+  private Optional<Target> backup = Optional.empty();
   private int pendingBytes;
   private boolean begun;
   private boolean targetEnded;
@@ -145,6 +146,11 @@
     relocation = Optional.empty();
   }
 
+  /** The engine that gets a copy of the generation's memory as it grows. */
+  Optional<Target> backup() {
+    return backup;
+  }
+
   /** Whether the generation was told to stop, so that the end of its stream is to be expected. */
   boolean toldToStop() {
     return relocation.isPresent() && relocation.get().stage() == Relocation.Stage.STOPPING;
@@ -163,7 +169,8 @@
   }
 
   /** Starts a sending to a target. */
-  AttemptOrder start(Target chosen, Optional<CopiedMemory> memory, long nowMs) {
+  AttemptOrder start(
+      Target chosen, Optional<CopiedMemory> memory, Optional<Target> copies, long nowMs) {
     release();
     attempt++;
     sendings++;
@@ -171,6 +178,8 @@
     runs += goesOn ? 0 : 1;
     waiting = false;
     target = Optional.of(chosen);
+    backup = copies;
+    backup.ifPresent(engine -> engine.reserve(tokens()));
     tried.add(chosen.info().id());
     unreadTokens =
         memory.isPresent() ? 0 : call.prompt().map(GenerationSize::promptTokens).orElse(0L);
@@ -188,7 +197,8 @@
         workspace,
         rank,
         begun ? framing.lastEventId() : Optional.empty(),
-        memory);
+        memory,
+        backup.map(Target::info));
   }
 
   /** The target answers, so it has read the prompt. */
@@ -207,6 +217,8 @@
     promptRead();
     target.ifPresent(current -> current.ended(tokens()));
     target = Optional.empty();
+    backup.ifPresent(engine -> engine.reserve(-tokens()));
+    backup = Optional.empty();
     stay();
     attempt++;
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -71,11 +71,12 @@
     } else if (message instanceof ForwardingMessage.Head head) {
       answers.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
-      if (!exchange.toldToStop()) {
+      boolean broken = exchange.toldToStop() || exchange.framing().partial();
+      if (!broken || !relocations.sourceLost(exchange, nowMs)) {
         answers.ended(exchange, nowMs);
       }
     } else if (message instanceof ForwardingMessage.Failed failed) {
-      if (relocations.sourceLost(exchange, nowMs)) {
+      if (failed.sent() && relocations.sourceLost(exchange, nowMs)) {
         return;
       }
       answers.lost(exchange, failed.sent(), failed.cause(), nowMs);
@@ -97,7 +98,7 @@
   private void changed(ForwardingMessage message, long nowMs) {
     if (message instanceof ForwardingMessage.TableInstalled installed) {
       table = Optional.of(installed.table());
-      pool.memory(installed.table().engineMemory());
+      pool.engines(installed.table().engines());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
     } else if (message instanceof ForwardingMessage.TargetLeaving leaving) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationSize.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationSize.java
@@ -13,6 +13,11 @@
     long promptTokens, long maxOutputTokens, Optional<Long> hintedOutputTokens) {
   /** Tokens in memory when the generation ends, by the best estimate. */
   public long expectedTokens() {
-    return promptTokens + Math.min(maxOutputTokens, hintedOutputTokens.orElse(maxOutputTokens / 2));
+    return promptTokens + expectedOutputTokens();
+  }
+
+  /** Tokens that it will generate, by the best estimate. */
+  public long expectedOutputTokens() {
+    return Math.min(maxOutputTokens, hintedOutputTokens.orElse(maxOutputTokens / 2));
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
@@ -7,10 +7,10 @@
 import java.util.Optional;
 
 /**
- * Moves the generations of an engine that leaves to other engines of its service. A generation goes
- * on at its engine while its memory is copied, and from the copy once the engine breaks off. What
- * it made after the copy is read again, which takes less time than a last copy behind the copies of
- * other generations on the same link.
+ * Moves the generations of an engine that leaves to other engines of its service, unless these have
+ * a backup. A generation goes on at its engine while its memory is copied, and from the copy once
+ * the engine breaks off. What it made after the copy is read again, which takes less time than a
+ * last copy behind the copies of other generations on the same link.
  */
 final class Relocations {
   private static final System.Logger LOGGER = System.getLogger(Relocations.class.getName());
@@ -65,6 +65,9 @@
     if (source.isEmpty() || exchange.route().resumable() || !movable(exchange, table)) {
       return;
     }
+    if (exchange.backup().filter(pool::usable).isPresent()) {
+      return;
+    }
     start(exchange, source.get(), nowMs);
   }
 
@@ -161,16 +164,24 @@
 
   /**
    * The engine broke off while its generation was being moved. Returns whether that is dealt with:
-   * the generation goes on from the copy, or the outcome of the last copy decides.
+   * the generation goes on from a copy or its backup, or the outcome of the last copy decides.
    */
   boolean sourceLost(Exchange exchange, long nowMs) {
     if (exchange.toldToStop()) {
       return true;
     }
-    Optional<CopiedMemory> copy = exchange.relocation().flatMap(Relocation::copy);
-    copy.ifPresent(
-        memory -> goOn(exchange, exchange.relocation().orElseThrow().destination(), memory, nowMs));
-    return copy.isPresent();
+    Optional<Relocation> moved = exchange.relocation().filter(move -> move.copy().isPresent());
+    if (moved.isPresent()) {
+      goOn(exchange, moved.get().destination(), moved.get().copy().get(), nowMs);
+      return true;
+    }
+    Optional<Target> backup = exchange.backup().filter(pool::usable);
+    backup.ifPresent(engine -> goOn(exchange, engine, backupOf(exchange, engine), nowMs));
+    return backup.isPresent();
+  }
+
+  private static CopiedMemory backupOf(Exchange exchange, Target engine) {
+    return new CopiedMemory(engine.info().address(), exchange.call().requestId());
   }
 
   private void goOn(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -76,7 +76,8 @@
   }
 
   void send(Exchange exchange, Target target, Optional<CopiedMemory> memory, long nowMs) {
-    AttemptOrder order = exchange.start(target, memory, nowMs);
+    Optional<Target> backup = pool.chooseBackup(exchange, target, nowMs);
+    AttemptOrder order = exchange.start(target, memory, backup, nowMs);
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("forwarding.sent")
@@ -87,6 +88,7 @@
             .with("running", target.running())
             .with("tokens", target.work().tokens())
             .with("after", order.lastEventId().orElse("none"))
+            .with("backup", order.backup().map(engine -> engine.id().name()).orElse("none"))
             .with("left_ms", order.waitMs())
             .toString());
     port.start(order);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
@@ -41,6 +41,11 @@
     return running;
   }
 
+  /** Whether this instance has requests or memory set aside at the target. */
+  boolean hasWork() {
+    return running > 0 || tokens > 0;
+  }
+
   /** Work of this instance at the target. */
   TargetWork work() {
     return new TargetWork(info.id(), info.incarnation(), running, tokens, unreadTokens);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -25,6 +26,15 @@
    */
   private static final double REMOTE_MOVE_TOKENS = 10_000;
 
+  /**
+   * Part of an engine's expected memory up to which it takes backups, which take memory from
+   * requests that would run there.
+   */
+  private static final double BACKUP_FULL = 0.7;
+
+  /** Shorter generations mostly end within the notice of an engine that leaves. */
+  private static final long MIN_BACKUP_OUTPUT_TOKENS = 200;
+
   /**
    * Part of an engine's memory above which its load counts many times: what is expected of running
    * requests is uncertain, and a full memory preempts.
@@ -44,7 +54,7 @@
   private final Map<TargetId, Target> targets = new HashMap<>();
   private Map<TargetRun, TargetWork> others = Map.of();
   private long othersAtMs;
-  private Map<String, Long> memoryTokens = Map.of();
+  private Map<String, EngineLimits> engines = Map.of();
 
   TargetPool(FailureDomain domain, RandomGenerator random) {
     this.domain = domain;
@@ -81,7 +91,7 @@
   List<TargetWork> ownWork() {
     List<TargetWork> work = new ArrayList<>();
     for (Target target : targets.values()) {
-      if (target.running() > 0) {
+      if (target.hasWork()) {
         work.add(target.work());
       }
     }
@@ -99,9 +109,14 @@
     othersAtMs = nowMs;
   }
 
-  /** Sets the memory of the engines of each service, in tokens. */
-  void memory(Map<String, Long> tokensByService) {
-    memoryTokens = Map.copyOf(tokensByService);
+  /** Sets the limits of the engines of each service. */
+  void engines(Map<String, EngineLimits> limitsByService) {
+    engines = Map.copyOf(limitsByService);
+  }
+
+  /** Whether a target that was chosen before still takes requests. */
+  boolean usable(Target target) {
+    return targets.get(target.info().id()) == target && !target.leaving();
   }
 
   /**
@@ -124,6 +139,37 @@
         nowMs);
   }
 
+  /**
+   * Chooses the engine that gets a copy of a generation's memory as it grows, so that the
+   * generation can go on there when its engine ends. Streams that may be resumed need none.
+   */
+  Optional<Target> chooseBackup(Exchange exchange, Target primary, long nowMs) {
+    Optional<EngineLimits> limits = engine(exchange.service()).filter(EngineLimits::backups);
+    if (limits.isEmpty() || exchange.route().resumable() || !lasts(exchange)) {
+      return Optional.empty();
+    }
+    long room = (long) (BACKUP_FULL * limits.get().memoryTokens()) - exchange.tokens();
+    List<Target> candidates = new ArrayList<>();
+    for (Target target : usable(exchange.service(), Set.of(primary.info().id()), nowMs)) {
+      if (work(target, nowMs).tokens() <= room) {
+        candidates.add(target);
+      }
+    }
+    return least(candidates, exchange, primary.info().domain(), REMOTE_MOVE_TOKENS, nowMs);
+  }
+
+  private static boolean lasts(Exchange exchange) {
+    return exchange
+        .call()
+        .prompt()
+        .filter(size -> size.expectedOutputTokens() >= MIN_BACKUP_OUTPUT_TOKENS)
+        .isPresent();
+  }
+
+  private Optional<EngineLimits> engine(String service) {
+    return Optional.ofNullable(engines.get(service));
+  }
+
   private List<Target> usable(String service, Set<TargetId> tried, long nowMs) {
     List<Target> usable = new ArrayList<>();
     List<Target> preferred = new ArrayList<>();
@@ -170,14 +216,21 @@
     return best;
   }
 
+  /** Work that all instances have given to a target, as far as this one knows. */
+  private TargetWork work(Target target, long nowMs) {
+    TargetWork own = target.work();
+    if (nowMs - othersAtMs >= WorkExchange.STALE_MS) {
+      return own;
+    }
+    TargetWork theirs = others.get(TargetRun.of(target.info()));
+    return theirs == null ? own : own.plus(theirs);
+  }
+
   /** Work in tokens, or in requests where these have no tokens; less than one breaks ties. */
   private double load(Target target, long addedTokens, long nowMs) {
-    TargetWork work = target.work();
-    if (nowMs - othersAtMs < WorkExchange.STALE_MS) {
-      TargetWork theirs = others.get(TargetRun.of(target.info()));
-      work = theirs == null ? work : work.plus(theirs);
-    }
-    long memory = memoryTokens.getOrDefault(target.info().service(), Long.MAX_VALUE);
+    TargetWork work = work(target, nowMs);
+    long memory =
+        engine(target.info().service()).map(EngineLimits::memoryTokens).orElse(Long.MAX_VALUE);
     double excess = Math.max(0, work.tokens() + addedTokens - FULL * memory);
     return work.requests()
         + work.tokens()
--- a/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
@@ -112,7 +112,7 @@
     }
     List<TargetWork> others = new ArrayList<>();
     for (TargetWork work : rest.values()) {
-      if (work.requests() > 0) {
+      if (work.requests() > 0 || work.tokens() > 0) {
         others.add(work);
       }
     }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.Payload;
@@ -186,4 +187,85 @@
       assertEquals(3, targets.moves.size());
     }
   }
+
+  @Nested
+  class GenerationWithABackup {
+    private String backup() {
+      return targets.last().backup().orElseThrow().address();
+    }
+
+    private void begins() {
+      installed(3);
+      arriveGeneration("/long/x", 900);
+      streamBegins();
+    }
+
+    /** Guards against a generation that is lost with an engine that ends without notice. */
+    @Test
+    void goesOnAtTheBackupWhenItsEngineIsLost() {
+      begins();
+      String backup = backup();
+      assertNotEquals(targets.last().target().address(), backup);
+      lost();
+      assertEquals(2, targets.sent.size());
+      assertEquals(backup, targets.last().target().address());
+      assertEquals(Optional.of(new CopiedMemory(backup, "id-7")), targets.last().memory());
+      assertEquals(Optional.of("1"), targets.last().lastEventId());
+    }
+
+    /** Guards against a generation that is lost when its engine ends it within an event. */
+    @Test
+    void goesOnWhenItsStreamEndsWithinAnEvent() {
+      begins();
+      give(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals(2, targets.sent.size());
+    }
+
+    /** Guards against copies of the same memory on the links of an engine that leaves. */
+    @Test
+    void isNotMovedWhenItsEngineLeaves() {
+      begins();
+      give(new ForwardingMessage.TargetLeaving(targets.last().target().id(), 1));
+      assertEquals(0, targets.moves.size());
+    }
+
+    /** Guards against trust in a backup at an engine that leaves as well. */
+    @Test
+    void isMovedWhenItsBackupLeavesToo() {
+      begins();
+      give(new ForwardingMessage.TargetLeaving(targets.last().backup().orElseThrow().id(), 1));
+      give(new ForwardingMessage.TargetLeaving(targets.last().target().id(), 1));
+      assertEquals(1, targets.moves.size());
+    }
+
+    /** Guards against a second run when nothing was copied. */
+    @Test
+    void endsWhenTheBackupHoldsNothing() {
+      begins();
+      lost();
+      refusedByTarget();
+      assertEquals(2, targets.sent.size());
+      assertEquals("abort", lastEvent());
+    }
+
+    /** Guards against copies of generations that end before they are needed. */
+    @Test
+    void isNotMadeForShortOrResumableOnes() {
+      installed(3);
+      arriveGeneration("/long/x", 40);
+      assertEquals(Optional.empty(), targets.last().backup());
+      arriveGeneration("/short/x", 900);
+      assertEquals(Optional.empty(), targets.last().backup());
+    }
+
+    /** Guards against backups that take the memory of requests. */
+    @Test
+    void isNotMadeWhereMemoryIsShort() {
+      installed(2);
+      for (int i = 0; i < 14; i++) {
+        arriveGeneration("/long/x", 900);
+      }
+      assertEquals(Optional.empty(), targets.last().backup());
+    }
+  }
 }
--- a/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
@@ -60,13 +60,13 @@
     return Optional.ofNullable(services.get(name));
   }
 
-  /** Memory in tokens of the engines of each service that has engines. */
-  public Map<String, Long> engineMemory() {
-    Map<String, Long> memory = new HashMap<>();
+  /** Limits of the engines of each service that has engines. */
+  public Map<String, EngineLimits> engines() {
+    Map<String, EngineLimits> engines = new HashMap<>();
     for (Service service : services.values()) {
-      service.engine().ifPresent(engine -> memory.put(service.name(), engine.memoryTokens()));
+      service.engine().ifPresent(engine -> engines.put(service.name(), engine));
     }
-    return memory;
+    return engines;
   }
 
   /** Whether requests of routes that are not open need a key. */
