--- a/agreement/src/main/java/dev/caroblb/agreement/Applier.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/Applier.java
@@ -43,6 +43,11 @@
     return commitIndex;
   }
 
+  /** Whether commands were applied that the last snapshot does not hold. */
+  boolean commandsSinceSnapshot() {
+    return bytesSinceSnapshot > 0;
+  }
+
   /** Whether the limits on proposals that wait allow another one. */
   boolean hasRoom(Payload command) {
     return pending.size() < Timing.MAX_PENDING_PROPOSALS
@@ -109,7 +114,7 @@
    * A committed member list is always put into a snapshot: only so a replica that restarts knows
    * that it is committed, which the loss-proof rule of {@link Quorum} needs.
    */
-  private void takeSnapshot() {
+  void takeSnapshot() {
     long term = log.termAt(commitIndex).orElseThrow();
     List<Member> members = new ArrayList<>(log.members().at(commitIndex));
     Snapshot snapshot = new Snapshot(commitIndex, term, members, machine.snapshot());
--- a/agreement/src/main/java/dev/caroblb/agreement/ConsensusGroup.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/ConsensusGroup.java
@@ -26,6 +26,7 @@
   private final Voter voter;
   private final Leadership leadership;
   private final LeaseAnnouncer announcer;
+  private final IdleSnapshots idleSnapshots;
   private Role role = Role.FOLLOWER;
   private Optional<InstanceId> leader = Optional.empty();
   private long leaderSentMs;
@@ -45,6 +46,7 @@
     voter = new Voter(context, log, journal, ballot);
     leadership = new Leadership(context, log, journal, applier, reports, lease);
     announcer = new LeaseAnnouncer(context.leases());
+    idleSnapshots = new IdleSnapshots(applier, context.machine().snapshotsWhenIdle(), nowMs);
     nextProbeMs = nowMs;
   }
 
@@ -79,6 +81,7 @@
       election.reset(nowMs);
     }
     reports.follow(log.members().newest());
+    idleSnapshots.look(nowMs);
   }
 
   /** Takes note of what the journal has synced. */
@@ -111,6 +114,7 @@
     } else if (election.due(nowMs)) {
       campaign(nowMs);
     }
+    idleSnapshots.look(nowMs);
   }
 
   /** Stores and sends the entries that were appended since the last call. */
@@ -122,7 +126,7 @@
 
   long nextTickMs() {
     long due = role == Role.LEADER ? leadership.nextHeartbeatMs() : election.deadlineMs();
-    return Math.min(due, nextProbeMs);
+    return Math.min(Math.min(due, nextProbeMs), idleSnapshots.dueMs());
   }
 
   GroupStatus status() {
--- a/agreement/src/main/java/dev/caroblb/agreement/Timing.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/Timing.java
@@ -44,6 +44,9 @@
   /** Pause before messages that a full ring refused are offered again. */
   static final long BACKLOG_RETRY_MS = 5;
 
+  /** Time without a commit after which a state machine that asks for it gets a snapshot. */
+  static final long IDLE_SNAPSHOT_MS = 1_000;
+
   static final long SNAPSHOT_ENTRIES = 1_000;
   static final long SNAPSHOT_BYTES = 4L << 20;
 
--- a/core/src/main/java/dev/caroblb/core/StateMachine.java
+++ b/core/src/main/java/dev/caroblb/core/StateMachine.java
@@ -13,4 +13,13 @@
 
   /** Replaces the state by one that {@link #snapshot()} returned. */
   void restore(Payload snapshot);
+
+  /**
+   * Whether a snapshot is taken soon after the last command. After a restart only the snapshot is
+   * known to be committed until there is a leader, so a small state that is of use before that
+   * should be in one.
+   */
+  default boolean snapshotsWhenIdle() {
+    return false;
+  }
 }
--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -68,9 +68,11 @@
   private final LateOutlet<RoutingMessage> routing = new LateOutlet<>();
   private final LateOutlet<ForwardingMessage> forwarding = new LateOutlet<>();
   private final LateOutlet<MembershipMessage> membership = new LateOutlet<>();
+  private final RoutingStateMachine accepted = new RoutingStateMachine(routing);
   private final Optional<ControlReplica> replica;
   private final ForwardingHandler forwardingHandler;
   private final CountDownLatch stop = new CountDownLatch(1);
+  private final CountDownLatch ending = new CountDownLatch(1);
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
   private volatile Optional<RoutingTable> table = Optional.empty();
   private volatile Optional<DrainStage> drain = Optional.empty();
@@ -108,7 +110,7 @@
             settings.dataFolder().orElseThrow(),
             settings.contacts(),
             Optional.of(settings.firstStart())),
-        Map.of(GroupId.CONTROL, new RoutingStateMachine(routing)),
+        Map.of(GroupId.CONTROL, accepted),
         duties,
         transport,
         this::leaseChanged,
@@ -124,7 +126,7 @@
         System.Logger.Level.ERROR,
         LogLine.of("replica.failed").with("cause", fault.message()).toString());
     failed = true;
-    stop.countDown();
+    stop();
     return true;
   }
 
@@ -138,6 +140,8 @@
             new RoutingOutlets(peers, this::tableInstalled, routing));
     Duty<RoutingMessage> duty = duties.create("routing", handler);
     routing.bind(duty);
+    // The replica restored its snapshot before the ring of the routing duty was there.
+    accepted.offerAccepted();
     peers.receive(message -> duty.offer(new RoutingMessage.FromPeer(message)));
   }
 
@@ -238,6 +242,7 @@
 
   private boolean drained(DrainStage stage) {
     drain = Optional.of(stage);
+    ending.countDown();
     LOGGER.log(
         System.Logger.Level.INFO, LogLine.of("instance.drain").with("stage", stage).toString());
     return switch (stage) {
@@ -256,10 +261,15 @@
   public void requestStop() {
     boolean unused = membership.offer(new MembershipMessage.StopRequested());
     if (settings.callersAddress().isEmpty()) {
-      stop.countDown();
+      stop();
     }
   }
 
+  private void stop() {
+    stop.countDown();
+    ending.countDown();
+  }
+
   /** Calls {@link #requestStop()} for each termination signal. */
   public void stopOnSignal() {
     TerminationSignal.onEach(this::requestStop);
@@ -272,6 +282,7 @@
 
   /** Waits for the end of a planned stop or for a fault of the replica. */
   public void awaitStop() throws InterruptedException {
+    ending.await();
     while (!stop.await(CHECK_STOP_MS, TimeUnit.MILLISECONDS)) {
       if (drainOver()) {
         return;
--- a/routing/src/main/java/dev/caroblb/routing/codec/RoutingStateMachine.java
+++ b/routing/src/main/java/dev/caroblb/routing/codec/RoutingStateMachine.java
@@ -56,6 +56,12 @@
     offerAccepted();
   }
 
+  /** Instances that start again together get a table before the control group has a leader. */
+  @Override
+  public boolean snapshotsWhenIdle() {
+    return true;
+  }
+
   private RoutingDocument restored(Payload snapshot) {
     return commands
         .decode(snapshot)
@@ -68,7 +74,8 @@
                         + " reads it, or restore the data folder"));
   }
 
-  private void offerAccepted() {
+  /** Tells the duty what is accepted; to be called once more when its ring is connected late. */
+  public void offerAccepted() {
     accepted.ifPresent(
         document -> {
           boolean unused = duty.offer(new RoutingMessage.Applied(document));
