Send fewer messages between instances and draw four candidates for a request

An idle entry of a local cluster was woken 150 times a second, mostly by acknowledgements of single reads, forwarded announcements without news, work stated to every control instance and answers without change. Change: acknowledgements wait up to 250 ms; announcements that only repeat go out with the next heartbeat; all instances state their work to the same control instance, every 2 ms for each instance instead of 4, and get an answer when it changed; the number in force is stated once a second. The budget for repeats is shared among the instances that membership knows. A request goes to the least loaded of four drawn targets.

--- a/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/RoutedInstance.java
@@ -235,8 +235,10 @@
             .map(InstanceRecord::id)
             .filter(id -> !id.equals(settings.instance()))
             .toList();
+    long serving = latest.instances().stream().filter(known -> !known.address().isEmpty()).count();
     forwarding.offer(
-        new ForwardingMessage.ContactsChanged(settings.control() ? List.of() : contacts));
+        new ForwardingMessage.ContactsChanged(
+            settings.control() ? List.of() : contacts, (int) serving));
     return routing.offer(new RoutingMessage.PeersChanged(peers));
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -40,12 +40,15 @@
     ends = new CallEnds(exchanges, port, observer);
     sender = new Sender(exchanges, pool, port, budget, observer, ends);
     answers = new AnswerFlow(port, observer, sender, ends);
-    work = new WorkExchange(peers, settings.instance().name().hashCode());
+    work = new WorkExchange(peers);
     relocations = new Relocations(exchanges, pool, port, sender, answers);
   }
 
   @Override
   public void handle(ForwardingMessage message, long nowMs) {
+    if (!(message instanceof ForwardingMessage.FromPeer)) {
+      work.touched();
+    }
     if (message instanceof ForwardingMessage.OfAttempt ofAttempt) {
       exchanges
           .find(ofAttempt.call(), ofAttempt.attempt())
@@ -107,7 +110,7 @@
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ContactsChanged contacts) {
-      work.follow(contacts.contacts());
+      work.follow(contacts.contacts(), contacts.serving());
     } else if (message instanceof ForwardingMessage.RefuseNew) {
       refuseNew = true;
     } else if (message instanceof ForwardingMessage.BreakOff) {
@@ -170,6 +173,7 @@
         timedOut(exchange, nowMs);
       } else if (exchange.waiting()) {
         sender.place(exchange, nowMs);
+        work.touched();
       } else {
         relocations.due(exchange, nowMs);
       }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -41,7 +41,7 @@
   record Moved(long call, int attempt, boolean last, MoveOutcome outcome) implements OfAttempt {}
 
   /** The control instances, other than this one. */
-  record ContactsChanged(List<InstanceId> contacts) implements ForwardingMessage {
+  record ContactsChanged(List<InstanceId> contacts, int serving) implements ForwardingMessage {
     public ContactsChanged {
       contacts = List.copyOf(contacts);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -5,12 +5,11 @@
 /** Messages by which instances learn what the others have given to targets. */
 public sealed interface PeerMessage {
   /**
-   * Work that the sender has given to targets.
+   * Work that the sender has given to targets; the receiver answers with that of others.
    *
-   * @param answer whether the receiver shall tell the sender of the work of others
    * @param work one entry for each target with work
    */
-  record OwnWork(boolean answer, List<TargetWork> work) implements PeerMessage {
+  record OwnWork(List<TargetWork> work) implements PeerMessage {
     public OwnWork {
       work = List.copyOf(work);
     }
@@ -19,7 +18,7 @@
   /**
    * Sum of the work of all instances other than the receiver.
    *
-   * @param instances number of instances that state their work, the receiver included
+   * @param instances number of instances that serve callers, the receiver included
    * @param work one entry for each target with work
    */
   record OthersWork(int instances, List<TargetWork> work) implements PeerMessage {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -43,6 +43,12 @@
 
   private static final double FULL_WEIGHT = 20;
 
+  /**
+   * Candidates drawn for a request. What others did in the last tenths of a second is not known
+   * yet, so that the least loaded target of all would get the requests of all instances.
+   */
+  private static final int CANDIDATES = 4;
+
   /**
    * Candidates drawn for a move. All generations of an engine are moved at the same moment by
    * instances that do not know of each other's moves; the least loaded one would get them all.
@@ -120,19 +126,18 @@
   }
 
   /**
-   * Chooses the target of a service with the least work, ties at random and the own failure domain
-   * first. Targets that failed lately are taken only when no other is left.
+   * Chooses the target with the least work among some of a service, ties at random and the own
+   * failure domain first. Targets that failed lately are taken only when no other is left.
    */
   Optional<Target> choose(Exchange exchange, long nowMs) {
-    return least(usable(exchange.service(), exchange.tried(), nowMs), exchange, domain, 0, nowMs);
+    List<Target> drawn = draw(CANDIDATES, usable(exchange.service(), exchange.tried(), nowMs));
+    return least(drawn, exchange, domain, 0, nowMs);
   }
 
   /** Chooses where to move a generation; a copy within a failure domain is faster. */
   Optional<Target> chooseDestination(Exchange exchange, Target source, long nowMs) {
-    List<Target> candidates = usable(exchange.service(), exchange.tried(), nowMs);
-    shuffle(candidates);
     return least(
-        candidates.subList(0, Math.min(MOVE_CANDIDATES, candidates.size())),
+        draw(MOVE_CANDIDATES, usable(exchange.service(), exchange.tried(), nowMs)),
         exchange,
         source.info().domain(),
         REMOTE_MOVE_TOKENS,
@@ -189,10 +194,11 @@
     return preferred.isEmpty() ? usable : preferred;
   }
 
-  private void shuffle(List<Target> candidates) {
-    for (int i = candidates.size() - 1; i > 0; i--) {
-      Collections.swap(candidates, i, random.nextInt(i + 1));
+  private List<Target> draw(int count, List<Target> from) {
+    for (int i = from.size() - 1; i > 0; i--) {
+      Collections.swap(from, i, random.nextInt(i + 1));
     }
+    return from.subList(0, Math.min(count, from.size()));
   }
 
   private Optional<Target> least(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
@@ -4,23 +4,25 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Outlet;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Tells the control instances what this instance has given to targets, and one of them tells it the
- * sum of the others. Without that, all instances would choose the same target that looks idle to
- * each of them, such as one that has just started.
+ * Tells a control instance what this instance has given to targets, and gets the sum of the others.
+ * All instances ask the same one, so that one message states the work of an instance; when it does
+ * not answer, each goes on to the next. Without that, all instances would choose the same target
+ * that looks idle to each of them, such as one that has just started.
  */
 final class WorkExchange {
   /** Shortest pause in milliseconds between two statements of the same instance. */
   private static final long MIN_PERIOD_MS = 100;
 
   /** Adds to the pause for each instance, so that the traffic at a control instance is bounded. */
-  private static final long PERIOD_PER_INSTANCE_MS = 4;
+  private static final long PERIOD_PER_INSTANCE_MS = 2;
 
-  /** Unchanged work is stated again after this time. */
+  /** Unchanged work is stated again after this time, and so is that of others. */
   private static final long REPEAT_MS = 1_000;
 
   /** Work stated longer ago than this does not count. */
@@ -29,37 +31,49 @@
   /** Without an answer for this time another control instance is asked. */
   private static final long ANSWER_MS = 2_500;
 
-  private record Stated(List<TargetWork> work, boolean answer, long atMs) {}
+  private record Stated(List<TargetWork> work, long atMs) {}
+
+  private record Answered(List<TargetWork> work, long atMs) {}
 
   private final Outlet<Addressed<PeerMessage>> peers;
-  private final int preference;
   private final Map<InstanceId, Stated> stated = new HashMap<>();
   private List<InstanceId> contacts = List.of();
   private int instances = 1;
+  private int known;
   private int asked;
   private List<TargetWork> lastOwn = List.of();
   private long lastOwnMs = Long.MIN_VALUE / 2;
+  private final Map<InstanceId, Answered> answers = new HashMap<>();
   private long answeredMs;
+  private long lastTickMs = Long.MIN_VALUE / 2;
   private long nextMs;
 
-  /**
-   * @param preference spreads the instances over the control instances that they ask
-   */
-  WorkExchange(Outlet<Addressed<PeerMessage>> peers, int preference) {
+  WorkExchange(Outlet<Addressed<PeerMessage>> peers) {
     this.peers = peers;
-    this.preference = preference;
   }
 
-  void follow(List<InstanceId> controls) {
-    contacts = List.copyOf(controls);
+  /**
+   * Sets the control instances, which all instances ask in the same order, and the number of
+   * instances that serve callers, as far as it is known here.
+   */
+  void follow(List<InstanceId> controls, int serving) {
+    known = serving;
+    contacts = controls.stream().sorted(Comparator.comparing(InstanceId::name)).toList();
   }
 
   long nextMs() {
     return nextMs;
   }
 
+  /** What is to be told may have changed. */
+  void touched() {
+    long periodMs = Math.max(MIN_PERIOD_MS, PERIOD_PER_INSTANCE_MS * instances);
+    nextMs = Math.min(nextMs, lastTickMs + periodMs);
+  }
+
   void tick(List<TargetWork> own, long nowMs) {
-    nextMs = nowMs + Math.max(MIN_PERIOD_MS, PERIOD_PER_INSTANCE_MS * instances);
+    lastTickMs = nowMs;
+    nextMs = nowMs + REPEAT_MS;
     stateOwn(own, nowMs);
     stateOthers(nowMs);
   }
@@ -75,27 +89,32 @@
     }
     lastOwn = own;
     lastOwnMs = nowMs;
-    int chosen = Math.floorMod(preference + asked, contacts.size());
-    for (int i = 0; i < contacts.size(); i++) {
-      send(contacts.get(i), new PeerMessage.OwnWork(i == chosen, own));
-    }
+    InstanceId chosen = contacts.get(Math.floorMod(asked, contacts.size()));
+    send(chosen, new PeerMessage.OwnWork(own));
   }
 
   private void stateOthers(long nowMs) {
-    stated.values().removeIf(known -> nowMs - known.atMs() >= STALE_MS);
-    if (!stated.isEmpty()) {
-      instances = stated.size();
+    stated.values().removeIf(statement -> nowMs - statement.atMs() >= STALE_MS);
+    answers.keySet().retainAll(stated.keySet());
+    if (stated.isEmpty()) {
+      return;
     }
+    // Some instances may ask another control instance; they share the budget for repeats as well.
+    instances = Math.max(known, stated.size());
     Map<TargetRun, TargetWork> total = new HashMap<>();
-    for (Stated known : stated.values()) {
-      known.work().forEach(work -> total.merge(TargetRun.of(work), work, TargetWork::plus));
+    for (Stated statement : stated.values()) {
+      statement.work().forEach(work -> total.merge(TargetRun.of(work), work, TargetWork::plus));
+    }
+    stated.forEach((peer, statement) -> answer(peer, without(total, statement.work()), nowMs));
+  }
+
+  private void answer(InstanceId peer, List<TargetWork> work, long nowMs) {
+    Answered last = answers.get(peer);
+    if (last != null && last.work().equals(work) && nowMs - last.atMs() < REPEAT_MS) {
+      return;
     }
-    stated.forEach(
-        (peer, known) -> {
-          if (known.answer()) {
-            send(peer, new PeerMessage.OthersWork(stated.size(), without(total, known.work())));
-          }
-        });
+    answers.put(peer, new Answered(work, nowMs));
+    send(peer, new PeerMessage.OthersWork(instances, work));
   }
 
   private static List<TargetWork> without(Map<TargetRun, TargetWork> total, List<TargetWork> own) {
@@ -116,11 +135,13 @@
         others.add(work);
       }
     }
+    others.sort((a, b) -> a.target().name().compareTo(b.target().name()));
     return others;
   }
 
   void received(InstanceId peer, PeerMessage.OwnWork own, long nowMs) {
-    stated.put(peer, new Stated(own.work(), own.answer(), nowMs));
+    stated.put(peer, new Stated(own.work(), nowMs));
+    touched();
   }
 
   void answered(int count, long nowMs) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
@@ -18,7 +18,7 @@
 public final class WorkCodec implements MessageCodec<PeerMessage> {
   private static final int TYPE_OWN = 1;
   private static final int TYPE_OTHERS = 2;
-  private static final int OWN_FIELDS = 2;
+  private static final int OWN_FIELDS = 1;
   private static final int OTHERS_FIELDS = 2;
   private static final int WORK_FIELDS = 5;
   private static final int MAX_NAME_BYTES = 63;
@@ -32,7 +32,6 @@
       if (message instanceof PeerMessage.OwnWork own) {
         out.packArrayHeader(1 + OWN_FIELDS);
         out.packInt(TYPE_OWN);
-        out.packBoolean(own.answer());
         write(out, own.work());
       } else if (message instanceof PeerMessage.OthersWork others) {
         out.packArrayHeader(1 + OTHERS_FIELDS);
@@ -76,7 +75,7 @@
     @Override
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return type == TYPE_OWN
-          ? new PeerMessage.OwnWork(in.flag(), work(in))
+          ? new PeerMessage.OwnWork(work(in))
           : new PeerMessage.OthersWork(in.smallNumber(), work(in));
     }
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/WorkExchangeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/WorkExchangeTest.java
@@ -16,7 +16,7 @@
   private static final InstanceId B = new InstanceId("b");
 
   private final List<Addressed<PeerMessage>> sent = new ArrayList<>();
-  private final WorkExchange exchange = new WorkExchange(sent::add, 0);
+  private final WorkExchange exchange = new WorkExchange(sent::add);
 
   private static TargetWork work(String target, long requests) {
     return new TargetWork(new TargetId(target), 1, requests, 100 * requests, 0);
@@ -37,19 +37,28 @@
     /** Guards against an instance that is told its own work as that of others. */
     @Test
     void tellsEachTheSumOfTheOthers() {
-      exchange.received(A, new PeerMessage.OwnWork(true, List.of(work("t", 2))), 0);
-      exchange.received(B, new PeerMessage.OwnWork(true, List.of(work("t", 3), work("u", 1))), 0);
+      exchange.received(A, new PeerMessage.OwnWork(List.of(work("t", 2))), 0);
+      exchange.received(B, new PeerMessage.OwnWork(List.of(work("t", 3), work("u", 1))), 0);
       exchange.tick(List.of(), 100);
       assertEquals(2, othersOf(A).size());
       assertTrue(othersOf(A).contains(work("t", 3)));
       assertEquals(List.of(work("t", 2)), othersOf(B));
     }
 
+    /** Guards against a budget that is shared by too few when others ask elsewhere. */
+    @Test
+    void countsInstancesThatAskElsewhere() {
+      exchange.follow(List.of(), 7);
+      exchange.received(A, new PeerMessage.OwnWork(List.of(work("t", 2))), 0);
+      exchange.tick(List.of(), 100);
+      assertEquals(7, ((PeerMessage.OthersWork) sent.get(0).message()).instances());
+    }
+
     /** Guards against the work of an instance that is gone. */
     @Test
     void forgetsInstancesThatFellSilent() {
-      exchange.received(A, new PeerMessage.OwnWork(true, List.of(work("t", 2))), 0);
-      exchange.received(B, new PeerMessage.OwnWork(true, List.of()), WorkExchange.STALE_MS);
+      exchange.received(A, new PeerMessage.OwnWork(List.of(work("t", 2))), 0);
+      exchange.received(B, new PeerMessage.OwnWork(List.of()), WorkExchange.STALE_MS);
       exchange.tick(List.of(), WorkExchange.STALE_MS + 1);
       assertEquals(List.of(), othersOf(B));
     }
@@ -60,7 +69,7 @@
     /** Guards against an instance that asks a control instance which is gone for ever. */
     @Test
     void asksAnotherWhenNoAnswerComes() {
-      exchange.follow(List.of(A, B));
+      exchange.follow(List.of(A, B), 1);
       exchange.answered(2, 0);
       exchange.tick(List.of(work("t", 1)), 10);
       InstanceId first = asked();
@@ -72,7 +81,7 @@
     private InstanceId asked() {
       List<InstanceId> asked = new ArrayList<>();
       for (Addressed<PeerMessage> message : sent) {
-        if (message.message() instanceof PeerMessage.OwnWork own && own.answer()) {
+        if (message.message() instanceof PeerMessage.OwnWork own) {
           asked.add(message.peer());
         }
       }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/codec/WorkCodecTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/codec/WorkCodecTest.java
@@ -21,7 +21,7 @@
     void keepsEveryField() {
       List<TargetWork> work = List.of(new TargetWork(new TargetId("t"), 1, 2, 3, 4));
       for (PeerMessage message :
-          List.of(new PeerMessage.OwnWork(true, work), new PeerMessage.OthersWork(9, work))) {
+          List.of(new PeerMessage.OwnWork(work), new PeerMessage.OthersWork(9, work))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
     }
--- a/membership/src/main/java/dev/caroblb/membership/Announcement.java
+++ b/membership/src/main/java/dev/caroblb/membership/Announcement.java
@@ -69,6 +69,18 @@
     }
   }
 
+  /** Whether this later announcement says nothing but that the target is still there. */
+  boolean repeats(Announcement earlier) {
+    return cacheEvents.isEmpty()
+        && incarnation == earlier.incarnation
+        && kind == earlier.kind
+        && domain.equals(earlier.domain)
+        && address.equals(earlier.address)
+        && serves.equals(earlier.serves)
+        && leaving == earlier.leaving
+        && load.equals(earlier.load);
+  }
+
   /** The same announcement with the final state of its incarnation. */
   Announcement asLeaving() {
     return new Announcement(
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -36,6 +37,12 @@
 
   private Set<TargetId> followed = Set.of();
 
+  /**
+   * Targets that were heard of without news since the last heartbeat. Forwarding each of these
+   * announcements at once was most of what an idle instance received.
+   */
+  private final Set<TargetId> heardAgain = new LinkedHashSet<>();
+
   /** Whether a target came, went or serves something else since the last selection. */
   private boolean selectionDue;
 
@@ -82,13 +89,27 @@
   }
 
   private void announced(Announcement announcement, long nowMs) {
+    Optional<TargetRecord> before = targets.find(announcement.target());
     if (repeated(announcement)
         || !merge(new TargetRecord(announcement, Optional.of(nowMs), nowMs))) {
       return;
     }
+    if (before.filter(known -> announcement.repeats(known.announcement())).isPresent()) {
+      heardAgain.add(announcement.target());
+      return;
+    }
     targets
         .find(announcement.target())
-        .ifPresent(merged -> sender.forward(merged.agedAt(nowMs), nowMs));
+        .ifPresent(merged -> sender.forward(List.of(merged.agedAt(nowMs)), nowMs));
+  }
+
+  private void forwardHeardAgain(long nowMs) {
+    List<AgedAnnouncement> records = new ArrayList<>();
+    for (TargetId target : heardAgain) {
+      targets.find(target).ifPresent(known -> records.add(known.agedAt(nowMs)));
+    }
+    heardAgain.clear();
+    sender.forward(records, nowMs);
   }
 
   private boolean withdraw(TargetId target, long nowMs) {
@@ -97,7 +118,7 @@
       return false;
     }
     if (merge(known.get().asLeaving())) {
-      sender.forward(known.get().asLeaving().agedAt(nowMs), nowMs);
+      sender.forward(List.of(known.get().asLeaving().agedAt(nowMs)), nowMs);
     }
     return true;
   }
@@ -208,6 +229,7 @@
     nextTickMs = nowMs + TICK_MS;
     if (nowMs >= nextHeartbeatMs) {
       sendHeartbeat(nowMs);
+      forwardHeardAgain(nowMs);
     }
     if (nowMs >= nextDigestMs) {
       nextDigestMs = nowMs + DIGEST_MS;
--- a/membership/src/main/java/dev/caroblb/membership/PeerSender.java
+++ b/membership/src/main/java/dev/caroblb/membership/PeerSender.java
@@ -37,8 +37,8 @@
     topology.peers().forEach(peer -> send(peer, message));
   }
 
-  void forward(AgedAnnouncement announcement, long nowMs) {
-    topology.peers().forEach(peer -> records(peer, List.of(announcement), nowMs));
+  void forward(List<AgedAnnouncement> announcements, long nowMs) {
+    topology.peers().forEach(peer -> records(peer, announcements, nowMs));
   }
 
   void records(InstanceId peer, List<AgedAnnouncement> records, long nowMs) {
--- a/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
@@ -24,7 +24,7 @@
   private static final System.Logger LOGGER = System.getLogger(RoutingHandler.class.getName());
 
   /** Pause in milliseconds between two statements of the number in force. */
-  static final long ANNOUNCE_MS = 500;
+  static final long ANNOUNCE_MS = 1_000;
 
   /**
    * Time in milliseconds for a proposal; an operator moves on to another instance after a second.
--- a/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/InboundPeer.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LogLine;
+import dev.caroblb.core.MillisClock;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -13,20 +14,32 @@
 final class InboundPeer {
   private static final System.Logger LOGGER = System.getLogger(InboundPeer.class.getName());
 
+  /**
+   * Shortest pause between two acknowledgements. One for each read doubled the wake-ups of both
+   * sides; the sender waits {@link OutboundPeer#ACKNOWLEDGE_MS} for one.
+   */
+  private static final long ACKNOWLEDGE_PAUSE_MS = 250;
+
   private final SocketChannel channel;
+  private final MillisClock clock;
   private final ByteBuffer acknowledgement = ByteBuffer.allocate(1);
   private final FrameSplitter splitter = new FrameSplitter();
   private final Predicate<Hello> accepts;
   private final Map<Channel, PeerReceiver> receivers;
   private final TransportCounters counters;
   private Optional<InstanceId> peer = Optional.empty();
+  private boolean owesAcknowledgement;
+  private long acknowledgedMs;
 
   InboundPeer(
       SocketChannel channel,
+      MillisClock clock,
       Predicate<Hello> accepts,
       Map<Channel, PeerReceiver> receivers,
       TransportCounters counters) {
     this.channel = channel;
+    this.clock = clock;
+    this.acknowledgedMs = clock.nowMs() - ACKNOWLEDGE_PAUSE_MS;
     this.accepts = accepts;
     this.receivers = receivers;
     this.counters = counters;
@@ -44,17 +57,41 @@
         process(frame.get());
         frame = nextFrame();
       }
+      owesAcknowledgement = true;
       acknowledge();
     } catch (IOException e) {
-      LOGGER.log(
-          System.Logger.Level.DEBUG,
-          LogLine.of("transport.inbound_closed").with("cause", e).toString());
-      Channels.closeQuietly(channel);
+      close(e);
+    }
+  }
+
+  private void close(IOException cause) {
+    LOGGER.log(
+        System.Logger.Level.DEBUG,
+        LogLine.of("transport.inbound_closed").with("cause", cause).toString());
+    Channels.closeQuietly(channel);
+  }
+
+  boolean open() {
+    return channel.isOpen();
+  }
+
+  /** Sends an acknowledgement that was put off. */
+  void maintain() {
+    try {
+      acknowledge();
+    } catch (IOException e) {
+      close(e);
     }
   }
 
   /** A byte that finds no room in the send buffer is not missed: earlier ones are under way. */
   private void acknowledge() throws IOException {
+    long nowMs = clock.nowMs();
+    if (!owesAcknowledgement || nowMs - acknowledgedMs < ACKNOWLEDGE_PAUSE_MS) {
+      return;
+    }
+    owesAcknowledgement = false;
+    acknowledgedMs = nowMs;
     acknowledgement.clear();
     channel.write(acknowledgement);
   }
--- a/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
@@ -24,11 +24,11 @@
   private static final long WRITE_STALL_MS = 2_000;
 
   /**
-   * The receiver acknowledges what it reads with single bytes. Without one for this time after a
-   * write the connection is dialled again: writes into a connection whose packets are lost succeed
-   * until the send buffer is full.
+   * The receiver acknowledges what it reads with single bytes, within half a second. Without one
+   * for this time after a write the connection is dialled again: writes into a connection whose
+   * packets are lost succeed until the send buffer is full.
    */
-  private static final long ACKNOWLEDGE_MS = 1_500;
+  static final long ACKNOWLEDGE_MS = 1_500;
 
   private final InstanceId peer;
   private final InetSocketAddress address;
--- a/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
+++ b/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
@@ -15,7 +15,9 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,6 +42,7 @@
   private final Hello self;
   private final Selector selector;
   private final ServerSocketChannel listener;
+  private final List<InboundPeer> accepted = new ArrayList<>();
   private final Map<InstanceId, OutboundPeer> peers = new ConcurrentHashMap<>();
   private final PeerDirectory directory;
   private final MillisClock clock;
@@ -157,6 +160,8 @@
       }
     }
     peers.values().removeIf(peer -> peer.unusedFor(nowMs) >= FORGET_AFTER_MS);
+    accepted.removeIf(inbound -> !inbound.open());
+    accepted.forEach(InboundPeer::maintain);
   }
 
   private void onReady(SelectionKey key) throws IOException {
@@ -178,7 +183,8 @@
       return;
     }
     channel.configureBlocking(false);
-    InboundPeer inbound = new InboundPeer(channel, this::accepts, receivers, counters);
+    InboundPeer inbound = new InboundPeer(channel, clock, this::accepts, receivers, counters);
+    accepted.add(inbound);
     channel.register(selector, SelectionKey.OP_READ, inbound);
   }
 
