Close the connection to a target when its request is given up before the answer

Discarding a connection through the HTTP library leaves it open while an answer is due. Change: the connector knows its connections by local address and closes them at once. A test gives up a request before its answer; the target noticed nothing within 250 ms before, and does now.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
@@ -41,9 +41,9 @@
     return running;
   }
 
-  /** Whether this instance has requests or memory set aside at the target. */
-  boolean hasWork() {
-    return running > 0 || tokens > 0;
+  /** Whether generations of this instance run here or have memory set aside. */
+  boolean holdsTokens() {
+    return tokens > 0;
   }
 
   /** Work of this instance at the target. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -93,11 +93,14 @@
     }
   }
 
-  /** Work of this instance at each target that has some. */
+  /**
+   * Work of this instance at each engine that has some. Requests of plain services are over before
+   * others hear of them: told of them, all instances chose the same target of a service at once.
+   */
   List<TargetWork> ownWork() {
     List<TargetWork> work = new ArrayList<>();
     for (Target target : targets.values()) {
-      if (target.hasWork()) {
+      if (target.holdsTokens()) {
         work.add(target.work());
       }
     }
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
@@ -0,0 +1,80 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.TargetId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TargetPoolTest {
+  private static final FailureDomain HERE = new FailureDomain("zone-a");
+
+  private final TargetPool pool = new TargetPool(HERE, new Random(1));
+
+  private void available(int count) {
+    for (int i = 0; i < count; i++) {
+      String address = "10.0.0." + i + ":80";
+      pool.available(new TargetInfo(new TargetId("t" + i), 1, "service", address, HERE));
+    }
+  }
+
+  private Exchange exchange(Optional<GenerationSize> size) {
+    ForwardCall call =
+        new ForwardCall(
+            1, "id", "host", "/", Optional.empty(), Optional.empty(), size, new RecordingCaller());
+    return new Exchange(
+        call,
+        ForwardingFixture.table().match("host", "/long/x").orElseThrow(),
+        "service",
+        Optional.empty(),
+        1,
+        0);
+  }
+
+  private Target start(Optional<GenerationSize> size) {
+    Exchange exchange = exchange(size);
+    Target target = pool.choose(exchange, 0).orElseThrow();
+    exchange.start(target, Optional.empty(), Optional.empty(), 0);
+    return target;
+  }
+
+  @Nested
+  class WorkThatOthersAreTold {
+    private final Optional<GenerationSize> generation =
+        Optional.of(new GenerationSize(3_000, 1_800, Optional.empty()));
+
+    /** Guards against instances that all choose the same target of a plain service. */
+    @Test
+    void holdsNoPlainRequests() {
+      available(3);
+      start(Optional.empty());
+      assertEquals(List.of(), pool.ownWork());
+      Target engine = start(generation);
+      assertEquals(List.of(engine.work()), pool.ownWork());
+    }
+
+    /** Guards against instances that all choose the engine which looked idle to each of them. */
+    @Test
+    void doesNotDecideAlone() {
+      available(20);
+      Set<String> chosen = new TreeSet<>();
+      List<TargetWork> others = new ArrayList<>();
+      for (int i = 1; i < 20; i++) {
+        others.add(new TargetWork(new TargetId("t" + i), 1, 5, 20_000, 0));
+      }
+      pool.othersWork(others, 0);
+      for (int i = 0; i < 20; i++) {
+        chosen.add(pool.choose(exchange(generation), 0).orElseThrow().info().id().name());
+      }
+      assertTrue(chosen.size() > 5, () -> "only " + chosen);
+    }
+  }
+}
--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -2,11 +2,15 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -21,6 +25,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.net.URIAuthority;
 
 /**
@@ -34,18 +39,28 @@
   private final OutgoingRequest request;
   private final ResponseSink sink;
   private final ByteBuffer body;
+  private final Consumer<SocketAddress> connectionCloser;
 
   private AsyncClientEndpoint endpoint;
   private CapacityChannel capacity;
   private long unread;
+  private Optional<SocketAddress> local = Optional.empty();
   private boolean written;
   private boolean over;
 
-  ClientExchange(InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
+  /**
+   * @param connectionCloser closes the connection with a local address at once
+   */
+  ClientExchange(
+      InetSocketAddress address,
+      OutgoingRequest request,
+      ResponseSink sink,
+      Consumer<SocketAddress> connectionCloser) {
     this.address = address;
     this.request = request;
     this.sink = sink;
     this.body = request.body().buffer();
+    this.connectionCloser = connectionCloser;
   }
 
   /** Runs the request on a connection. */
@@ -68,6 +83,9 @@
         throw new IOException("the exchange was closed");
       }
       written = true;
+      local =
+          Optional.ofNullable(HttpCoreContext.cast(context).getEndpointDetails())
+              .map(EndpointDetails::getLocalAddress);
     }
     BasicHttpRequest head =
         new BasicHttpRequest(request.method(), URIScheme.HTTP.id, authority(), request.path());
@@ -191,9 +209,14 @@
     failed(new IOException("the connection was closed"));
   }
 
-  /** Closes the connection; the sink hears nothing more. */
+  /** Closes the connection, also while an answer is due; the sink hears nothing more. */
   public void close() {
     markOver();
+    Optional<SocketAddress> connection;
+    synchronized (this) {
+      connection = local;
+    }
+    connection.ifPresent(connectionCloser);
     discard();
   }
 
--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -16,6 +16,7 @@
   private static final int MAX_CONNECTIONS = 1 << 20;
 
   private final HttpAsyncRequester requester;
+  private final OpenConnections connections = new OpenConnections();
   private final Timeout connectTimeout;
 
   /**
@@ -34,6 +35,7 @@
                     .setTcpNoDelay(true)
                     .build())
             .setHttp1Config(Http1Config.custom().setInitialWindowSize(1).build())
+            .setIOSessionListener(connections)
             .setStreamListener(new IdleLimit(idleTimeout))
             .setMaxTotal(MAX_CONNECTIONS)
             .setDefaultMaxPerRoute(MAX_CONNECTIONS)
@@ -44,7 +46,7 @@
   /** Starts a request; the sink hears what becomes of it. */
   public ClientExchange execute(
       InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
-    ClientExchange exchange = new ClientExchange(address, request, sink);
+    ClientExchange exchange = new ClientExchange(address, request, sink, connections::close);
     // Without a name given here the library looks up the name of the address, which blocks.
     HttpHost host =
         new HttpHost(
--- a/http/src/test/java/dev/caroblb/http/HttpConnectorTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpConnectorTest.java
@@ -21,6 +21,9 @@
   private static final long WAIT_MS = 10_000;
   private static final long CONNECT_MS = 200;
 
+  /** Half the time after which a target must not work for a caller that left. */
+  private static final long NOTICED_MS = 250;
+
   /** The library checks time limits about once a second. */
   private static final long ANSWER_MS = 2_500;
 
@@ -86,4 +89,33 @@
       assertEquals("complete", outcomes.poll(WAIT_MS, TimeUnit.MILLISECONDS));
     }
   }
+
+  @Nested
+  class ClosedExchange {
+    /** Guards against targets that work on for a caller that left before the answer began. */
+    @Test
+    void closesItsConnectionBeforeTheAnswer() throws Exception {
+      LinkedBlockingQueue<String> seen = new LinkedBlockingQueue<>();
+      HttpListener silent =
+          HttpListener.start(
+              new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+              HttpLimits.DEFAULTS,
+              (request, reply) -> {
+                reply.onGone(() -> seen.add("gone"));
+                seen.add("arrived");
+              },
+              status -> {});
+      try (silent) {
+        ClientExchange exchange =
+            connector.execute(
+                silent.address(),
+                new OutgoingRequest(
+                    "POST", "/x", Map.of(), "text/plain", Payload.ofText("question")),
+                new Outcome());
+        assertEquals("arrived", seen.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+        exchange.close();
+        assertEquals("gone", seen.poll(NOTICED_MS, TimeUnit.MILLISECONDS));
+      }
+    }
+  }
 }
