--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -94,7 +94,7 @@
     } else if (message instanceof PeerMessage.OthersWork others) {
       work.answered(others.instances(), nowMs);
       budget.shareWith(others.instances());
-      pool.othersWork(others.work(), nowMs);
+      pool.othersWork(others.work(), others.instances(), nowMs);
     }
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -44,10 +44,13 @@
   private static final double FULL_WEIGHT = 20;
 
   /**
-   * Candidates drawn for a request. What others did in the last tenths of a second is not known
-   * yet, so that the least loaded target of all would get the requests of all instances.
+   * Candidates drawn for a request, times the number of instances. What others did in the last
+   * tenths of a second is not known yet; among many instances, the least loaded target of all would
+   * get the requests of all of them. With few, a choice among all targets preempts less.
    */
-  private static final int CANDIDATES = 4;
+  private static final int CANDIDATES_TIMES_INSTANCES = 300;
+
+  private static final int MIN_CANDIDATES = 4;
 
   /**
    * Candidates drawn for a move. All generations of an engine are moved at the same moment by
@@ -60,6 +63,7 @@
   private final Map<TargetId, Target> targets = new HashMap<>();
   private Map<TargetRun, TargetWork> others = Map.of();
   private long othersAtMs;
+  private int instances = 1;
   private Map<String, EngineLimits> engines = Map.of();
 
   TargetPool(FailureDomain domain, RandomGenerator random) {
@@ -108,8 +112,9 @@
     return work;
   }
 
-  /** Takes over the sum of the work of the other instances. */
-  void othersWork(List<TargetWork> work, long nowMs) {
+  /** Takes over the sum of the work of the other instances, and how many there are with this. */
+  void othersWork(List<TargetWork> work, int sharing, long nowMs) {
+    instances = Math.max(1, sharing);
     Map<TargetRun, TargetWork> latest = new HashMap<>();
     for (TargetWork entry : work) {
       latest.put(TargetRun.of(entry), entry);
@@ -133,7 +138,8 @@
    * failure domain first. Targets that failed lately are taken only when no other is left.
    */
   Optional<Target> choose(Exchange exchange, long nowMs) {
-    List<Target> drawn = draw(CANDIDATES, usable(exchange.service(), exchange.tried(), nowMs));
+    int count = Math.max(MIN_CANDIDATES, CANDIDATES_TIMES_INSTANCES / instances);
+    List<Target> drawn = draw(count, usable(exchange.service(), exchange.tried(), nowMs));
     return least(drawn, exchange, domain, 0, nowMs);
   }
 
