Pack messages of all slices in one place

Five codecs repeated the frame around a MessagePack packer; Packing beside BoundedReader now serves routing, membership, forwarding and idempotency. The bytes on the wire are the same; the codec tests did not change.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/WorkCodec.java
@@ -6,12 +6,10 @@
 import dev.caroblb.forwarding.PeerMessage;
 import dev.caroblb.forwarding.TargetWork;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 
 /** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
@@ -28,20 +26,19 @@
 
   @Override
   public Payload encode(PeerMessage message) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      if (message instanceof PeerMessage.OwnWork own) {
-        out.packArrayHeader(1 + OWN_FIELDS);
-        out.packInt(TYPE_OWN);
-        write(out, own.work());
-      } else if (message instanceof PeerMessage.OthersWork others) {
-        out.packArrayHeader(1 + OTHERS_FIELDS);
-        out.packInt(TYPE_OTHERS);
-        out.packInt(others.instances());
-        write(out, others.work());
-      }
-      return Payload.copyOf(out.toByteArray());
-    } catch (IOException e) {
-      throw new UncheckedIOException("packing into memory failed", e);
+    return Packing.pack(out -> write(out, message));
+  }
+
+  private static void write(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.OwnWork own) {
+      out.packArrayHeader(1 + OWN_FIELDS);
+      out.packInt(TYPE_OWN);
+      write(out, own.work());
+    } else if (message instanceof PeerMessage.OthersWork others) {
+      out.packArrayHeader(1 + OTHERS_FIELDS);
+      out.packInt(TYPE_OTHERS);
+      out.packInt(others.instances());
+      write(out, others.work());
     }
   }
 
--- a/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyCommandFormat.java
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyCommandFormat.java
@@ -5,6 +5,7 @@
 import dev.caroblb.idempotency.KeyFormat;
 import dev.caroblb.idempotency.KeyResult;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
 import java.util.Optional;
 import org.msgpack.core.MessagePacker;
@@ -17,7 +18,7 @@
 
   @Override
   public Payload encode(KeyCommand command) {
-    return KeyFields.pack(out -> write(out, command));
+    return Packing.pack(out -> write(out, command));
   }
 
   private static void write(MessagePacker out, KeyCommand command) throws IOException {
@@ -45,7 +46,7 @@
   }
 
   Payload encodeResult(KeyResult result) {
-    return KeyFields.pack(out -> KeyFields.writeResult(out, result));
+    return Packing.pack(out -> KeyFields.writeResult(out, result));
   }
 
   @Override
--- a/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyFields.java
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyFields.java
@@ -1,7 +1,6 @@
 package dev.caroblb.idempotency.codec;
 
 import dev.caroblb.core.InstanceId;
-import dev.caroblb.core.Payload;
 import dev.caroblb.core.WorkspaceId;
 import dev.caroblb.idempotency.Attempt;
 import dev.caroblb.idempotency.CallKey;
@@ -11,10 +10,7 @@
 import dev.caroblb.idempotency.StoredOutcome;
 import dev.caroblb.transport.codec.BoundedReader;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 
 /** Parts that messages, commands and snapshots have in common. */
@@ -44,20 +40,6 @@
 
   private KeyFields() {}
 
-  /** Writes a value to a packer. */
-  interface Writer {
-    void write(MessagePacker out) throws IOException;
-  }
-
-  static Payload pack(Writer writer) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      writer.write(out);
-      return Payload.copyOf(out.toByteArray());
-    } catch (IOException e) {
-      throw new UncheckedIOException("packing into memory failed", e);
-    }
-  }
-
   static void writeKey(MessagePacker out, CallKey key) throws IOException {
     out.packArrayHeader(KEY_FIELDS);
     out.packString(key.workspace().name());
--- a/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyMessageCodec.java
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyMessageCodec.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.idempotency.KeyMessage;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -25,7 +26,7 @@
 
   @Override
   public Payload encode(KeyMessage message) {
-    return KeyFields.pack(out -> write(out, message));
+    return Packing.pack(out -> write(out, message));
   }
 
   private static void write(MessagePacker out, KeyMessage message) throws IOException {
--- a/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyStateMachine.java
+++ b/idempotency/src/main/java/dev/caroblb/idempotency/codec/KeyStateMachine.java
@@ -7,6 +7,7 @@
 import dev.caroblb.idempotency.KeyTable;
 import dev.caroblb.idempotency.RecordState;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Optional;
@@ -51,7 +52,7 @@
 
   @Override
   public Payload snapshot() {
-    return KeyFields.pack(
+    return Packing.pack(
         out -> {
           out.packArrayHeader(HEADER_FIELDS);
           out.packInt(SNAPSHOT_VERSION);
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -12,12 +12,10 @@
 import dev.caroblb.membership.PeerMessage;
 import dev.caroblb.membership.TargetSummary;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 
 /** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
@@ -47,12 +45,7 @@
 
   @Override
   public Payload encode(PeerMessage message) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      write(out, message);
-      return Payload.copyOf(out.toByteArray());
-    } catch (IOException e) {
-      throw new UncheckedIOException("packing into memory failed", e);
-    }
+    return Packing.pack(out -> write(out, message));
   }
 
   private static void write(MessagePacker out, PeerMessage message) throws IOException {
--- a/routing/src/main/java/dev/caroblb/routing/codec/CommandCodec.java
+++ b/routing/src/main/java/dev/caroblb/routing/codec/CommandCodec.java
@@ -4,11 +4,10 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.routing.RoutingCommand;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Optional;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
 
 /** Encodes commands as an array {@code [type, field, ...]}. */
 public final class CommandCodec implements MessageCodec<RoutingCommand> {
@@ -17,18 +16,17 @@
 
   @Override
   public Payload encode(RoutingCommand command) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      if (command instanceof RoutingCommand.Accept accept) {
-        out.packArrayHeader(1 + DocumentFormat.FIELDS);
-        out.packInt(TYPE_ACCEPT);
-        DocumentFormat.write(out, accept.document());
-      } else {
-        out.packArrayHeader(1);
-        out.packInt(TYPE_BARRIER);
-      }
-      return Payload.copyOf(out.toByteArray());
-    } catch (IOException e) {
-      throw new UncheckedIOException("packing into memory failed", e);
+    return Packing.pack(out -> write(out, command));
+  }
+
+  private static void write(MessagePacker out, RoutingCommand command) throws IOException {
+    if (command instanceof RoutingCommand.Accept accept) {
+      out.packArrayHeader(1 + DocumentFormat.FIELDS);
+      out.packInt(TYPE_ACCEPT);
+      DocumentFormat.write(out, accept.document());
+    } else {
+      out.packArrayHeader(1);
+      out.packInt(TYPE_BARRIER);
     }
   }
 
--- a/routing/src/main/java/dev/caroblb/routing/codec/PeerMessageCodec.java
+++ b/routing/src/main/java/dev/caroblb/routing/codec/PeerMessageCodec.java
@@ -4,11 +4,10 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.routing.PeerMessage;
 import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Optional;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
 
 /** Encodes each message as an array {@code [type, field, ...]}; later versions append fields. */
 public final class PeerMessageCodec implements MessageCodec<PeerMessage> {
@@ -18,19 +17,18 @@
 
   @Override
   public Payload encode(PeerMessage message) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      if (message instanceof PeerMessage.InForce inForce) {
-        out.packArrayHeader(1 + IN_FORCE_FIELDS);
-        out.packInt(TYPE_IN_FORCE);
-        out.packLong(inForce.number());
-      } else if (message instanceof PeerMessage.Accepted accepted) {
-        out.packArrayHeader(1 + DocumentFormat.FIELDS);
-        out.packInt(TYPE_ACCEPTED);
-        DocumentFormat.write(out, accepted.document());
-      }
-      return Payload.copyOf(out.toByteArray());
-    } catch (IOException e) {
-      throw new UncheckedIOException("packing into memory failed", e);
+    return Packing.pack(out -> write(out, message));
+  }
+
+  private static void write(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.InForce inForce) {
+      out.packArrayHeader(1 + IN_FORCE_FIELDS);
+      out.packInt(TYPE_IN_FORCE);
+      out.packLong(inForce.number());
+    } else if (message instanceof PeerMessage.Accepted accepted) {
+      out.packArrayHeader(1 + DocumentFormat.FIELDS);
+      out.packInt(TYPE_ACCEPTED);
+      DocumentFormat.write(out, accepted.document());
     }
   }
 
