Ask the first control instance again when the control instances change

Cause: found on reading. An instance that got no answer for 2.5 s goes on to the next control instance; after a freeze of about that length only some did, and each control instance then knew the work of a part of the entries for good. Change: a change of the control instances that are there starts with the first one again; a test failed first.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -40,7 +40,12 @@
   /** A copy of a generation's memory is complete or failed. */
   record Moved(long call, int attempt, boolean last, MoveOutcome outcome) implements OfAttempt {}
 
-  /** The control instances, other than this one. */
+  /**
+   * The instances that are there.
+   *
+   * @param contacts control instances, other than this one
+   * @param serving number of instances that serve callers; control instances know it
+   */
   record ContactsChanged(List<InstanceId> contacts, int serving) implements ForwardingMessage {
     public ContactsChanged {
       contacts = List.copyOf(contacts);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WorkExchange.java
@@ -11,9 +11,9 @@
 
 /**
  * Tells a control instance what this instance has given to targets, and gets the sum of the others.
- * All instances ask the same one, so that one message states the work of an instance; when it does
- * not answer, each goes on to the next. Without that, all instances would choose the same target
- * that looks idle to each of them, such as one that has just started.
+ * Without that, all instances would choose the same target that looks idle to each of them, such as
+ * one that has just started. All instances ask the same control instance, so that one message
+ * states the work of an instance; when it does not answer, each goes on to the next.
  */
 final class WorkExchange {
   /** Shortest pause in milliseconds between two statements of the same instance. */
@@ -54,11 +54,17 @@
 
   /**
    * Sets the control instances, which all instances ask in the same order, and the number of
-   * instances that serve callers, as far as it is known here.
+   * instances that serve callers, as far as it is known here. A change starts with the first one
+   * again, so that instances that went on to another one meet again.
    */
   void follow(List<InstanceId> controls, int serving) {
     known = serving;
-    contacts = controls.stream().sorted(Comparator.comparing(InstanceId::name)).toList();
+    List<InstanceId> sorted =
+        controls.stream().sorted(Comparator.comparing(InstanceId::name)).toList();
+    if (!sorted.equals(contacts)) {
+      contacts = sorted;
+      asked = 0;
+    }
   }
 
   long nextMs() {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/WorkExchangeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/WorkExchangeTest.java
@@ -78,6 +78,20 @@
       assertTrue(!asked().equals(first));
     }
 
+    /** Guards against instances that ask different ones for ever and see parts of the work. */
+    @Test
+    void returnsToTheFirstWhenTheControlInstancesChange() {
+      exchange.follow(List.of(A, B), 1);
+      exchange.answered(2, 0);
+      exchange.tick(List.of(work("t", 1)), 10);
+      exchange.tick(List.of(work("t", 2)), 10_000);
+      sent.clear();
+      exchange.follow(List.of(A, B, new InstanceId("c")), 1);
+      exchange.answered(2, 10_000);
+      exchange.tick(List.of(work("t", 3)), 10_200);
+      assertEquals(A, asked());
+    }
+
     private InstanceId asked() {
       List<InstanceId> asked = new ArrayList<>();
       for (Addressed<PeerMessage> message : sent) {
