Add a fault soak of real processes behind relays

Random faults, drawn from a seed, meet a system of real processes: killed, stopped, frozen and restarted instances, lost disks, frozen targets, and links that are slow, silent, cut one way or reset by a relay. Callers check while it runs that tokens arrive once and in order, that calls which may not repeat run at most once, and that accepted configurations stay in force.

--- /dev/null
+++ b/soak/src/main/java/dev/caroblb/soak/PostingCaller.java
@@ -0,0 +1,92 @@
+package dev.caroblb.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.caroblb.systemtests.TestCaller;
+import dev.caroblb.systemtests.TestCluster;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** Makes calls that may not repeat and sends each again until its outcome is certain. */
+final class PostingCaller implements Workload {
+  private static final String WORKSPACE = "receipts-mart";
+  private static final int MAX_SENDS = 12;
+  private static final int OK = 200;
+
+  private enum Outcome {
+    DONE,
+    NOT_RUN,
+    UNKNOWN
+  }
+
+  private final TestCluster cluster;
+  private final String service;
+  private final TestCaller caller = new TestCaller();
+  private final Violations violations;
+  private final Random random;
+  private final Map<String, Outcome> outcomes = new HashMap<>();
+
+  PostingCaller(TestCluster cluster, String service, Violations violations, Random random) {
+    this.cluster = cluster;
+    this.service = service;
+    this.violations = violations;
+    this.random = random;
+  }
+
+  @Override
+  public void once() throws Exception {
+    String key = System.currentTimeMillis() + "-soak-" + random.nextInt(1 << 30);
+    outcomes.put(key, post(key));
+  }
+
+  private Outcome post(String key) throws Exception {
+    // After an attempt without an answer, the answer to a later one tells nothing of the first.
+    boolean uncertain = false;
+    for (int i = 0; i < MAX_SENDS; i++) {
+      String instance = cluster.names().get(random.nextInt(cluster.names().size()));
+      try {
+        TestCaller.Answer answer =
+            caller.post(cluster.address(instance), WORKSPACE, "posting", key, "{\"key\":\"x\"}");
+        if (answer.status() == OK) {
+          return Outcome.DONE;
+        }
+        uncertain |= !answer.kind().equals("not_run");
+      } catch (IOException e) {
+        uncertain = true;
+      }
+    }
+    return uncertain ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  }
+
+  @Override
+  public void finish() throws Exception {
+    JsonNode runs = caller.get(cluster.standinAddress(service), "/v1/record").body();
+    outcomes.forEach((key, outcome) -> check(key, outcome, runs.path(key).asInt()));
+  }
+
+  private void check(String key, Outcome outcome, int runs) {
+    if (runs > 1) {
+      violations.add("a call that may not repeat runs at most once", key + " ran " + runs);
+    }
+    if (outcome == Outcome.DONE && runs != 1) {
+      violations.add("an answered call ran", key + " ran " + runs + " times");
+    }
+    if (outcome == Outcome.NOT_RUN && runs != 0) {
+      violations.add("a call refused as not run did not run", key + " ran " + runs);
+    }
+  }
+
+  @Override
+  public List<String> counts() {
+    return List.of(
+        "posts_done=" + count(Outcome.DONE),
+        "not_run=" + count(Outcome.NOT_RUN),
+        "unknown=" + count(Outcome.UNKNOWN));
+  }
+
+  private long count(Outcome wanted) {
+    return outcomes.values().stream().filter(outcome -> outcome == wanted).count();
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/caroblb/soak/SoakMain.java
@@ -0,0 +1,56 @@
+package dev.caroblb.soak;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+
+/** Runs one seed after the other; exits with 1 when a promise was seen broken. */
+public final class SoakMain {
+  private static final long MS_PER_S = 1_000;
+
+  @Parameter(names = "--first-seed", description = "seed of the first run; 0 draws one")
+  private long firstSeed;
+
+  @Parameter(names = "--runs", description = "number of runs with seeds that follow each other")
+  private int runs = 1;
+
+  @Parameter(names = "--seconds", description = "time in seconds in which faults begin")
+  private long seconds = 30;
+
+  @Parameter(names = "--instances", description = "number of instances; three have a disk")
+  private int instances = 5;
+
+  @Parameter(names = "--callers", description = "callers of each kind")
+  private int callers = 3;
+
+  @Parameter(names = "--help", help = true, description = "show this text")
+  private boolean help;
+
+  private SoakMain() {}
+
+  public static void main(String[] args) throws Exception {
+    SoakMain main = new SoakMain();
+    JCommander commander = JCommander.newBuilder().addObject(main).programName("soak").build();
+    commander.parse(args);
+    if (main.help) {
+      commander.usage();
+      return;
+    }
+    System.exit(main.run() ? 0 : 1);
+  }
+
+  private boolean run() throws Exception {
+    boolean kept = true;
+    long first = firstSeed == 0 ? System.currentTimeMillis() : firstSeed;
+    for (long seed = first; seed < first + runs; seed++) {
+      SoakSettings settings = new SoakSettings(seed, seconds * MS_PER_S, instances, callers);
+      SoakReport report = new SoakRun(settings).run();
+      System.out.println(report);
+      if (!report.violations().isEmpty()) {
+        kept = false;
+        report.faults().forEach(System.out::println);
+        report.violations().forEach(System.out::println);
+      }
+    }
+    return kept;
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/caroblb/soak/SoakRun.java
@@ -0,0 +1,143 @@
+package dev.caroblb.soak;
+
+import dev.caroblb.systemtests.SystemProbe;
+import dev.caroblb.systemtests.TestCaller;
+import dev.caroblb.systemtests.TestCluster;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** One run: starts a system, works with it while faults come and go, and checks the promises. */
+final class SoakRun {
+  private static final int REPLICAS = 3;
+  private static final String SERVICE = "ledger-1";
+  private static final long CALLER_END_MS = 90_000;
+
+  private final SoakSettings settings;
+  private final Violations violations = new Violations();
+  private final AtomicBoolean stop = new AtomicBoolean();
+  private final List<String> injected = new ArrayList<>();
+
+  SoakRun(SoakSettings settings) {
+    this.settings = settings;
+  }
+
+  SoakReport run() throws Exception {
+    try (Links links = new Links();
+        TestCluster cluster = new TestCluster(settings.instances(), REPLICAS, links)) {
+      start(cluster);
+      List<Workload> workloads = workloads(cluster);
+      ExecutorService callers = Executors.newFixedThreadPool(workloads.size());
+      List<Future<?>> running = new ArrayList<>();
+      for (Workload workload : workloads) {
+        running.add(callers.submit(() -> work(workload)));
+      }
+      inject(new FaultPlan(cluster, links, targets(), new Random(settings.seed())));
+      long healedNanos = System.nanoTime();
+      recover(cluster);
+      long recoveredMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - healedNanos);
+      stop.set(true);
+      finish(workloads, running);
+      callers.shutdownNow();
+      return report(workloads, recoveredMs, cluster);
+    }
+  }
+
+  private static List<String> targets() {
+    return List.of("planner-1", "planner-2", SERVICE);
+  }
+
+  private static void start(TestCluster cluster) throws Exception {
+    SystemProbe probe = new SystemProbe(cluster, new TestCaller());
+    probe.startWithTeams();
+    cluster.startEngine("planner-1", "domain-1", "plan-llm@2");
+    cluster.startEngine("planner-2", "domain-2", "plan-llm@2");
+    cluster.startService(SERVICE, "domain-3", "ledger");
+    probe.awaitTargets(targets().size());
+  }
+
+  private List<Workload> workloads(TestCluster cluster) {
+    List<Workload> workloads = new ArrayList<>();
+    Random seeds = new Random(settings.seed() + 1);
+    for (int i = 0; i < settings.callers(); i++) {
+      workloads.add(new StreamCaller(cluster, violations, new Random(seeds.nextLong())));
+      workloads.add(new PostingCaller(cluster, SERVICE, violations, new Random(seeds.nextLong())));
+    }
+    workloads.add(new Publisher(cluster, violations, new Random(seeds.nextLong())));
+    return workloads;
+  }
+
+  private void work(Workload workload) {
+    while (!stop.get()) {
+      try {
+        workload.once();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (Exception e) {
+        violations.add("a caller understands every answer", e.toString());
+        return;
+      }
+    }
+  }
+
+  private void inject(FaultPlan plan) throws Exception {
+    long startedNanos = System.nanoTime();
+    for (FaultPlan.Step step : plan.draw(settings.lengthMs())) {
+      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+      TimeUnit.MILLISECONDS.sleep(Math.max(0, step.atMs() - elapsedMs));
+      injected.add(
+          step.atMs() + " ms: " + (step.begins() ? "" : "end of ") + step.fault().describe());
+      if (step.begins()) {
+        step.fault().inject();
+      } else {
+        step.fault().heal();
+      }
+    }
+  }
+
+  private void recover(TestCluster cluster) {
+    try {
+      SystemProbe probe = new SystemProbe(cluster, new TestCaller());
+      probe.awaitConfiguration(1);
+      probe.awaitTargets(targets().size());
+    } catch (Exception e) {
+      violations.add("the system recovers once all faults have ended", e.toString());
+    }
+  }
+
+  private void finish(List<Workload> workloads, List<Future<?>> running) throws Exception {
+    for (Future<?> caller : running) {
+      try {
+        caller.get(CALLER_END_MS, TimeUnit.MILLISECONDS);
+      } catch (TimeoutException e) {
+        violations.add("every call ends", "no end within " + CALLER_END_MS + " ms");
+      }
+    }
+    for (Workload workload : workloads) {
+      try {
+        workload.finish();
+      } catch (TimeoutException e) {
+        violations.add("what was accepted is in force everywhere", e.getMessage());
+      }
+    }
+  }
+
+  private SoakReport report(List<Workload> workloads, long recoveredMs, TestCluster cluster)
+      throws Exception {
+    List<String> counts = new ArrayList<>();
+    workloads.forEach(workload -> counts.addAll(workload.counts()));
+    counts.add("faults=" + injected.size() / 2);
+    counts.add("recovered_ms=" + recoveredMs);
+    if (!violations.all().isEmpty()) {
+      System.out.print(cluster.errors());
+    }
+    return new SoakReport(settings.seed(), counts, violations.all(), injected);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/dev/caroblb/soak/Workload.java
@@ -0,0 +1,15 @@
+package dev.caroblb.soak;
+
+import java.util.List;
+
+/** One kind of caller that works until it is told to stop, and checks what it gets. */
+interface Workload {
+  /** Makes one call and checks its outcome; instances that cannot be reached are no fault. */
+  void once() throws Exception;
+
+  /** Checks what can only be told once all faults are over. */
+  void finish() throws Exception;
+
+  /** Counts of outcomes, for the report. */
+  List<String> counts();
+}
--- /dev/null
+++ b/soak/src/test/java/dev/caroblb/soak/SoakTest.java
@@ -0,0 +1,30 @@
+package dev.caroblb.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A short run with a fixed seed. */
+@Timeout(value = 300, unit = TimeUnit.SECONDS)
+class SoakTest {
+  private static final long LENGTH_MS = 12_000;
+
+  private static void assertKept(long seed) throws Exception {
+    SoakReport report = new SoakRun(new SoakSettings(seed, LENGTH_MS, 4, 2)).run();
+    System.out.println(report);
+    assertEquals(List.of(), report.violations(), () -> String.join("\n", report.faults()));
+  }
+
+  @Nested
+  class FixedSeed {
+    /** Guards against promises that hold only while one thing fails at a time. */
+    @Test
+    void keepsThePromises() throws Exception {
+      assertKept(1);
+    }
+  }
+}
--- a/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/ManagedProcess.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A child process whose output goes to a file. */
-final class ManagedProcess implements AutoCloseable {
+public final class ManagedProcess implements AutoCloseable {
   private static final long KILL_WAIT_MS = 10_000;
 
   private final String name;
@@ -41,31 +41,36 @@
     return process.info().totalCpuDuration().orElse(Duration.ZERO);
   }
 
-  boolean alive() {
+  /** Id of the process, which tells one life of an instance from the next. */
+  public long pid() {
+    return process.pid();
+  }
+
+  public boolean alive() {
     return process.isAlive();
   }
 
-  String output() throws IOException {
+  public String output() throws IOException {
     return Files.readString(output);
   }
 
   /** Sends the ordinary termination signal. */
-  void terminate() {
+  public void terminate() {
     process.destroy();
   }
 
   /** Ends the process without any chance to clean up. */
-  void kill() throws InterruptedException {
+  public void kill() throws InterruptedException {
     process.destroyForcibly();
     process.waitFor(KILL_WAIT_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Stops the process from running until {@link #resume()}. */
-  void freeze() throws IOException, InterruptedException {
+  public void freeze() throws IOException, InterruptedException {
     signal("-STOP");
   }
 
-  void resume() throws IOException, InterruptedException {
+  public void resume() throws IOException, InterruptedException {
     signal("-CONT");
   }
 
@@ -74,7 +79,7 @@
   }
 
   /** Exit code once the process has ended by itself within the given time. */
-  java.util.OptionalInt awaitExit(long timeoutMs) throws InterruptedException {
+  public java.util.OptionalInt awaitExit(long timeoutMs) throws InterruptedException {
     return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)
         ? java.util.OptionalInt.of(process.exitValue())
         : java.util.OptionalInt.empty();
--- a/systemtests/src/main/java/dev/caroblb/systemtests/SystemProbe.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/SystemProbe.java
@@ -8,20 +8,20 @@
 import java.util.Optional;
 
 /** Starts a cluster and asks it for its state. */
-final class SystemProbe {
+public final class SystemProbe {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final long START_MS = 90_000;
 
   private final TestCluster cluster;
   private final TestCaller caller;
 
-  SystemProbe(TestCluster cluster, TestCaller caller) {
+  public SystemProbe(TestCluster cluster, TestCaller caller) {
     this.cluster = cluster;
     this.caller = caller;
   }
 
   /** Starts all instances and publishes number 1. */
-  void startWithTeams() throws Exception {
+  public void startWithTeams() throws Exception {
     cluster.startAll();
     for (String name : cluster.names()) {
       Wait.until(
@@ -48,12 +48,12 @@
         .asText();
   }
 
-  JsonNode status(String name) throws IOException, InterruptedException {
+  public JsonNode status(String name) throws IOException, InterruptedException {
     return caller.get(cluster.address(name), "/v1/status").body();
   }
 
   /** Waits until every running instance admits calls under at least the given number. */
-  void awaitConfiguration(long number) throws Exception {
+  public void awaitConfiguration(long number) throws Exception {
     for (String name : cluster.names()) {
       if (!cluster.instance(name).alive()) {
         continue;
@@ -68,7 +68,7 @@
   }
 
   /** Waits until every running instance knows the given number of targets. */
-  void awaitTargets(int count) throws Exception {
+  public void awaitTargets(int count) throws Exception {
     for (String name : cluster.names()) {
       Wait.until(
           name + " knows " + count + " targets",
@@ -93,7 +93,7 @@
   }
 
   /** A changed receipts file as the list of files of a publish. */
-  static ArrayNode receiptsWithShare(int share) throws IOException {
+  public static ArrayNode receiptsWithShare(int share) throws IOException {
     String text =
         Files.readString(Repository.teamFile("receipts.toml"))
             .replaceFirst("share = 60", "share = " + share);
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
@@ -24,7 +24,7 @@
 import java.util.function.LongConsumer;
 
 /** A caller, operator and observer of the system. */
-final class TestCaller {
+public final class TestCaller {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
@@ -35,36 +35,41 @@
           .build();
 
   /** A whole answer. */
-  record Answer(int status, JsonNode body, Map<String, List<String>> headers) {
-    String reason() {
+  public record Answer(int status, JsonNode body, Map<String, List<String>> headers) {
+    public String reason() {
       return body.path("reason").asText();
     }
 
-    String kind() {
+    public String kind() {
       return body.path("kind").asText();
     }
   }
 
   /** A stream as far as it was received. */
-  record Stream(
+  public record Stream(
       int status,
       String generation,
       long firstSequence,
       List<String> tokens,
       Optional<JsonNode> finalEvent,
       JsonNode refusal) {
-    boolean complete() {
+    /** A stream that could not be reached. */
+    public static Stream none() {
+      return new Stream(0, "", 0, List.of(), Optional.empty(), MAPPER.createObjectNode());
+    }
+
+    public boolean complete() {
       return finalEvent
           .map(event -> event.path("status").asText().equals("complete"))
           .orElse(false);
     }
 
-    long lastSequence() {
+    public long lastSequence() {
       return firstSequence + tokens.size() - 1;
     }
   }
 
-  Answer get(String address, String path) throws IOException, InterruptedException {
+  public Answer get(String address, String path) throws IOException, InterruptedException {
     return send(request(address, path).GET().build());
   }
 
@@ -88,7 +93,7 @@
   }
 
   /** Publishes team files of this repository. */
-  Answer publish(String address, long number, String request, Path... files)
+  public Answer publish(String address, long number, String request, Path... files)
       throws IOException, InterruptedException {
     ArrayNode nodes = MAPPER.createArrayNode();
     for (Path file : files) {
@@ -100,7 +105,7 @@
     return publish(address, number, request, nodes);
   }
 
-  Answer publish(String address, long number, String request, ArrayNode files)
+  public Answer publish(String address, long number, String request, ArrayNode files)
       throws IOException, InterruptedException {
     ObjectNode body = MAPPER.createObjectNode().put("number", number).put("request", request);
     body.set("files", files);
@@ -117,7 +122,7 @@
   }
 
   /** Makes a call with an idempotency key. */
-  Answer post(String address, String workspace, String call, String key, String body)
+  public Answer post(String address, String workspace, String call, String key, String body)
       throws IOException, InterruptedException {
     return send(
         call(address, workspace, call)
@@ -127,7 +132,8 @@
   }
 
   /** Makes a streaming call and hears the sequence number of each token as it arrives. */
-  Stream stream(String address, String workspace, String call, String prompt, LongConsumer onToken)
+  public Stream stream(
+      String address, String workspace, String call, String prompt, LongConsumer onToken)
       throws IOException, InterruptedException {
     return read(
         call(address, workspace, call).POST(HttpRequest.BodyPublishers.ofString(prompt)).build(),
@@ -135,7 +141,7 @@
   }
 
   /** Continues a stream after its last token. */
-  Stream resume(String address, String workspace, String generation, long after)
+  public Stream resume(String address, String workspace, String generation, long after)
       throws IOException, InterruptedException {
     return read(
         request(address, "/v1/generations/" + generation + "/resume")
--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCluster.java
@@ -30,6 +30,7 @@
   private final Map<String, ManagedProcess> standins = new LinkedHashMap<>();
   private final Map<String, String> standinAddresses = new LinkedHashMap<>();
   private final String addressPrefix;
+  private final PeerAddresses links;
 
   /**
    * Writes the settings of the instances.
@@ -38,6 +39,12 @@
    * @param replicas how many of them have a data folder
    */
   public TestCluster(int size, int replicas) throws IOException {
+    this(size, replicas, (from, to, address) -> address);
+  }
+
+  /** Writes the settings of instances that reach each other by the given addresses. */
+  public TestCluster(int size, int replicas, PeerAddresses links) throws IOException {
+    this.links = links;
     this.folder = Files.createTempDirectory("caroblb");
     this.replicas = replicas;
     // Every process tree has loopback addresses of its own, so that fixed ports never collide.
@@ -68,11 +75,11 @@
   }
 
   /** Address of an instance for callers. */
-  String address(String name) {
+  public String address(String name) {
     return addressPrefix + number(name) + ":" + CALLERS_PORT;
   }
 
-  List<String> names() {
+  public List<String> names() {
     return List.copyOf(names);
   }
 
@@ -84,7 +91,7 @@
     return folder.resolve("data-" + name);
   }
 
-  private String settings(String name) {
+  private String settings(String name) throws IOException {
     StringBuilder text = new StringBuilder();
     text.append("cluster = \"test\"\ncluster_token = \"example-cluster-token\"\n");
     text.append("instance = \"").append(name).append("\"\n");
@@ -100,7 +107,8 @@
     for (String peer : names) {
       text.append("\n[[peers]]\ninstance = \"").append(peer).append("\"\n");
       text.append("domain = \"").append(domain(peer)).append("\"\n");
-      text.append("peers_address = \"").append(peersAddress(peer)).append("\"\n");
+      String address = links.seenBy(name, peer, peersAddress(peer));
+      text.append("peers_address = \"").append(address).append("\"\n");
       text.append("callers_address = \"").append(address(peer)).append("\"\n");
       text.append("replica = ").append(replica(peer)).append('\n');
     }
@@ -112,14 +120,14 @@
   }
 
   /** Starts all instances without waiting. */
-  void startAll() throws IOException {
+  public void startAll() throws IOException {
     for (String name : names) {
       start(name);
     }
   }
 
   /** Starts one instance, also again after it ended. */
-  void start(String name) throws IOException {
+  public void start(String name) throws IOException {
     List<String> command =
         new ArrayList<>(Repository.java("daemon", "dev.caroblb.daemon.Caroblbd"));
     command.add("--settings");
@@ -127,17 +135,17 @@
     instances.put(name, ManagedProcess.start(name, command, folder));
   }
 
-  ManagedProcess instance(String name) {
+  public ManagedProcess instance(String name) {
     return instances.get(name);
   }
 
   /** Deletes the data folder of an instance that is not running. */
-  void deleteData(String name) throws IOException {
+  public void deleteData(String name) throws IOException {
     deleteTree(dataFolder(name));
   }
 
   /** Starts an engine that serves the given models. */
-  String startEngine(String target, String domain, String... models) throws Exception {
+  public String startEngine(String target, String domain, String... models) throws Exception {
     return startStandin("engine", target, domain, List.of(models), List.of());
   }
 
@@ -149,7 +157,7 @@
   }
 
   /** Starts a plain service. */
-  String startService(String target, String domain, String... services) throws Exception {
+  public String startService(String target, String domain, String... services) throws Exception {
     return startStandin("service", target, domain, List.of(services), List.of());
   }
 
@@ -174,16 +182,16 @@
     return address;
   }
 
-  ManagedProcess standin(String target) {
+  public ManagedProcess standin(String target) {
     return standins.get(target);
   }
 
-  String standinAddress(String target) {
+  public String standinAddress(String target) {
     return standinAddresses.get(target);
   }
 
   /** Output of every process that logged an error, for the message of a failed test. */
-  String errors() throws IOException {
+  public String errors() throws IOException {
     StringBuilder text = new StringBuilder();
     for (ManagedProcess process : instances.values()) {
       process
