Place generations in one control instance and let them wait there for room

Change: instances ask the first control instance that answers. It knows what each instance stated and what it was given since, places a request where it fits, and lets others wait: those that can still be in time first, by rank and arrival, with engines held for large ones. Without an answer for 60 ms an instance places the request itself as before. Statements are sent when they change, the sum of the others once a second (before: up to ten times).

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallEnds.java
@@ -11,11 +11,17 @@
   private final ExchangeTable exchanges;
   private final TargetPort port;
   private final CallObserver observer;
+  private final CoordinatorLink coordinator;
 
-  CallEnds(ExchangeTable exchanges, TargetPort port, CallObserver observer) {
+  CallEnds(
+      ExchangeTable exchanges,
+      TargetPort port,
+      CallObserver observer,
+      CoordinatorLink coordinator) {
     this.exchanges = exchanges;
     this.port = port;
     this.observer = observer;
+    this.coordinator = coordinator;
   }
 
   /** Refuses a request before it became an exchange. */
@@ -61,6 +67,7 @@
 
   void finish(Exchange exchange, String outcome, String cause, long nowMs) {
     String target = exchange.target().map(t -> t.info().id().name()).orElse("none");
+    coordinator.forget(exchange);
     exchange.release();
     exchanges.remove(exchange);
     LOGGER.log(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
@@ -17,6 +18,9 @@
   /** Parts of a stream kept for a caller that does not read; the target is then not read either. */
   private static final int MAX_PENDING_BYTES = 1 << 20;
 
+  /** Shorter generations mostly end within the notice of an engine that leaves. */
+  private static final long MIN_BACKUP_OUTPUT_TOKENS = 200;
+
   private final ForwardCall call;
   private final Route route;
   private final String service;
@@ -36,6 +40,7 @@
   private boolean goesOn;
   private long unreadTokens;
   private Optional<Target> target = Optional.empty();
+  private Optional<Question> question = Optional.empty();
   private Optional<AnswerHead> head = Optional.empty();
   private Optional<Relocation> relocation = Optional.empty();
   private Optional<Target> backup = Optional.empty();
@@ -123,6 +128,50 @@
     waiting = waits;
   }
 
+  /** The question for a target that has no final answer yet. */
+  Optional<Question> question() {
+    return question;
+  }
+
+  void ask(Question asked) {
+    question = Optional.of(asked);
+  }
+
+  void answered() {
+    question = Optional.empty();
+  }
+
+  /** The answer is that the request waits for room. */
+  void setQueued() {
+    question = question.map(Question::waits);
+  }
+
+  /** What the request needs of a target in or near a failure domain. */
+  PlacementNeed need(PlacementNeed.Purpose purpose, FailureDomain near, long nowMs) {
+    // Streams that may be resumed need no backup: they are sent again from their last event.
+    boolean keep = !route.resumable() && lasts();
+    return new PlacementNeed(
+        purpose,
+        service,
+        tokens(),
+        promptTokens(),
+        tried,
+        near,
+        keep,
+        rank,
+        Math.max(0, arrivedMs + route.objectiveMs() - nowMs));
+  }
+
+  private boolean lasts() {
+    return call.prompt()
+        .filter(size -> size.expectedOutputTokens() >= MIN_BACKUP_OUTPUT_TOKENS)
+        .isPresent();
+  }
+
+  private long promptTokens() {
+    return call.prompt().map(GenerationSize::promptTokens).orElse(0L);
+  }
+
   Optional<Relocation> relocation() {
     return relocation;
   }
@@ -181,8 +230,7 @@
     backup = copies;
     backup.ifPresent(engine -> engine.reserve(tokens()));
     tried.add(chosen.info().id());
-    unreadTokens =
-        memory.isPresent() ? 0 : call.prompt().map(GenerationSize::promptTokens).orElse(0L);
+    unreadTokens = memory.isPresent() ? 0 : promptTokens();
     chosen.started(tokens(), unreadTokens);
     head = Optional.empty();
     answer.reset();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
@@ -1,12 +1,13 @@
 package dev.caroblb.forwarding;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 
 /** The requests that run at this instance, and when to look at each of them again. */
 final class ExchangeTable {
@@ -51,9 +52,9 @@
     timers.add(new Timer(dueMs, exchange.call().id()));
   }
 
-  /** Takes the exchanges whose time has come. */
-  List<Exchange> due(long nowMs) {
-    List<Exchange> due = new ArrayList<>();
+  /** Takes the exchanges whose time has come, each once however many of its timers are due. */
+  Set<Exchange> due(long nowMs) {
+    Set<Exchange> due = new LinkedHashSet<>();
     while (!timers.isEmpty() && timers.peek().dueMs() <= nowMs) {
       find(timers.poll().call()).ifPresent(due::add);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -8,6 +8,7 @@
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Workspace;
+import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -22,7 +23,9 @@
   private final Sender sender;
   private final AnswerFlow answers;
   private final Relocations relocations;
-  private final WorkExchange work;
+  private final StatedWork others = new StatedWork();
+  private final CoordinatorLink coordinator;
+  private final PlacementCoordinator coordination;
   private Optional<RoutingTable> table = Optional.empty();
   private boolean refuseNew;
 
@@ -34,20 +37,23 @@
       RandomGenerator random) {
     this.settings = settings;
     this.random = random;
-    pool = new TargetPool(settings.domain(), random);
+    PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
+    pool = new TargetPool(random, List.of(others, ledger));
+    coordinator = new CoordinatorLink(peers);
+    coordination = new PlacementCoordinator(peers, pool, ledger);
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
-    ends = new CallEnds(exchanges, port, observer);
-    sender = new Sender(exchanges, pool, port, budget, observer, ends);
+    ends = new CallEnds(exchanges, port, observer, coordinator);
+    sender =
+        new Sender(exchanges, settings.domain(), pool, coordinator, port, budget, observer, ends);
     answers = new AnswerFlow(port, observer, sender, ends);
-    work = new WorkExchange(peers);
-    relocations = new Relocations(exchanges, pool, port, sender, answers);
+    relocations = new Relocations(exchanges, pool, coordinator, port, sender, answers);
   }
 
   @Override
   public void handle(ForwardingMessage message, long nowMs) {
-    if (!(message instanceof ForwardingMessage.FromPeer)) {
-      work.touched();
+    if (changesWork(message)) {
+      coordinator.touched();
     }
     if (message instanceof ForwardingMessage.OfAttempt ofAttempt) {
       exchanges
@@ -64,9 +70,18 @@
     } else {
       changed(message, nowMs);
       sender.placeWaiting(nowMs);
+      coordination.placeQueued(nowMs);
     }
   }
 
+  /** Parts of answers, by far the most messages, change nothing that others are told. */
+  private static boolean changesWork(ForwardingMessage message) {
+    return !(message instanceof ForwardingMessage.FromPeer
+        || message instanceof ForwardingMessage.Body
+        || message instanceof ForwardingMessage.CallerReady
+        || message instanceof ForwardingMessage.TargetAvailable);
+  }
+
   private void progressed(Exchange exchange, ForwardingMessage.OfAttempt message, long nowMs) {
     if (message instanceof ForwardingMessage.Body body) {
       answers.body(exchange, body.part(), nowMs);
@@ -90,11 +105,39 @@
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
     if (message instanceof PeerMessage.OwnWork own) {
-      work.received(peer, own, nowMs);
-    } else if (message instanceof PeerMessage.OthersWork others) {
-      work.answered(others.instances(), nowMs);
-      budget.shareWith(others.instances());
-      pool.othersWork(others.work(), others.instances(), nowMs);
+      coordination.stated(peer, own, nowMs);
+    } else if (message instanceof PeerMessage.PlacementAsked asked) {
+      coordination.asked(peer, asked, nowMs);
+    } else if (message instanceof PeerMessage.PlacementDropped dropped) {
+      coordination.dropped(peer, dropped.ticket());
+    } else if (message instanceof PeerMessage.PlacementQueued queued) {
+      coordinator
+          .queued(queued.ticket(), nowMs)
+          .flatMap(exchanges::find)
+          .ifPresent(exchange -> sender.queued(exchange, nowMs));
+    } else if (message instanceof PeerMessage.PlacementGiven given) {
+      coordinator
+          .given(given, nowMs)
+          .flatMap(exchanges::find)
+          .ifPresent(exchange -> given(exchange, given, nowMs));
+    } else if (message instanceof PeerMessage.OthersWork stated) {
+      coordinator.stated(peer, nowMs);
+      budget.shareWith(stated.instances());
+      pool.shareWith(stated.instances());
+      others.replace(stated.work(), nowMs);
+    }
+  }
+
+  private void given(Exchange exchange, PeerMessage.PlacementGiven given, long nowMs) {
+    Optional<Question> question =
+        exchange.question().filter(asked -> asked.ticket() == given.ticket());
+    if (question.isEmpty()) {
+      return;
+    }
+    if (question.get().purpose() == PlacementNeed.Purpose.MOVE) {
+      relocations.given(exchange, given.target());
+    } else {
+      sender.given(exchange, given.target(), given.backup(), nowMs);
     }
   }
 
@@ -110,7 +153,8 @@
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ContactsChanged contacts) {
-      work.follow(contacts.contacts(), contacts.serving());
+      coordinator.follow(contacts.contacts());
+      coordination.serving(contacts.serving());
     } else if (message instanceof ForwardingMessage.RefuseNew) {
       refuseNew = true;
     } else if (message instanceof ForwardingMessage.BreakOff) {
@@ -140,7 +184,7 @@
         new Exchange(call, route.get(), service, workspace.map(Workspace::name), rank, nowMs);
     exchanges.add(exchange);
     budget.request(service, nowMs);
-    sender.place(exchange, nowMs);
+    sender.first(exchange, nowMs);
   }
 
   private Optional<Workspace> holder(ForwardCall call) {
@@ -171,15 +215,15 @@
     for (Exchange exchange : exchanges.due(nowMs)) {
       if (nowMs >= exchange.deadlineMs()) {
         timedOut(exchange, nowMs);
-      } else if (exchange.waiting()) {
-        sender.place(exchange, nowMs);
-        work.touched();
+      } else if (exchange.target().isEmpty()) {
+        sender.due(exchange, nowMs);
+        coordinator.touched();
       } else {
         relocations.due(exchange, nowMs);
       }
     }
-    if (nowMs >= work.nextMs()) {
-      work.tick(pool.ownWork(), nowMs);
+    if (nowMs >= coordinator.nextMs()) {
+      coordinator.tick(pool.ownWork(), nowMs);
     }
   }
 
@@ -191,6 +235,6 @@
 
   @Override
   public long nextTickMs() {
-    return Math.min(exchanges.nextDueMs(), work.nextMs());
+    return Math.min(exchanges.nextDueMs(), coordinator.nextMs());
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.LogLine;
+import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.EngineLimits;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Service;
@@ -32,10 +33,12 @@
   private final TargetPort port;
   private final Sender sender;
   private final AnswerFlow answers;
+  private final CoordinatorLink coordinator;
 
   Relocations(
       ExchangeTable exchanges,
       TargetPool pool,
+      CoordinatorLink coordinator,
       TargetPort port,
       Sender sender,
       AnswerFlow answers) {
@@ -44,6 +47,7 @@
     this.port = port;
     this.sender = sender;
     this.answers = answers;
+    this.coordinator = coordinator;
   }
 
   /** Moves what runs at an engine that leaves. */
@@ -57,7 +61,10 @@
 
   /** Starts to move the generation of an exchange if it can be moved and its engine leaves. */
   void consider(Exchange exchange, Optional<RoutingTable> table, long nowMs) {
-    if (exchange.relocation().isPresent() || !exchange.begun() || exchange.targetEnded()) {
+    if (exchange.relocation().isPresent() || exchange.question().isPresent()) {
+      return;
+    }
+    if (!exchange.begun() || exchange.targetEnded()) {
       return;
     }
     Optional<Target> source = exchange.target().filter(Target::leaving);
@@ -83,7 +90,36 @@
     if (!exchange.countMove(MAX_TRIES)) {
       return;
     }
-    Optional<Target> destination = pool.chooseDestination(exchange, source, nowMs);
+    PlacementNeed need = exchange.need(PlacementNeed.Purpose.MOVE, source.info().domain(), nowMs);
+    Optional<Long> answerByMs = coordinator.ask(exchange, need, nowMs);
+    if (answerByMs.isPresent()) {
+      exchanges.wakeAt(exchange, answerByMs.get());
+      return;
+    }
+    to(exchange, source, pool.chooseDestination(need, nowMs));
+  }
+
+  /** Takes the destination that was chosen for a generation, unless its engine is gone. */
+  void given(Exchange exchange, Optional<TargetId> destination) {
+    exchange.answered();
+    Optional<Target> source = exchange.target().filter(Target::leaving);
+    if (source.isPresent() && exchange.relocation().isEmpty() && !exchange.targetEnded()) {
+      to(exchange, source.get(), destination.flatMap(pool::usable));
+    }
+  }
+
+  /** Nobody answered where a generation should move. */
+  private void unanswered(Exchange exchange, long nowMs) {
+    coordinator.unanswered(exchange);
+    Optional<Target> source = exchange.target().filter(Target::leaving);
+    if (source.isPresent() && exchange.relocation().isEmpty()) {
+      PlacementNeed need =
+          exchange.need(PlacementNeed.Purpose.MOVE, source.get().info().domain(), nowMs);
+      to(exchange, source.get(), pool.chooseDestination(need, nowMs));
+    }
+  }
+
+  private void to(Exchange exchange, Target source, Optional<Target> destination) {
     if (destination.isEmpty()) {
       log(exchange, "forwarding.move_impossible", "no destination");
       return;
@@ -143,6 +179,10 @@
 
   /** Looks after a generation whose copy is complete and that still goes on at its engine. */
   void due(Exchange exchange, long nowMs) {
+    if (exchange.question().isPresent()) {
+      unanswered(exchange, nowMs);
+      return;
+    }
     Optional<Relocation> relocation = exchange.relocation();
     Optional<Target> source = exchange.target();
     if (relocation.isEmpty()
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -1,8 +1,10 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
 import java.util.Optional;
 
@@ -16,8 +18,19 @@
   /** Part of the latency objective for which a request waits for a target. */
   private static final int WAIT_DIVISOR = 8;
 
+  /**
+   * Latency objectives for which a request waits for room at an engine. A late answer is worth
+   * little to its caller, who leaves after four objectives without an event.
+   */
+  private static final int HELD_OBJECTIVES = 3;
+
+  /** Pause in milliseconds between two looks at a request that waits for room. */
+  private static final long LOOK_MS = 500;
+
   private final ExchangeTable exchanges;
+  private final FailureDomain domain;
   private final TargetPool pool;
+  private final CoordinatorLink coordinator;
   private final TargetPort port;
   private final RetryBudget budget;
   private final CallObserver observer;
@@ -26,22 +39,89 @@
 
   Sender(
       ExchangeTable exchanges,
+      FailureDomain domain,
       TargetPool pool,
+      CoordinatorLink coordinator,
       TargetPort port,
       RetryBudget budget,
       CallObserver observer,
       CallEnds ends) {
     this.exchanges = exchanges;
+    this.domain = domain;
     this.pool = pool;
+    this.coordinator = coordinator;
     this.port = port;
     this.budget = budget;
     this.observer = observer;
     this.ends = ends;
   }
 
+  /** Finds a target for a request: those for all generations are chosen in one place. */
+  void first(Exchange exchange, long nowMs) {
+    PlacementNeed need = exchange.need(PlacementNeed.Purpose.START, domain, nowMs);
+    Optional<Long> answerByMs =
+        need.tokens() > 0 && !exchange.begun()
+            ? coordinator.ask(exchange, need, nowMs)
+            : Optional.empty();
+    if (answerByMs.isEmpty()) {
+      place(exchange, nowMs);
+      return;
+    }
+    exchanges.wakeAt(exchange, answerByMs.get());
+  }
+
+  /** The request waits for room at an engine. */
+  void queued(Exchange exchange, long nowMs) {
+    log("forwarding.queued", exchange);
+    exchange.setQueued();
+    exchanges.wakeAt(exchange, Math.min(nowMs + LOOK_MS, heldUntilMs(exchange)));
+  }
+
+  private static long heldUntilMs(Exchange exchange) {
+    return Math.min(
+        exchange.deadlineMs(),
+        exchange.arrivedMs() + HELD_OBJECTIVES * exchange.route().objectiveMs());
+  }
+
+  /** Takes the targets that were chosen for a request. */
+  void given(Exchange exchange, Optional<TargetId> target, Optional<TargetId> backup, long nowMs) {
+    exchange.answered();
+    Optional<Target> chosen = target.flatMap(pool::usable);
+    if (chosen.isEmpty()) {
+      place(exchange, nowMs);
+      return;
+    }
+    send(exchange, chosen.get(), Optional.empty(), backup.flatMap(pool::usable), nowMs);
+  }
+
+  /** Looks after a request that has no target yet. */
+  void due(Exchange exchange, long nowMs) {
+    boolean queued = exchange.question().filter(Question::queued).isPresent();
+    if (queued && !coordinator.silent(nowMs)) {
+      if (nowMs >= heldUntilMs(exchange)) {
+        ends.giveUp(exchange, RefusalReason.BACKLOG_FULL, "no room at any engine", nowMs);
+      } else {
+        exchanges.wakeAt(exchange, Math.min(nowMs + LOOK_MS, heldUntilMs(exchange)));
+      }
+      return;
+    }
+    if (exchange.question().isPresent()) {
+      log("forwarding.placement_unanswered", exchange);
+      coordinator.unanswered(exchange);
+    }
+    place(exchange, nowMs);
+  }
+
+  private static void log(String event, Exchange exchange) {
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of(event).with("request", exchange.call().requestId()).toString());
+  }
+
   /** Sends a request that was not sent before, or lets it wait for a target. */
   void place(Exchange exchange, long nowMs) {
-    Optional<Target> target = pool.choose(exchange, nowMs);
+    PlacementNeed need = exchange.need(PlacementNeed.Purpose.START, domain, nowMs);
+    Optional<Target> target = pool.choose(need, nowMs);
     if (target.isPresent()) {
       send(exchange, target.get(), Optional.empty(), nowMs);
       return;
@@ -76,7 +156,17 @@
   }
 
   void send(Exchange exchange, Target target, Optional<CopiedMemory> memory, long nowMs) {
-    Optional<Target> backup = pool.chooseBackup(exchange, target, nowMs);
+    PlacementNeed need = exchange.need(PlacementNeed.Purpose.START, domain, nowMs);
+    Optional<Target> backup = pool.chooseBackup(need, target, nowMs);
+    send(exchange, target, memory, backup, nowMs);
+  }
+
+  private void send(
+      Exchange exchange,
+      Target target,
+      Optional<CopiedMemory> memory,
+      Optional<Target> backup,
+      long nowMs) {
     AttemptOrder order = exchange.start(target, memory, backup, nowMs);
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -114,13 +204,16 @@
   void again(Exchange exchange, RetryReason reason, RefusalReason otherwise, long nowMs) {
     port.cancel(exchange.call().id(), exchange.attempt());
     exchange.release();
-    boolean possible = exchange.sendings() < MAX_SENDINGS && nowMs < exchange.deadlineMs();
-    Optional<Target> target = possible ? pool.choose(exchange, nowMs) : Optional.empty();
-    if (target.isEmpty() || !budget.take(exchange.service(), nowMs)) {
+    PlacementNeed need = exchange.need(PlacementNeed.Purpose.START, domain, nowMs);
+    boolean possible =
+        exchange.sendings() < MAX_SENDINGS
+            && nowMs < exchange.deadlineMs()
+            && pool.choose(need, nowMs).isPresent();
+    if (!possible || !budget.take(exchange.service(), nowMs)) {
       ends.giveUp(exchange, otherwise, reason.wireName(), nowMs);
       return;
     }
     observer.retried(reason);
-    send(exchange, target.get(), Optional.empty(), nowMs);
+    first(exchange, nowMs);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -32,8 +32,11 @@
    */
   private static final double BACKUP_FULL = 0.7;
 
-  /** Shorter generations mostly end within the notice of an engine that leaves. */
-  private static final long MIN_BACKUP_OUTPUT_TOKENS = 200;
+  /**
+   * Part of the memory of all engines of a service up to which backups are made. Backups double the
+   * memory of generations, so that an engine's own load says too late that all fill up.
+   */
+  private static final double BACKUP_SERVICE_FULL = 0.6;
 
   /**
    * Part of an engine's memory above which its load counts many times: what is expected of running
@@ -43,6 +46,12 @@
 
   private static final double FULL_WEIGHT = 20;
 
+  /**
+   * Part of an engine's memory that expected sizes may add up to before requests wait. Not all
+   * generations reach their largest size at once.
+   */
+  private static final double ADMITTED = 1.0;
+
   /**
    * Candidates drawn for a request, times the number of instances. What others did in the last
    * tenths of a second is not known yet; among many instances, the least loaded target of all would
@@ -58,17 +67,18 @@
    */
   private static final int MOVE_CANDIDATES = 2;
 
-  private final FailureDomain domain;
   private final RandomGenerator random;
   private final Map<TargetId, Target> targets = new HashMap<>();
-  private Map<TargetRun, TargetWork> others = Map.of();
-  private long othersAtMs;
+  private final List<OtherWork> others;
   private int instances = 1;
   private Map<String, EngineLimits> engines = Map.of();
 
-  TargetPool(FailureDomain domain, RandomGenerator random) {
-    this.domain = domain;
+  /**
+   * @param others work of other instances, from each place where some is known
+   */
+  TargetPool(RandomGenerator random, List<OtherWork> others) {
     this.random = random;
+    this.others = List.copyOf(others);
   }
 
   /** Adds a target or its new run; an announcement of the same run changes nothing. */
@@ -112,15 +122,9 @@
     return work;
   }
 
-  /** Takes over the sum of the work of the other instances, and how many there are with this. */
-  void othersWork(List<TargetWork> work, int sharing, long nowMs) {
+  /** Sets how many instances choose targets on their own, this one included. */
+  void shareWith(int sharing) {
     instances = Math.max(1, sharing);
-    Map<TargetRun, TargetWork> latest = new HashMap<>();
-    for (TargetWork entry : work) {
-      latest.put(TargetRun.of(entry), entry);
-    }
-    others = latest;
-    othersAtMs = nowMs;
   }
 
   /** Sets the limits of the engines of each service. */
@@ -128,6 +132,11 @@
     engines = Map.copyOf(limitsByService);
   }
 
+  /** The target of a name, if it takes requests. */
+  Optional<Target> usable(TargetId id) {
+    return Optional.ofNullable(targets.get(id)).filter(target -> !target.leaving());
+  }
+
   /** Whether a target that was chosen before still takes requests. */
   boolean usable(Target target) {
     return targets.get(target.info().id()) == target && !target.leaving();
@@ -137,47 +146,111 @@
    * Chooses the target with the least work among some of a service, ties at random and the own
    * failure domain first. Targets that failed lately are taken only when no other is left.
    */
-  Optional<Target> choose(Exchange exchange, long nowMs) {
+  Optional<Target> choose(PlacementNeed need, long nowMs) {
     int count = Math.max(MIN_CANDIDATES, CANDIDATES_TIMES_INSTANCES / instances);
-    List<Target> drawn = draw(count, usable(exchange.service(), exchange.tried(), nowMs));
-    return least(drawn, exchange, domain, 0, nowMs);
+    List<Target> drawn = draw(count, usable(need.service(), need.excluded(), nowMs));
+    return least(drawn, need, need.near(), 0, nowMs);
+  }
+
+  /**
+   * Chooses the target with the least work among those that have room in memory and in their batch
+   * and are not held for another request.
+   */
+  Optional<Target> chooseWithRoom(PlacementNeed need, Set<TargetId> held, long nowMs) {
+    List<Target> fitting = new ArrayList<>();
+    for (Target target : usable(need.service(), need.excluded(), nowMs)) {
+      if (!held.contains(target.info().id()) && freeTokens(target, nowMs) >= need.tokens()) {
+        fitting.add(target);
+      }
+    }
+    return least(fitting, need, need.near(), 0, nowMs);
+  }
+
+  /** The target of a service with the most free memory that is not held for another request. */
+  Optional<Target> mostRoom(PlacementNeed need, Set<TargetId> held, long nowMs) {
+    Optional<Target> best = Optional.empty();
+    double most = Double.NEGATIVE_INFINITY;
+    for (Target target : usable(need.service(), need.excluded(), nowMs)) {
+      double free = freeTokens(target, nowMs);
+      if (!held.contains(target.info().id()) && free > most) {
+        best = Optional.of(target);
+        most = free;
+      }
+    }
+    return best;
+  }
+
+  /** Tokens that a new request may be expected to need; 0 when the batch of an engine is full. */
+  private double freeTokens(Target target, long nowMs) {
+    Optional<EngineLimits> limits = engine(target.info().service());
+    if (limits.isEmpty()) {
+      return Double.MAX_VALUE;
+    }
+    TargetWork work = work(target, nowMs);
+    return work.requests() >= limits.get().slots()
+        ? 0
+        : ADMITTED * limits.get().memoryTokens() - work.tokens();
+  }
+
+  /** Tokens that may be given to all engines together that take requests. */
+  long admittedTokens() {
+    double admitted = 0;
+    for (Target target : targets.values()) {
+      Optional<EngineLimits> limits = engine(target.info().service());
+      if (!target.leaving() && limits.isPresent()) {
+        admitted += ADMITTED * limits.get().memoryTokens();
+      }
+    }
+    return (long) admitted;
+  }
+
+  /** Whether the engines of a service hold so little together that there is room for backups. */
+  private boolean roomForBackups(PlacementNeed need, EngineLimits limits, long nowMs) {
+    double held = need.tokens();
+    double memory = 0;
+    for (Target target : targets.values()) {
+      if (target.info().service().equals(need.service()) && !target.leaving()) {
+        held += work(target, nowMs).tokens();
+        memory += limits.memoryTokens();
+      }
+    }
+    return held <= BACKUP_SERVICE_FULL * memory;
+  }
+
+  /** Whether a request fits into an engine of its service that has no other work. */
+  boolean fitsEmpty(PlacementNeed need) {
+    return engine(need.service())
+        .filter(limits -> ADMITTED * limits.memoryTokens() < need.tokens())
+        .isEmpty();
   }
 
   /** Chooses where to move a generation; a copy within a failure domain is faster. */
-  Optional<Target> chooseDestination(Exchange exchange, Target source, long nowMs) {
+  Optional<Target> chooseDestination(PlacementNeed need, long nowMs) {
     return least(
-        draw(MOVE_CANDIDATES, usable(exchange.service(), exchange.tried(), nowMs)),
-        exchange,
-        source.info().domain(),
+        draw(MOVE_CANDIDATES, usable(need.service(), need.excluded(), nowMs)),
+        need,
+        need.near(),
         REMOTE_MOVE_TOKENS,
         nowMs);
   }
 
   /**
    * Chooses the engine that gets a copy of a generation's memory as it grows, so that the
-   * generation can go on there when its engine ends. Streams that may be resumed need none.
+   * generation can go on there when its engine ends.
    */
-  Optional<Target> chooseBackup(Exchange exchange, Target primary, long nowMs) {
-    Optional<EngineLimits> limits = engine(exchange.service()).filter(EngineLimits::backups);
-    if (limits.isEmpty() || exchange.route().resumable() || !lasts(exchange)) {
+  Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
+    Optional<EngineLimits> limits = engine(need.service()).filter(EngineLimits::backups);
+    if (limits.isEmpty() || !need.backup() || !roomForBackups(need, limits.get(), nowMs)) {
       return Optional.empty();
     }
-    long room = (long) (BACKUP_FULL * limits.get().memoryTokens()) - exchange.tokens();
+    long room = (long) (BACKUP_FULL * limits.get().memoryTokens()) - need.tokens();
     List<Target> candidates = new ArrayList<>();
-    for (Target target : usable(exchange.service(), Set.of(primary.info().id()), nowMs)) {
+    for (Target target : usable(need.service(), Set.of(primary.info().id()), nowMs)) {
       if (work(target, nowMs).tokens() <= room) {
         candidates.add(target);
       }
     }
-    return least(candidates, exchange, primary.info().domain(), REMOTE_MOVE_TOKENS, nowMs);
-  }
-
-  private static boolean lasts(Exchange exchange) {
-    return exchange
-        .call()
-        .prompt()
-        .filter(size -> size.expectedOutputTokens() >= MIN_BACKUP_OUTPUT_TOKENS)
-        .isPresent();
+    return least(candidates, need, primary.info().domain(), REMOTE_MOVE_TOKENS, nowMs);
   }
 
   private Optional<EngineLimits> engine(String service) {
@@ -212,14 +285,14 @@
 
   private Optional<Target> least(
       List<Target> candidates,
-      Exchange exchange,
+      PlacementNeed need,
       FailureDomain near,
       double remoteTokens,
       long nowMs) {
     Optional<Target> best = Optional.empty();
     double bestLoad = Double.MAX_VALUE;
     for (Target candidate : candidates) {
-      double load = load(candidate, exchange.tokens(), nowMs);
+      double load = load(candidate, need.tokens(), nowMs);
       if (!candidate.info().domain().equals(near)) {
         load += remoteTokens + 0.5;
       }
@@ -233,12 +306,12 @@
 
   /** Work that all instances have given to a target, as far as this one knows. */
   private TargetWork work(Target target, long nowMs) {
-    TargetWork own = target.work();
-    if (nowMs - othersAtMs >= WorkExchange.STALE_MS) {
-      return own;
+    TargetWork work = target.work();
+    TargetRun run = TargetRun.of(target.info());
+    for (OtherWork other : others) {
+      work = other.at(run, nowMs).map(work::plus).orElse(work);
     }
-    TargetWork theirs = others.get(TargetRun.of(target.info()));
-    return theirs == null ? own : own.plus(theirs);
+    return work;
   }
 
   /** Work in tokens, or in requests where these have no tokens; less than one breaks ties. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetWork.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetWork.java
@@ -21,4 +21,13 @@
         tokens + other.tokens,
         unreadTokens + other.unreadTokens);
   }
+
+  /** The same work, to be taken off a sum. */
+  TargetWork negative() {
+    return new TargetWork(target, incarnation, -requests, -tokens, -unreadTokens);
+  }
+
+  boolean empty() {
+    return requests == 0 && tokens == 0 && unreadTokens == 0;
+  }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
@@ -17,7 +17,8 @@
 class TargetPoolTest {
   private static final FailureDomain HERE = new FailureDomain("zone-a");
 
-  private final TargetPool pool = new TargetPool(HERE, new Random(1));
+  private final StatedWork stated = new StatedWork();
+  private final TargetPool pool = new TargetPool(new Random(1), List.of(stated));
 
   private void available(int count) {
     for (int i = 0; i < count; i++) {
@@ -41,7 +42,8 @@
 
   private Target start(Optional<GenerationSize> size) {
     Exchange exchange = exchange(size);
-    Target target = pool.choose(exchange, 0).orElseThrow();
+    Target target =
+        pool.choose(exchange.need(PlacementNeed.Purpose.START, HERE, 0), 0).orElseThrow();
     exchange.start(target, Optional.empty(), Optional.empty(), 0);
     return target;
   }
@@ -80,9 +82,15 @@
       for (int i = 1; i < 20; i++) {
         others.add(new TargetWork(new TargetId("t" + i), 1, 5, 20_000, 0));
       }
-      pool.othersWork(others, instances, 0);
+      stated.replace(others, 0);
+      pool.shareWith(instances);
       for (int i = 0; i < 20; i++) {
-        chosen.add(pool.choose(exchange(generation), 0).orElseThrow().info().id().name());
+        chosen.add(
+            pool.choose(exchange(generation).need(PlacementNeed.Purpose.START, HERE, 0), 0)
+                .orElseThrow()
+                .info()
+                .id()
+                .name());
       }
       return chosen;
     }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/codec/WorkCodecTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/codec/WorkCodecTest.java
@@ -2,12 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.PeerMessage;
+import dev.caroblb.forwarding.PlacementNeed;
 import dev.caroblb.forwarding.TargetWork;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -20,8 +23,26 @@
     @Test
     void keepsEveryField() {
       List<TargetWork> work = List.of(new TargetWork(new TargetId("t"), 1, 2, 3, 4));
+      PlacementNeed need =
+          new PlacementNeed(
+              PlacementNeed.Purpose.MOVE,
+              "service",
+              5,
+              6,
+              Set.of(new TargetId("u")),
+              new FailureDomain("zone"),
+              true,
+              7,
+              8);
       for (PeerMessage message :
-          List.of(new PeerMessage.OwnWork(work), new PeerMessage.OthersWork(9, work))) {
+          List.of(
+              new PeerMessage.OwnWork(8, work),
+              new PeerMessage.OthersWork(9, work),
+              new PeerMessage.PlacementAsked(10, need),
+              new PeerMessage.PlacementGiven(
+                  11, 12, Optional.of(new TargetId("t")), Optional.empty()),
+              new PeerMessage.PlacementQueued(13),
+              new PeerMessage.PlacementDropped(14))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
     }
