Notice callers that leave before their answer begins

Cause: the HTTP library takes the end of a connection's input for a caller that still waits for its answer; an instance noticed only when it wrote the first event.

Change: the session of a caller's connection reports the end of its input as an error. Five tests of callers that leave, without and with a body, failed first.

--- /dev/null
+++ b/http/src/main/java/dev/caroblb/http/CallerSession.java
@@ -0,0 +1,164 @@
+package dev.caroblb.http;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ByteChannel;
+import java.util.concurrent.locks.Lock;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * A connection of a caller whose end is an error. The library takes the end of the input for a
+ * caller that still waits for its answer, and notices one that left only when it writes to it.
+ */
+final class CallerSession implements IOSession {
+  private final IOSession session;
+
+  CallerSession(IOSession session) {
+    this.session = session;
+  }
+
+  @Override
+  public int read(ByteBuffer target) throws IOException {
+    int count = session.read(target);
+    if (count < 0) {
+      throw new ConnectionClosedException("the caller closed the connection");
+    }
+    return count;
+  }
+
+  @Override
+  public int write(ByteBuffer source) throws IOException {
+    return session.write(source);
+  }
+
+  @Override
+  public boolean isOpen() {
+    return session.isOpen();
+  }
+
+  @Override
+  public String getId() {
+    return session.getId();
+  }
+
+  @Override
+  public IOEventHandler getHandler() {
+    return session.getHandler();
+  }
+
+  @Override
+  public void upgrade(IOEventHandler handler) {
+    session.upgrade(handler);
+  }
+
+  @Override
+  public Lock getLock() {
+    return session.getLock();
+  }
+
+  @Override
+  public void enqueue(Command command, Command.Priority priority) {
+    session.enqueue(command, priority);
+  }
+
+  @Override
+  public boolean hasCommands() {
+    return session.hasCommands();
+  }
+
+  @Override
+  public Command poll() {
+    return session.poll();
+  }
+
+  @Override
+  public ByteChannel channel() {
+    return session.channel();
+  }
+
+  @Override
+  public SocketAddress getRemoteAddress() {
+    return session.getRemoteAddress();
+  }
+
+  @Override
+  public SocketAddress getLocalAddress() {
+    return session.getLocalAddress();
+  }
+
+  @Override
+  public int getEventMask() {
+    return session.getEventMask();
+  }
+
+  @Override
+  public void setEventMask(int mask) {
+    session.setEventMask(mask);
+  }
+
+  @Override
+  public void setEvent(int operation) {
+    session.setEvent(operation);
+  }
+
+  @Override
+  public void clearEvent(int operation) {
+    session.clearEvent(operation);
+  }
+
+  @Override
+  public void close() {
+    session.close();
+  }
+
+  @Override
+  public void close(CloseMode mode) {
+    session.close(mode);
+  }
+
+  @Override
+  public Status getStatus() {
+    return session.getStatus();
+  }
+
+  @Override
+  public Timeout getSocketTimeout() {
+    return session.getSocketTimeout();
+  }
+
+  @Override
+  public void setSocketTimeout(Timeout timeout) {
+    session.setSocketTimeout(timeout);
+  }
+
+  @Override
+  public long getLastReadTime() {
+    return session.getLastReadTime();
+  }
+
+  @Override
+  public long getLastWriteTime() {
+    return session.getLastWriteTime();
+  }
+
+  @Override
+  public long getLastEventTime() {
+    return session.getLastEventTime();
+  }
+
+  @Override
+  public void updateReadTime() {
+    session.updateReadTime();
+  }
+
+  @Override
+  public void updateWriteTime() {
+    session.updateWriteTime();
+  }
+}
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -85,7 +85,7 @@
     return new HttpAsyncServer(
         new ServerHttp1IOEventHandlerFactory(connections, null, null),
         reactor,
-        null,
+        CallerSession::new,
         HttpListener::onException,
         null);
   }
--- a/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -25,6 +25,7 @@
 
   private final LinkedBlockingQueue<Integer> rejected = new LinkedBlockingQueue<>();
   private final LinkedBlockingQueue<Reply> streams = new LinkedBlockingQueue<>();
+  private final LinkedBlockingQueue<String> left = new LinkedBlockingQueue<>();
   private HttpListener listener;
 
   @BeforeEach
@@ -44,6 +45,10 @@
       streams.add(reply);
       return;
     }
+    if (request.path().equals("/wait")) {
+      reply.onGone(() -> left.add(request.path()));
+      return;
+    }
     reply.send(200, "text/plain", request.body(), Map.of());
   }
 
@@ -86,6 +91,56 @@
         "HTTP/1.1 200 OK", statusOf("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"));
   }
 
+  /** A caller that closes its connection before anything of the answer was sent. */
+  @Nested
+  class CallerThatLeaves {
+    private static final int NOTICED_MS = 2_000;
+
+    private void leave(String... requests) throws Exception {
+      try (Socket socket = connect()) {
+        for (String request : requests) {
+          socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+          Thread.sleep(50);
+        }
+      }
+      assertNotNull(left.poll(NOTICED_MS, TimeUnit.MILLISECONDS), "the caller was not missed");
+    }
+
+    /** Guards against a generation that goes on for nobody. */
+    @Test
+    void afterARequestWithoutABody() throws Exception {
+      leave("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+
+    /** Guards against a generation that goes on for nobody. */
+    @Test
+    void afterABodyWithALength() throws Exception {
+      leave("POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    /** Guards against a generation that goes on for nobody. */
+    @Test
+    void afterABodyInParts() throws Exception {
+      leave("POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nok", "ok");
+    }
+
+    /** Guards against a generation that goes on for nobody. */
+    @Test
+    void afterABodyInChunks() throws Exception {
+      leave(
+          "POST /wait HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+          "0\r\n\r\n");
+    }
+
+    /** Guards against a generation that goes on for nobody. */
+    @Test
+    void onAKeptConnection() throws Exception {
+      leave(
+          "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok",
+          "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+    }
+  }
+
   @Nested
   class Malformed {
     /** Guards against memory taken by a header line without end. */
