--- a/soak/src/main/java/dev/caroblb/soak/PostingCaller.java
+++ b/soak/src/main/java/dev/caroblb/soak/PostingCaller.java
@@ -5,7 +5,6 @@
 import dev.caroblb.systemtests.TestCluster;
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
@@ -79,11 +78,14 @@
   }
 
   @Override
-  public List<String> counts() {
-    return List.of(
-        "posts_done=" + count(Outcome.DONE),
-        "not_run=" + count(Outcome.NOT_RUN),
-        "unknown=" + count(Outcome.UNKNOWN));
+  public Map<String, Long> counts() {
+    return Map.of(
+        "posts_done",
+        count(Outcome.DONE),
+        "posts_not_run",
+        count(Outcome.NOT_RUN),
+        "posts_unknown",
+        count(Outcome.UNKNOWN));
   }
 
   private long count(Outcome wanted) {
--- a/soak/src/main/java/dev/caroblb/soak/Publisher.java
+++ b/soak/src/main/java/dev/caroblb/soak/Publisher.java
@@ -5,7 +5,6 @@
 import dev.caroblb.systemtests.TestCluster;
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +14,9 @@
   private static final long PAUSE_MS = 300;
   private static final int MAX_SHARE = 90;
 
+  /** Number 1 is published when the system starts. */
+  private static final long FIRST_NUMBER = 2;
+
   private record Life(String instance, long process) {}
 
   private final TestCluster cluster;
@@ -23,9 +25,9 @@
   private final Violations violations;
   private final Random random;
   private final Map<Life, Long> inForce = new HashMap<>();
-  private long next = 2;
+  private long next = FIRST_NUMBER;
   private long accepted = 1;
-  private int acceptedCount;
+  private long acceptedCount;
 
   Publisher(TestCluster cluster, Violations violations, Random random) {
     this.cluster = cluster;
@@ -84,7 +86,7 @@
   }
 
   @Override
-  public List<String> counts() {
-    return List.of("publishes=" + (next - 2), "accepted=" + acceptedCount);
+  public Map<String, Long> counts() {
+    return Map.of("publishes", next - FIRST_NUMBER, "publishes_accepted", acceptedCount);
   }
 }
--- a/soak/src/main/java/dev/caroblb/soak/SoakReport.java
+++ b/soak/src/main/java/dev/caroblb/soak/SoakReport.java
@@ -1,6 +1,8 @@
 package dev.caroblb.soak;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * What a run showed.
@@ -10,14 +12,16 @@
  * @param violations the promises that were seen broken
  * @param faults what was injected and when
  */
-record SoakReport(long seed, List<String> counts, List<String> violations, List<String> faults) {
+record SoakReport(
+    long seed, Map<String, Long> counts, List<String> violations, List<String> faults) {
   @Override
   public String toString() {
     return "event=soak seed="
         + seed
         + " violations="
         + violations.size()
-        + " "
-        + String.join(" ", counts);
+        + counts.entrySet().stream()
+            .map(count -> " " + count.getKey() + "=" + count.getValue())
+            .collect(Collectors.joining());
   }
 }
--- a/soak/src/main/java/dev/caroblb/soak/SoakRun.java
+++ b/soak/src/main/java/dev/caroblb/soak/SoakRun.java
@@ -5,7 +5,9 @@
 import dev.caroblb.systemtests.TestCluster;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -131,10 +133,12 @@
 
   private SoakReport report(List<Workload> workloads, long recoveredMs, TestCluster cluster)
       throws Exception {
-    List<String> counts = new ArrayList<>();
-    workloads.forEach(workload -> counts.addAll(workload.counts()));
-    counts.add("faults=" + injected.size() / 2);
-    counts.add("recovered_ms=" + recoveredMs);
+    Map<String, Long> counts = new TreeMap<>();
+    for (Workload workload : workloads) {
+      workload.counts().forEach((name, count) -> counts.merge(name, count, Long::sum));
+    }
+    counts.put("faults", injected.size() / 2L);
+    counts.put("recovered_ms", recoveredMs);
     if (!violations.all().isEmpty()) {
       System.out.print(cluster.errors());
     }
--- a/soak/src/main/java/dev/caroblb/soak/StreamCaller.java
+++ b/soak/src/main/java/dev/caroblb/soak/StreamCaller.java
@@ -3,7 +3,7 @@
 import dev.caroblb.systemtests.TestCaller;
 import dev.caroblb.systemtests.TestCluster;
 import java.io.IOException;
-import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 /** Reads streams and goes on at another instance when one breaks off. */
@@ -17,9 +17,9 @@
   private final TestCaller caller = new TestCaller();
   private final Violations violations;
   private final Random random;
-  private int complete;
-  private int resumed;
-  private int ended;
+  private long complete;
+  private long resumed;
+  private long ended;
 
   StreamCaller(TestCluster cluster, Violations violations, Random random) {
     this.cluster = cluster;
@@ -92,7 +92,7 @@
   public void finish() {}
 
   @Override
-  public List<String> counts() {
-    return List.of("streams_complete=" + complete, "resumes=" + resumed, "ended=" + ended);
+  public Map<String, Long> counts() {
+    return Map.of("streams_complete", complete, "resumes", resumed, "streams_ended", ended);
   }
 }
--- a/soak/src/main/java/dev/caroblb/soak/Workload.java
+++ b/soak/src/main/java/dev/caroblb/soak/Workload.java
@@ -1,6 +1,6 @@
 package dev.caroblb.soak;
 
-import java.util.List;
+import java.util.Map;
 
 /** One kind of caller that works until it is told to stop, and checks what it gets. */
 interface Workload {
@@ -10,6 +10,6 @@
   /** Checks what can only be told once all faults are over. */
   void finish() throws Exception;
 
-  /** Counts of outcomes, for the report. */
-  List<String> counts();
+  /** Counts of outcomes by name; those of equal names are added up. */
+  Map<String, Long> counts();
 }
