--- a/soak/src/main/java/dev/caroblb/soak/PostingCaller.java
+++ b/soak/src/main/java/dev/caroblb/soak/PostingCaller.java
@@ -35,9 +35,11 @@
   }
 
   @Override
-  public void once() throws Exception {
+  public boolean once() throws Exception {
     String key = System.currentTimeMillis() + "-soak-" + random.nextInt(1 << 30);
-    outcomes.put(key, post(key));
+    Outcome outcome = post(key);
+    outcomes.put(key, outcome);
+    return outcome == Outcome.DONE;
   }
 
   private Outcome post(String key) throws Exception {
--- a/soak/src/main/java/dev/caroblb/soak/Publisher.java
+++ b/soak/src/main/java/dev/caroblb/soak/Publisher.java
@@ -41,10 +41,11 @@
   }
 
   @Override
-  public void once() throws Exception {
+  public boolean once() throws Exception {
     publish(cluster.address(any()));
     watch(any());
     TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+    return true;
   }
 
   private void publish(String address) throws Exception {
--- a/soak/src/main/java/dev/caroblb/soak/SoakRun.java
+++ b/soak/src/main/java/dev/caroblb/soak/SoakRun.java
@@ -20,6 +20,7 @@
   private static final int REPLICAS = 3;
   private static final String SERVICE = "ledger-1";
   private static final long CALLER_END_MS = 90_000;
+  private static final long RETRY_PAUSE_MS = 100;
 
   private final SoakSettings settings;
   private final Violations violations = new Violations();
@@ -78,7 +79,9 @@
   private void work(Workload workload) {
     while (!stop.get()) {
       try {
-        workload.once();
+        if (!workload.once()) {
+          TimeUnit.MILLISECONDS.sleep(RETRY_PAUSE_MS);
+        }
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
--- a/soak/src/main/java/dev/caroblb/soak/StreamCaller.java
+++ b/soak/src/main/java/dev/caroblb/soak/StreamCaller.java
@@ -32,16 +32,16 @@
   }
 
   @Override
-  public void once() throws Exception {
+  public boolean once() throws Exception {
+    long before = complete;
     try {
-      TestCaller.Stream stream =
-          caller.stream(anyAddress(), WORKSPACE, "plan", PROMPT, sequence -> {});
-      follow(stream);
+      follow(caller.stream(anyAddress(), WORKSPACE, "plan", PROMPT, sequence -> {}));
     } catch (IOException e) {
       ended++;
     } catch (IllegalStateException e) {
       violations.add("tokens arrive once, in order, of one generation", e.getMessage());
     }
+    return complete > before;
   }
 
   private void follow(TestCaller.Stream first) throws Exception {
