Test placement by a control instance, and describe it

Tests of the request's side of placement, of backups at full services, and of requests with several due timers (failed with the earlier list of due requests). Tests of the listener and of requests share their setup.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorLinkTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorLinkTest.java
@@ -25,23 +25,8 @@
   }
 
   private static Exchange exchange(long id) {
-    ForwardCall call =
-        new ForwardCall(
-            id,
-            "id",
-            "host",
-            "/",
-            Optional.empty(),
-            Optional.empty(),
-            Optional.of(new GenerationSize(3_000, 1_000, Optional.empty())),
-            new RecordingCaller());
-    return new Exchange(
-        call,
-        ForwardingFixture.table().match("host", "/long/x").orElseThrow(),
-        "service",
-        Optional.empty(),
-        1,
-        0);
+    return ForwardingFixture.exchange(
+        id, Optional.of(new GenerationSize(3_000, 1_000, Optional.empty())));
   }
 
   private Optional<Long> ask(Exchange exchange, long nowMs) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.Addressed;
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Payload;
@@ -29,11 +30,12 @@
   final RecordingTargets targets = new RecordingTargets();
   final RecordingCaller caller = new RecordingCaller();
   final List<RetryReason> retries = new ArrayList<>();
+  final List<Addressed<PeerMessage>> toPeers = new ArrayList<>();
   final ForwardingHandler handler =
       new ForwardingHandler(
           new ForwardingSettings(new InstanceId("entry"), ZONE, 10, 0.2, 10_000, 320),
           targets,
-          message -> true,
+          toPeers::add,
           new Counts(),
           new Random(1));
   long nowMs = 1_000;
@@ -87,6 +89,15 @@
         Optional.of(Map.of("key", new Workspace("farm", Optional.empty()))));
   }
 
+  /** A request on its own, of a route that may run once. */
+  static Exchange exchange(long id, Optional<GenerationSize> size) {
+    ForwardCall call =
+        new ForwardCall(
+            id, "id", "host", "/", Optional.empty(), Optional.empty(), size, new RecordingCaller());
+    return new Exchange(
+        call, table().match("host", "/long/x").orElseThrow(), "service", Optional.empty(), 1, 0);
+  }
+
   void give(ForwardingMessage message) {
     handler.handle(message, nowMs);
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingHandlerTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingHandlerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.TargetId;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -55,6 +56,20 @@
     }
   }
 
+  @Nested
+  class RequestWithSeveralTimers {
+    /** Guards against a request that is sent or refused again after its refusal. */
+    @Test
+    void isRefusedOnce() {
+      installed(0);
+      arrive("/safe/x");
+      give(new ForwardingMessage.TargetGone(new TargetId("other"), 1));
+      nowMs += 100;
+      handler.tick(nowMs);
+      assertEquals(List.of("refused NO_TARGET"), caller.events);
+    }
+  }
+
   @Nested
   class RequestThatMayRunOnce {
     /** Guards against a second run after the first may have happened. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.FailureDomain;
@@ -27,17 +28,8 @@
     }
   }
 
-  private Exchange exchange(Optional<GenerationSize> size) {
-    ForwardCall call =
-        new ForwardCall(
-            1, "id", "host", "/", Optional.empty(), Optional.empty(), size, new RecordingCaller());
-    return new Exchange(
-        call,
-        ForwardingFixture.table().match("host", "/long/x").orElseThrow(),
-        "service",
-        Optional.empty(),
-        1,
-        0);
+  private static Exchange exchange(Optional<GenerationSize> size) {
+    return ForwardingFixture.exchange(1, size);
   }
 
   private Target start(Optional<GenerationSize> size) {
@@ -95,4 +87,36 @@
       return chosen;
     }
   }
+
+  @Nested
+  class Backups {
+    private final PlacementNeed need =
+        new PlacementNeed(
+            PlacementNeed.Purpose.START, "service", 4_000, 3_000, Set.of(), HERE, true, 1, 1_800);
+
+    private boolean backedUp(long tokensAtEach) {
+      pool.engines(ForwardingFixture.table().engines());
+      available(4);
+      List<TargetWork> work = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        // One engine is empty, so that only the load of all of them can speak against a backup.
+        work.add(new TargetWork(new TargetId("t" + i), 1, 1, i == 0 ? 0 : tokensAtEach, 0));
+      }
+      stated.replace(work, 0);
+      Target primary = pool.usable(new TargetId("t1")).orElseThrow();
+      return pool.chooseBackup(need, primary, 0).isPresent();
+    }
+
+    /** Guards against generations that end with their engine although memory is free. */
+    @Test
+    void areMadeWhileMemoryIsFree() {
+      assertTrue(backedUp(10_000));
+    }
+
+    /** Guards against copies that take the memory of requests which wait. */
+    @Test
+    void areNotMadeWhenTheServiceFillsUp() {
+      assertFalse(backedUp(30_000));
+    }
+  }
 }
--- a/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -6,40 +6,21 @@
 
 import dev.caroblb.core.Payload;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Raw connections that break the rules of the listener. */
-class HttpListenerTest {
-  private static final int WAIT_MS = 10_000;
-  private static final HttpLimits LIMITS = new HttpLimits(1_024, 10, 2_048, 30_000, 8_192, 1, 64);
-
-  private final LinkedBlockingQueue<Integer> rejected = new LinkedBlockingQueue<>();
+class HttpListenerTest extends ListenerFixture {
   private final LinkedBlockingQueue<Reply> streams = new LinkedBlockingQueue<>();
   private final LinkedBlockingQueue<String> left = new LinkedBlockingQueue<>();
-  private HttpListener listener;
-
-  @BeforeEach
-  void listen() throws IOException {
-    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    listener = HttpListener.start(address, LIMITS, this::answer, rejected::add);
-  }
-
-  @AfterEach
-  void stop() {
-    listener.close();
-  }
 
-  private void answer(IncomingRequest request, Reply reply) {
+  @Override
+  void answer(IncomingRequest request, Reply reply) {
     if (request.path().equals("/stream")) {
       reply.startStream(200, "text/event-stream", Map.of());
       streams.add(reply);
