Ask another control instance for requests that wait at one that is gone

Cause, found by reading: a request that waits for room at a control instance which is not asked any more waited until its time was over, because the next one answers other questions; and the placing control instance does not see which targets fail the requests of an instance, which targets of its own choice did.

Change: a question names the control instance it was sent to and is asked again when that changes; targets that failed lately are excluded in the question. Both tests failed first.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorLink.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorLink.java
@@ -78,7 +78,7 @@
     forget(exchange);
     lastTicket++;
     callOfTicket.put(lastTicket, exchange.call().id());
-    exchange.ask(new Question(lastTicket, need.purpose(), false));
+    exchange.ask(new Question(lastTicket, current(), need.purpose(), false));
     send(new PeerMessage.PlacementAsked(lastTicket, need));
     return Optional.of(nowMs + ASK_MS);
   }
@@ -111,11 +111,24 @@
     unanswered = 0;
   }
 
-  /** Whether the control instance has sent nothing for so long that nobody answers. */
-  boolean silent(long nowMs) {
+  /** Whether a request still waits where its question was asked, so that an answer may come. */
+  boolean waits(Exchange exchange, long nowMs) {
+    return !controls.isEmpty()
+        && !silent(nowMs)
+        && exchange
+            .question()
+            .filter(question -> question.queued() && question.control().equals(current()))
+            .isPresent();
+  }
+
+  private boolean silent(long nowMs) {
     return nowMs - answeredMs >= ANSWER_MS;
   }
 
+  private InstanceId current() {
+    return controls.get(Math.floorMod(chosen, controls.size()));
+  }
+
   /** A request was not answered in time; another control instance may be asked from now on. */
   void unanswered(Exchange exchange) {
     forget(exchange);
@@ -132,8 +145,8 @@
     }
     exchange.answered();
     callOfTicket.remove(question.get().ticket());
-    if (question.get().queued() && !controls.isEmpty()) {
-      send(new PeerMessage.PlacementDropped(question.get().ticket()));
+    if (question.get().queued()) {
+      send(question.get().control(), new PeerMessage.PlacementDropped(question.get().ticket()));
     }
   }
 
@@ -169,7 +182,7 @@
   }
 
   private void send(PeerMessage message) {
-    send(controls.get(Math.floorMod(chosen, controls.size())), message);
+    send(current(), message);
   }
 
   private void send(InstanceId control, PeerMessage message) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import java.util.HashSet;
 import java.util.Set;
 
 /**
@@ -35,6 +36,14 @@
     MOVE
   }
 
+  /** The same need, with more targets that are not to be chosen. */
+  PlacementNeed without(Set<TargetId> more) {
+    Set<TargetId> all = new HashSet<>(excluded);
+    all.addAll(more);
+    return new PlacementNeed(
+        purpose, service, tokens, promptTokens, all, near, backup, rank, objectiveMs);
+  }
+
   public PlacementNeed {
     excluded = Set.copyOf(excluded);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Question.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Question.java
@@ -1,14 +1,17 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.InstanceId;
+
 /**
  * A question for a target that has no final answer yet.
  *
  * @param ticket number of the question
+ * @param control the control instance that was asked
  * @param purpose what the target is for
  * @param queued whether the answer is that the request waits for room
  */
-record Question(long ticket, PlacementNeed.Purpose purpose, boolean queued) {
+record Question(long ticket, InstanceId control, PlacementNeed.Purpose purpose, boolean queued) {
   Question waits() {
-    return new Question(ticket, purpose, true);
+    return new Question(ticket, control, purpose, true);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -58,7 +58,11 @@
 
   /** Finds a target for a request: those for all generations are chosen in one place. */
   void first(Exchange exchange, long nowMs) {
-    PlacementNeed need = exchange.need(PlacementNeed.Purpose.START, domain, nowMs);
+    // A control instance does not see which targets fail the requests of this one.
+    PlacementNeed need =
+        exchange
+            .need(PlacementNeed.Purpose.START, domain, nowMs)
+            .without(pool.penalized(exchange.service(), nowMs));
     Optional<Long> answerByMs =
         need.tokens() > 0 && !exchange.begun()
             ? coordinator.ask(exchange, need, nowMs)
@@ -96,8 +100,7 @@
 
   /** Looks after a request that has no target yet. */
   void due(Exchange exchange, long nowMs) {
-    boolean queued = exchange.question().filter(Question::queued).isPresent();
-    if (queued && !coordinator.silent(nowMs)) {
+    if (coordinator.waits(exchange, nowMs)) {
       if (nowMs >= heldUntilMs(exchange)) {
         ends.giveUp(exchange, RefusalReason.BACKLOG_FULL, "no room at any engine", nowMs);
       } else {
@@ -105,10 +108,18 @@
       }
       return;
     }
-    if (exchange.question().isPresent()) {
-      log("forwarding.placement_unanswered", exchange);
-      coordinator.unanswered(exchange);
+    Optional<Question> question = exchange.question();
+    if (question.isEmpty()) {
+      place(exchange, nowMs);
+      return;
+    }
+    log("forwarding.placement_unanswered", exchange);
+    if (question.get().queued()) {
+      // It waits at a control instance that is not asked any more; the present one may answer.
+      first(exchange, nowMs);
+      return;
     }
+    coordinator.unanswered(exchange);
     place(exchange, nowMs);
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,6 +47,9 @@
 
   private static final double FULL_WEIGHT = 20;
 
+  /** Targets that a question for a target excludes because they failed; a question stays short. */
+  private static final int MAX_PENALIZED = 32;
+
   /**
    * Part of an engine's memory that expected sizes may add up to before requests wait. Not all
    * generations reach their largest size at once.
@@ -132,6 +136,18 @@
     engines = Map.copyOf(limitsByService);
   }
 
+  /** Targets of a service that failed requests of this instance lately, some of them at most. */
+  Set<TargetId> penalized(String service, long nowMs) {
+    Set<TargetId> penalized = new HashSet<>();
+    for (Target target : targets.values()) {
+      boolean counts = target.info().service().equals(service) && target.penalized(nowMs);
+      if (counts && penalized.size() < MAX_PENALIZED) {
+        penalized.add(target.info().id());
+      }
+    }
+    return penalized;
+  }
+
   /** The target of a name, if it takes requests. */
   Optional<Target> usable(TargetId id) {
     return Optional.ofNullable(targets.get(id)).filter(target -> !target.leaving());
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
@@ -8,6 +8,7 @@
 import dev.caroblb.core.TargetId;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -33,6 +34,13 @@
     return toPeers.stream().map(Addressed::message).toList();
   }
 
+  private Addressed<PeerMessage> lastQuestion() {
+    return toPeers.stream()
+        .filter(message -> message.message() instanceof PeerMessage.PlacementAsked)
+        .reduce((earlier, later) -> later)
+        .orElseThrow();
+  }
+
   private void pass(long ms) {
     nowMs += ms;
     handler.tick(nowMs);
@@ -95,6 +103,18 @@
       assertEquals(1, caller.events.size());
     }
 
+    /** Guards against requests that wait at a control instance which is gone. */
+    @Test
+    void asksTheNextOneWhenTheControlInstanceChanges() {
+      askedOfControl();
+      from(new PeerMessage.PlacementQueued(1));
+      InstanceId other = new InstanceId("control-2");
+      give(new ForwardingMessage.ContactsChanged(List.of(other), 9));
+      pass(600);
+      Addressed<PeerMessage> asked = lastQuestion();
+      assertEquals(other, asked.peer());
+    }
+
     /** Guards against an engine that is kept free for a caller that left. */
     @Test
     void isWithdrawnWhenTheCallerLeaves() {
@@ -105,6 +125,20 @@
     }
   }
 
+  @Nested
+  class TargetThatFails {
+    /** Guards against a control instance that sends every request to a target that fails them. */
+    @Test
+    void isNotAskedFor() {
+      askedOfControl();
+      given(Optional.of(new TargetId("t2")));
+      lost();
+      arriveGeneration("/long/x", 400);
+      PeerMessage.PlacementAsked asked = (PeerMessage.PlacementAsked) lastQuestion().message();
+      assertEquals(Set.of(new TargetId("t2")), asked.need().excluded());
+    }
+  }
+
   @Nested
   class Moving {
     /** Guards against many instances that move their generations to the same engine. */
