Keep requests waiting as long as their instance is there

Cause, found by reading: the placing control instance forgot requests after 10 s, which is shorter than three objectives of a route whose objective is over 3.3 s.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
@@ -54,6 +54,7 @@
     ledger.expire(nowMs);
     ledger.stated(peer, own.upToGrant(), own.work(), nowMs);
     statedAtMs.keySet().retainAll(ledger.instances());
+    queue.forgetOthers(ledger.instances(), nowMs - STALE_MS);
     placeQueued(nowMs);
     Long last = statedAtMs.get(peer);
     if (last != null && nowMs - last < STATE_MS) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementQueue.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementQueue.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.TargetId;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -31,9 +32,6 @@
    */
   private static final int MAX_HELD = 4;
 
-  /** A request that waits longer than this, in milliseconds, was given up by its instance. */
-  private static final long MAX_WAIT_MS = 10_000;
-
   /** A request that waits. */
   record Waiting(InstanceId instance, long ticket, PlacementNeed need, long askedAtMs) {
     private boolean inTime(long nowMs) {
@@ -80,9 +78,14 @@
     queue.removeIf(waiting -> waiting.instance().equals(instance) && waiting.ticket() == ticket);
   }
 
+  /** Forgets the requests of instances that have been silent since a time. */
+  void forgetOthers(Collection<InstanceId> heard, long askedBeforeMs) {
+    queue.removeIf(
+        waiting -> waiting.askedAtMs() < askedBeforeMs && !heard.contains(waiting.instance()));
+  }
+
   /** Gives targets to the requests for which there is room now. */
   void place(Placed placed, long nowMs) {
-    queue.removeIf(waiting -> nowMs - waiting.askedAtMs() >= MAX_WAIT_MS);
     queue.sort(
         Comparator.comparing((Waiting waiting) -> !waiting.inTime(nowMs))
             .thenComparing(waiting -> waiting.need().rank())
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
@@ -164,6 +164,28 @@
       assertEquals(Set.of(entry(1), entry(2)), Set.copyOf(given()));
     }
 
+    /** Guards against a request that is forgotten although its instance is there and waits. */
+    @Test
+    void requestsWaitAsLongAsTheirInstanceIsThere() {
+      fill();
+      ask(1, need(HALF, 1, 40_000, false), 1_000);
+      ask(2, need(HALF, 1, 40_000, false), 1_000);
+      for (long nowMs = 1_000; nowMs < 20_000; nowMs += 1_000) {
+        for (int i = 0; i < 2 * ENGINES; i++) {
+          coordinator.stated(entry(100 + i), new PeerMessage.OwnWork(0, half(i)), nowMs);
+        }
+        coordinator.stated(entry(1), new PeerMessage.OwnWork(0, List.of()), nowMs);
+      }
+      end(100, 20_000);
+      end(101, 20_000);
+      assertEquals(List.of(entry(1)), given());
+    }
+
+    /** What an instance states that has half of an engine. */
+    private List<TargetWork> half(int index) {
+      return List.of(new TargetWork(new TargetId("t" + index / 2), 1, 1, HALF, 0));
+    }
+
     /** Guards against a request that waits for an engine larger than there is. */
     @Test
     void requestsThatFitNowhereDoNotWait() {
