Give a question for a target its time whatever other timers are due

Cause, found by reading: an exchange has several timers, and one of an earlier wait, due within 60 ms of a question, gave the question up; the request was then placed without room, and two of them in a row changed the control instance.

Change: a question knows until when its answer is worth waiting for. The test failed first.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorLink.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorLink.java
@@ -78,9 +78,10 @@
     forget(exchange);
     lastTicket++;
     callOfTicket.put(lastTicket, exchange.call().id());
-    exchange.ask(new Question(lastTicket, current(), need.purpose(), false));
+    long answerByMs = nowMs + ASK_MS;
+    exchange.ask(new Question(lastTicket, current(), need.purpose(), answerByMs, false));
     send(new PeerMessage.PlacementAsked(lastTicket, need));
-    return Optional.of(nowMs + ASK_MS);
+    return Optional.of(answerByMs);
   }
 
   /** Takes a final answer; returns the request that it is for, unless that was given up. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Relocations.java
@@ -180,7 +180,9 @@
   /** Looks after a generation whose copy is complete and that still goes on at its engine. */
   void due(Exchange exchange, long nowMs) {
     if (exchange.question().isPresent()) {
-      unanswered(exchange, nowMs);
+      if (!exchange.question().get().open(nowMs)) {
+        unanswered(exchange, nowMs);
+      }
       return;
     }
     Optional<Relocation> relocation = exchange.relocation();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Sender.java
@@ -113,6 +113,10 @@
       place(exchange, nowMs);
       return;
     }
+    // An exchange has several timers; one of an earlier wait may be due before the answer is.
+    if (question.get().open(nowMs)) {
+      return;
+    }
     log("forwarding.placement_unanswered", exchange);
     if (question.get().queued()) {
       // It waits at a control instance that is not asked any more; the present one may answer.
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
@@ -115,6 +115,20 @@
       assertEquals(other, asked.peer());
     }
 
+    /** Guards against a question that is given up by a timer of an earlier wait. */
+    @Test
+    void givesTheNextControlInstanceItsTime() {
+      askedOfControl();
+      pass(30);
+      from(new PeerMessage.PlacementQueued(1));
+      // Two timers follow each other 30 ms apart from here on.
+      pass(30);
+      give(new ForwardingMessage.ContactsChanged(List.of(new InstanceId("control-2")), 9));
+      pass(470);
+      pass(30);
+      assertEquals(List.of(), targets.sent);
+    }
+
     /** Guards against an engine that is kept free for a caller that left. */
     @Test
     void isWithdrawnWhenTheCallerLeaves() {
