--- a/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -120,6 +121,7 @@
   }
 
   @Nested
+  @Tag("known-red")
   class InstancesInTurn {
     private static final long EXIT_MS = 60_000;
 
