Wait for the request instead of sleeping in the tests of callers that leave

Cause: the tests slept 50 ms between writes so that the listener had the request before the connection was closed; on a busy machine that is a guess.

Change: the caller leaves once the handler has the whole request, and reads the first answer on a kept connection to its end, so that its close is no reset. The assertions and the bound of 2 s stay.

--- a/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -17,6 +17,7 @@
 /** Raw connections that break the rules of the listener. */
 class HttpListenerTest extends ListenerFixture {
   private final LinkedBlockingQueue<Reply> streams = new LinkedBlockingQueue<>();
+  private final LinkedBlockingQueue<String> waiting = new LinkedBlockingQueue<>();
   private final LinkedBlockingQueue<String> left = new LinkedBlockingQueue<>();
 
   @Override
@@ -28,6 +29,7 @@
     }
     if (request.path().equals("/wait")) {
       reply.onGone(() -> left.add(request.path()));
+      waiting.add(request.path());
       return;
     }
     reply.send(200, "text/plain", request.body(), Map.of());
@@ -77,13 +79,23 @@
   class CallerThatLeaves {
     private static final int NOTICED_MS = 2_000;
 
-    private void leave(String... requests) throws Exception {
+    private void leave(String... parts) throws Exception {
       try (Socket socket = connect()) {
-        for (String request : requests) {
-          socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-          Thread.sleep(50);
-        }
+        send(socket, parts);
+      }
+      assertMissed();
+    }
+
+    /** Sends a request and waits until the listener has all of it. */
+    private void send(Socket socket, String... parts) throws Exception {
+      for (String part : parts) {
+        socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
       }
+      assertNotNull(
+          waiting.poll(WAIT_MS, TimeUnit.MILLISECONDS), "the request did not arrive as a whole");
+    }
+
+    private void assertMissed() throws InterruptedException {
       assertNotNull(left.poll(NOTICED_MS, TimeUnit.MILLISECONDS), "the caller was not missed");
     }
 
@@ -116,9 +128,26 @@
     /** Guards against a generation that goes on for nobody. */
     @Test
     void onAKeptConnection() throws Exception {
-      leave(
-          "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok",
-          "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+      try (Socket socket = connect()) {
+        socket
+            .getOutputStream()
+            .write(
+                "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
+                    .getBytes(StandardCharsets.US_ASCII));
+        readTo(socket, "\r\n\r\nok");
+        send(socket, "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+      }
+      assertMissed();
+    }
+
+    /** Reads an answer to its end: unread bytes would make the close a reset. */
+    private static void readTo(Socket socket, String end) throws IOException {
+      StringBuilder answer = new StringBuilder();
+      while (answer.indexOf(end) < 0) {
+        int next = socket.getInputStream().read();
+        assertTrue(next >= 0, () -> "the answer ended early: " + answer);
+        answer.append((char) next);
+      }
     }
   }
 
