Parse addresses of targets without name resolution

An announced address such as 999.1.1.1:80 passed the check for an IPv4 address and was then resolved as a host name, on the I/O thread that received the announcement and on the forwarding duty that sends requests. The look-up blocks the thread for as long as the resolver takes, up to several seconds, and callers of the instance wait meanwhile.

Cause: the pattern allowed numbers above 255, and InetAddress.getByName resolves text that is not an IP literal. Ports such as "+80" were accepted too, and the product's own parser accepted port 0.

Evidence: with a hosts file that maps 999.1.1.1, a JVM of its own accepted the address before: "isNeverDone: expected: <false> but was: <true>".

Both parsers are replaced by one that accepts only literals, so that getByName has nothing to resolve, and only ports from 1 to 65535.

--- a/engines/src/main/java/dev/caroblb/engines/EngineLinks.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineLinks.java
@@ -1,6 +1,7 @@
 package dev.caroblb.engines;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.IpEndpoints;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.Payload;
@@ -57,7 +58,7 @@
   private void open(long id, String address, OutgoingRequest request, AnswerKind kind) {
     EngineLink link = new EngineLink(id, kind, streams);
     links.put(id, link);
-    Optional<InetSocketAddress> resolved = Addresses.parse(address);
+    Optional<InetSocketAddress> resolved = IpEndpoints.parse(address);
     if (resolved.isEmpty()) {
       link.failed(false, "the target announced the invalid address " + address);
       return;
@@ -66,7 +67,7 @@
   }
 
   private void cancel(EngineCommand.Cancel cancel) {
-    Optional<InetSocketAddress> address = Addresses.parse(cancel.endpoint().address());
+    Optional<InetSocketAddress> address = IpEndpoints.parse(cancel.endpoint().address());
     if (address.isEmpty()) {
       return;
     }
--- a/engines/src/main/java/dev/caroblb/engines/EngineOrders.java
+++ b/engines/src/main/java/dev/caroblb/engines/EngineOrders.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.IpEndpoints;
 import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.ModelId;
 import dev.caroblb.core.Outlet;
@@ -59,7 +60,7 @@
   /** Sends an order and reports its outcome to the orders duty. */
   public void send(EngineOrder order, Endpoint endpoint) {
     long leftMs = order.sendBeforeMs() - clock.nowMs();
-    Optional<InetSocketAddress> address = Addresses.parse(endpoint.address());
+    Optional<InetSocketAddress> address = IpEndpoints.parse(endpoint.address());
     if (leftMs <= 0 || address.isEmpty()) {
       finish(order, OrderOutcome.NOT_SENT);
       return;
@@ -115,7 +116,7 @@
 
   /** Reads the state of an engine and reports it to the orders duty, if the engine answers. */
   public void read(Endpoint endpoint) {
-    Optional<InetSocketAddress> address = Addresses.parse(endpoint.address());
+    Optional<InetSocketAddress> address = IpEndpoints.parse(endpoint.address());
     if (address.isEmpty()) {
       return;
     }
