Read the other records of a message that has an invalid one

An instance that receives a batch of up to 256 records of targets dropped the whole batch when one record had an invalid name. The targets of the other records then counted as silent after 3.5 s and got no requests. A record with an address that nothing can connect to was accepted instead and forwarded to all instances.

Cause: creating the announcement throws in the middle of the record, so the rest of the message cannot be read. Announcement checked only the length of its address.

A record is now read completely before the announcement is created from it; an invalid one is left out. An announcement needs the IP address and port of one machine, so an invalid address is neither stored nor forwarded, whichever way it arrives.

--- a/membership/src/main/java/dev/caroblb/membership/Announcement.java
+++ b/membership/src/main/java/dev/caroblb/membership/Announcement.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.IpEndpoints;
 import dev.caroblb.core.TargetId;
 import java.util.List;
 
@@ -12,7 +13,7 @@
  * @param sequence number of the announcement within the incarnation
  * @param kind engine or plain service
  * @param domain failure domain of the target
- * @param address address that calls are sent to, {@code host:port}
+ * @param address address that calls are sent to, {@code IP:port}
  * @param serves models as formatted by {@code ModelId.toString()}, or names of services
  * @param leaving whether the target is shutting down and takes no new work; never reset within the
  *     incarnation
@@ -44,9 +45,9 @@
       throw new IllegalArgumentException(
           "incarnation and sequence of target " + target + " must not be negative");
     }
-    if (address.isEmpty() || address.length() > MAX_ADDRESS_LENGTH) {
+    if (address.length() > MAX_ADDRESS_LENGTH || IpEndpoints.parseUnicast(address).isEmpty()) {
       throw new IllegalArgumentException(
-          "address of target " + target + " must have 1 to " + MAX_ADDRESS_LENGTH + " characters");
+          "address of target " + target + " is not the IP:port of a machine");
     }
     if (serves.size() > MAX_SERVES || cacheEvents.size() > MAX_CACHE_EVENTS) {
       throw new IllegalArgumentException(
--- a/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
@@ -10,6 +10,7 @@
 import dev.caroblb.transport.codec.BoundedReader;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessagePacker;
 
 /** Encoding of one announcement with its age. */
@@ -66,31 +67,80 @@
     out.packLong(load.reportedAtMs());
   }
 
-  static AgedAnnouncement read(BoundedReader in) throws IOException {
-    return in.structure(FIELDS, AnnouncementFormat::fields);
+  /** Fields of a record that are checked when the announcement is created from them. */
+  private record RawRecord(
+      long ageMs,
+      String target,
+      long incarnation,
+      long sequence,
+      TargetKind kind,
+      String domain,
+      String address,
+      List<String> serves,
+      boolean leaving,
+      RawLoad load,
+      List<CacheEvent> cacheEvents) {
+    AgedAnnouncement toAnnouncement() {
+      return new AgedAnnouncement(
+          new Announcement(
+              new TargetId(target),
+              incarnation,
+              sequence,
+              kind,
+              new FailureDomain(domain),
+              address,
+              serves,
+              leaving,
+              load.toLoad(),
+              cacheEvents),
+          ageMs);
+    }
+  }
+
+  private record RawLoad(
+      long running,
+      long waiting,
+      long usedBlocks,
+      long totalBlocks,
+      long preemptions,
+      long reportedAtMs) {
+    TargetLoad toLoad() {
+      return new TargetLoad(running, waiting, usedBlocks, totalBlocks, preemptions, reportedAtMs);
+    }
+  }
+
+  /**
+   * Reads a record; empty if its values are invalid. The record is read completely in either case,
+   * so that the records after it can be read.
+   */
+  static Optional<AgedAnnouncement> read(BoundedReader in) throws IOException {
+    RawRecord fields = in.structure(FIELDS, AnnouncementFormat::fields);
+    try {
+      return Optional.of(fields.toAnnouncement());
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
   }
 
-  private static AgedAnnouncement fields(BoundedReader in) throws IOException {
-    long ageMs = in.longValue();
-    Announcement announcement =
-        new Announcement(
-            new TargetId(in.text(MAX_NAME_BYTES)),
-            in.longValue(),
-            in.longValue(),
-            in.constant(KINDS),
-            new FailureDomain(in.text(MAX_NAME_BYTES)),
-            in.text(MAX_TEXT_BYTES),
-            in.list(Announcement.MAX_SERVES, name -> name.text(MAX_TEXT_BYTES)),
-            in.flag(),
-            in.structure(LOAD_FIELDS, AnnouncementFormat::load),
-            in.list(
-                Announcement.MAX_CACHE_EVENTS,
-                event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)));
-    return new AgedAnnouncement(announcement, ageMs);
+  private static RawRecord fields(BoundedReader in) throws IOException {
+    return new RawRecord(
+        in.longValue(),
+        in.text(MAX_NAME_BYTES),
+        in.longValue(),
+        in.longValue(),
+        in.constant(KINDS),
+        in.text(MAX_NAME_BYTES),
+        in.text(MAX_TEXT_BYTES),
+        in.list(Announcement.MAX_SERVES, name -> name.text(MAX_TEXT_BYTES)),
+        in.flag(),
+        in.structure(LOAD_FIELDS, AnnouncementFormat::load),
+        in.list(
+            Announcement.MAX_CACHE_EVENTS,
+            event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)));
   }
 
-  private static TargetLoad load(BoundedReader in) throws IOException {
-    return new TargetLoad(
+  private static RawLoad load(BoundedReader in) throws IOException {
+    return new RawLoad(
         in.longValue(),
         in.longValue(),
         in.longValue(),
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -153,8 +153,8 @@
 
   private static PeerMessage records(BoundedReader in) throws IOException {
     Optional<Echo> echo = in.optional(e -> e.structure(ECHO_FIELDS, MembershipCodec::echo));
-    List<AgedAnnouncement> records = in.list(MAX_RECORDS, AnnouncementFormat::read);
-    return new PeerMessage.Records(echo, records);
+    List<Optional<AgedAnnouncement>> records = in.list(MAX_RECORDS, AnnouncementFormat::read);
+    return new PeerMessage.Records(echo, records.stream().flatMap(Optional::stream).toList());
   }
 
   private static Echo echo(BoundedReader in) throws IOException {
