Reject JSON bodies with trailing content or repeated keys

The product's own routes read the first value of a body and ignored what follows, and used the last of two equal keys. A target whose announcement was written together with another one was registered from a part of it.

Cause: the reader of the callers' front end did not enable the two checks that the platform's reader has.

Evidence: JsonBodyTest.thatIsNotOneObjectIsRejected failed before: "Expected MalformedBodyException to be thrown, but nothing was thrown". Deep nesting and numbers out of range were rejected before too.

--- a/callers/src/main/java/dev/caroblb/callers/JsonBody.java
+++ b/callers/src/main/java/dev/caroblb/callers/JsonBody.java
@@ -1,6 +1,7 @@
 package dev.caroblb.callers;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dev.caroblb.core.Payload;
@@ -8,7 +9,10 @@
 
 /** Reads fields of a JSON request body; error messages name the invalid field. */
 final class JsonBody {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
 
   private final JsonNode node;
 
