Log what tells the causes of requests on a stopping entry apart

A request that an entry took long after its termination signal could not be traced: neither the time left until the drain limit nor the moment at which look-ups stopped listing the entry was logged.

Membership reports the drain limit with each stage of a planned stop, and again when a second signal shortens it. Volume: one line for each change of the list and for each ignored incarnation.

Node, the simulated instance of the membership tests, records the limit.

--- a/daemon/src/main/java/dev/caroblb/daemon/DrainController.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/DrainController.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
+import dev.caroblb.membership.DrainProgress;
 import dev.caroblb.membership.DrainStage;
 import dev.caroblb.streams.StreamsMessage;
 import java.util.concurrent.locks.Condition;
@@ -9,7 +10,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Runs the stages of a planned stop and tells the main thread when the process may exit. */
-final class DrainController implements Outlet<DrainStage> {
+final class DrainController implements Outlet<DrainProgress> {
   private static final System.Logger LOGGER = System.getLogger(DrainController.class.getName());
   private static final long IDLE_CHECK_NANOS = 50_000_000;
 
@@ -29,7 +30,8 @@
   }
 
   @Override
-  public boolean offer(DrainStage reached) {
+  public boolean offer(DrainProgress progress) {
+    DrainStage reached = progress.stage();
     LOGGER.log(
         System.Logger.Level.INFO, LogLine.of("drain.stage").with("stage", reached).toString());
     if (reached == DrainStage.REFUSE_NEW_CALLS) {
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -22,6 +22,7 @@
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.ContactTopology;
+import dev.caroblb.membership.DrainProgress;
 import dev.caroblb.membership.DrainStage;
 import dev.caroblb.membership.InstanceRecord;
 import dev.caroblb.membership.InstanceView;
@@ -188,7 +189,7 @@
             settings.drainLimitMs(),
             new AllTargets(),
             new MembershipOutlets(
-                peers, this::targetChanged, this::viewChanged, this::drainStageReached));
+                peers, this::targetChanged, this::viewChanged, this::drainProgressed));
     Duty<MembershipMessage> duty = duties.create("membership", handler);
     membership.bind(duty);
     peers.setReceiver(message -> duty.offer(new MembershipMessage.FromPeer(message)));
@@ -247,12 +248,19 @@
     return routing.offer(new RoutingMessage.PeersChanged(peers));
   }
 
-  private boolean drainStageReached(DrainStage stage) {
-    drainStage = Optional.of(stage);
+  private boolean drainProgressed(DrainProgress progress) {
+    drainStage = Optional.of(progress.stage());
     stopStarted.countDown();
     LOGGER.log(
-        System.Logger.Level.INFO, LogLine.of("instance.drain").with("stage", stage).toString());
-    return switch (stage) {
+        System.Logger.Level.INFO,
+        LogLine.of("instance.drain")
+            .with("stage", progress.stage())
+            .with("running", forwardingHandler.running())
+            .toString());
+    if (!forwarding.offer(new ForwardingMessage.DrainStarted(progress.limitAtMs()))) {
+      return false;
+    }
+    return switch (progress.stage()) {
       case ANNOUNCED -> true;
       case REFUSE_NEW_CALLS -> forwarding.offer(new ForwardingMessage.RefuseNew());
       case LIMIT_REACHED -> forwarding.offer(new ForwardingMessage.AbortRunning());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
@@ -12,20 +12,23 @@
   private final TargetPort port;
   private final CallObserver observer;
   private final CoordinatorClient coordinator;
+  private final DrainLimit drain;
 
   CallFinisher(
       ExchangeTable exchanges,
       TargetPort port,
       CallObserver observer,
-      CoordinatorClient coordinator) {
+      CoordinatorClient coordinator,
+      DrainLimit drain) {
     this.exchanges = exchanges;
     this.port = port;
     this.observer = observer;
     this.coordinator = coordinator;
+    this.drain = drain;
   }
 
   /** Refuses a request for which no exchange was created. */
-  void refuse(ForwardCall call, RefusalReason reason, long table) {
+  void refuse(ForwardCall call, RefusalReason reason, long table, long nowMs) {
     observer.refused(reason);
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -33,6 +36,7 @@
             .with("request", call.requestId())
             .with("reason", reason.wireName())
             .with("table", table)
+            .with("drain_left_ms", drain.logValue(nowMs))
             .toString());
     call.port().refuse(Refusal.of(reason).retryAfter(RetryAfter.delayMs(reason)));
   }
@@ -81,6 +85,7 @@
             .with("first_ms", exchange.firstPartAfterMs())
             .with("longest_pause_ms", exchange.longestGapMs())
             .with("elapsed_ms", nowMs - exchange.arrivedMs())
+            .with("drain_left_ms", drain.logValue(nowMs))
             .toString());
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -35,6 +35,7 @@
   private final RetryBudget budget;
   private final CallObserver observer;
   private final CallFinisher finisher;
+  private final DrainLimit drain;
   private boolean anyWaiting;
 
   Dispatcher(
@@ -45,7 +46,8 @@
       TargetPort port,
       RetryBudget budget,
       CallObserver observer,
-      CallFinisher finisher) {
+      CallFinisher finisher,
+      DrainLimit drain) {
     this.exchanges = exchanges;
     this.domain = domain;
     this.pool = pool;
@@ -54,6 +56,7 @@
     this.budget = budget;
     this.observer = observer;
     this.finisher = finisher;
+    this.drain = drain;
   }
 
   /** Finds a target for a request. For generations, a control instance chooses it. */
@@ -200,6 +203,7 @@
             .with("after", order.lastEventId().orElse("none"))
             .with("backup", order.backup().map(engine -> engine.id().name()).orElse("none"))
             .with("left_ms", order.timeoutMs())
+            .with("drain_left_ms", drain.logValue(nowMs))
             .toString());
     port.start(order);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.DutyHandler;
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.RefusalReason;
@@ -14,9 +15,12 @@
 
 /** Handles each request from its arrival to its final response. */
 public final class ForwardingHandler implements DutyHandler<ForwardingMessage> {
+  private static final System.Logger LOGGER = System.getLogger(ForwardingHandler.class.getName());
+
   private final ForwardingSettings settings;
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
+  private final DrainLimit drain = new DrainLimit();
   private final TargetPool pool;
   private final RetryBudget budget;
   private final CallFinisher finisher;
@@ -43,10 +47,18 @@
     localCoordinator = new PlacementCoordinator(peers, pool, ledger);
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
-    finisher = new CallFinisher(exchanges, port, observer, coordinator);
+    finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
     dispatcher =
         new Dispatcher(
-            exchanges, settings.domain(), pool, coordinator, port, budget, observer, finisher);
+            exchanges,
+            settings.domain(),
+            pool,
+            coordinator,
+            port,
+            budget,
+            observer,
+            finisher,
+            drain);
     responses = new ResponseRelay(port, observer, dispatcher, finisher);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses);
   }
@@ -158,10 +170,19 @@
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
       localCoordinator.setServingInstances(changed.servingInstances());
+    } else if (message instanceof ForwardingMessage.DrainStarted started) {
+      drain.set(started.limitAtMs());
     } else if (message instanceof ForwardingMessage.RefuseNew) {
       refuseNew = true;
     } else if (message instanceof ForwardingMessage.AbortRunning) {
-      for (Exchange exchange : exchanges.all()) {
+      List<Exchange> running = exchanges.all();
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("forwarding.aborted")
+              .with("running", running.size())
+              .with("streaming", running.stream().filter(Exchange::streaming).count())
+              .toString());
+      for (Exchange exchange : running) {
         finisher.fail(exchange, RefusalReason.STOPPING, "the instance is shutting down", nowMs);
       }
     }
@@ -177,7 +198,7 @@
     Optional<Route> route = table.flatMap(t -> t.match(call.host(), call.path()));
     Optional<RefusalReason> refusal = refusal(call, route);
     if (refusal.isPresent()) {
-      finisher.refuse(call, refusal.get(), number);
+      finisher.refuse(call, refusal.get(), number, nowMs);
       return;
     }
     Optional<Workspace> workspace = workspaceOf(call);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -69,6 +69,13 @@
   /** The target was not heard from in time, or was replaced. */
   record TargetGone(TargetId target, long incarnation) implements ForwardingMessage {}
 
+  /**
+   * The planned stop of the instance has started, or its limit has changed.
+   *
+   * @param limitAtMs time at which requests that still run are aborted
+   */
+  record DrainStarted(long limitAtMs) implements ForwardingMessage {}
+
   /** New requests are refused from now on, because the instance stops. */
   record RefuseNew() implements ForwardingMessage {}
 
--- a/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** Table of the latest heartbeat of every other instance. */
@@ -60,6 +61,20 @@
     return same ? MergeResult.REFRESHED : MergeResult.CHANGED;
   }
 
+  /** Whether all other instances are silent, so that this one is probably cut off. */
+  boolean cutOff(long nowMs) {
+    return known.values().stream().allMatch(other -> other.silentAt(nowMs));
+  }
+
+  Optional<Long> incarnation(InstanceId id) {
+    return Optional.ofNullable(known.get(id)).map(other -> other.instance().incarnation());
+  }
+
+  /** Time in milliseconds since the latest heartbeat; 0 for an unknown instance. */
+  long heartbeatAgeMs(InstanceId id, long nowMs) {
+    return Optional.ofNullable(known.get(id)).map(other -> nowMs - other.heardAtMs()).orElse(0L);
+  }
+
   void forget(long nowMs) {
     Iterator<KnownInstance> iterator = known.values().iterator();
     while (iterator.hasNext()) {
@@ -78,7 +93,7 @@
     List<InstanceRecord> instances = new ArrayList<>();
     addEntry(entries, self);
     instances.add(self);
-    boolean cutOff = known.values().stream().allMatch(other -> other.silentAt(nowMs));
+    boolean cutOff = cutOff(nowMs);
     for (KnownInstance other : known.values()) {
       instances.add(other.instance());
       if (cutOff || !other.silentAt(nowMs)) {
--- a/membership/src/main/java/dev/caroblb/membership/LocalDrain.java
+++ b/membership/src/main/java/dev/caroblb/membership/LocalDrain.java
@@ -11,13 +11,13 @@
   static final long SHORTENED_LIMIT_MS = 10_000;
 
   private final long limitMs;
-  private final Outlet<DrainStage> outlet;
-  private Optional<DrainStage> reported = Optional.empty();
+  private final Outlet<DrainProgress> outlet;
+  private Optional<DrainProgress> reported = Optional.empty();
   private boolean requested;
   private long refuseAtMs;
   private long endAtMs;
 
-  LocalDrain(long limitMs, Outlet<DrainStage> outlet) {
+  LocalDrain(long limitMs, Outlet<DrainProgress> outlet) {
     this.limitMs = limitMs;
     this.outlet = outlet;
   }
@@ -42,24 +42,30 @@
   }
 
   /**
-   * Reports every stage that was reached. A stage that the outlet cannot take is offered again
-   * later.
+   * Reports every stage that was reached, and the latest one again if the limit was shortened. A
+   * report that the outlet cannot take is offered again later.
    */
   void reportStages(long nowMs) {
     for (DrainStage stage : DrainStage.values()) {
       if (!reached(stage, nowMs)) {
         return;
       }
-      if (reported.isPresent() && reported.get().compareTo(stage) >= 0) {
+      if (reported.filter(last -> covers(last, stage)).isPresent()) {
         continue;
       }
-      if (!outlet.offer(stage)) {
+      DrainProgress progress = new DrainProgress(stage, endAtMs);
+      if (!outlet.offer(progress)) {
         return;
       }
-      reported = Optional.of(stage);
+      reported = Optional.of(progress);
     }
   }
 
+  private boolean covers(DrainProgress last, DrainStage stage) {
+    int order = last.stage().compareTo(stage);
+    return order > 0 || (order == 0 && last.limitAtMs() == endAtMs);
+  }
+
   private boolean reached(DrainStage stage, long nowMs) {
     if (!requested) {
       return false;
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -32,6 +32,7 @@
   private final PeerSender sender;
   private final TargetTable targets = new TargetTable();
   private final InstanceTable instances = new InstanceTable();
+  private final EntryLog entryLog = new EntryLog(instances);
   private final TargetChangeNotifier targetNotifier;
   private final LocalDrain drain;
 
@@ -156,6 +157,7 @@
     }
     InstanceTable.MergeResult merge = instances.merge(peer, heartbeat, nowMs);
     if (merge == InstanceTable.MergeResult.STALE) {
+      entryLog.heartbeatIgnored(peer, heartbeat);
       return;
     }
     transit.heartbeatReceived(peer, heartbeat, nowMs);
@@ -288,6 +290,7 @@
     Optional<InstanceView> view = Optional.of(instances.view(own, nowMs));
     if (!view.equals(offeredView) && viewOutlet.offer(view.get())) {
       offeredView = view;
+      entryLog.entriesChanged(view.get(), nowMs);
     }
   }
 
--- a/membership/src/main/java/dev/caroblb/membership/MembershipOutlets.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipOutlets.java
@@ -9,10 +9,10 @@
  * @param peers the transport, for messages to other instances
  * @param targets the placement duty, for changes of targets
  * @param view holder of the latest view, read by the adapter that answers {@code GET /v1/entries}
- * @param drain the duties that admit and end calls, for the stages of a planned stop
+ * @param drain the duties that admit and end calls, for the progress of a planned stop
  */
 public record MembershipOutlets(
     Outlet<PeerEnvelope<PeerMessage>> peers,
     Outlet<TargetChange> targets,
     Outlet<InstanceView> view,
-    Outlet<DrainStage> drain) {}
+    Outlet<DrainProgress> drain) {}
--- a/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -205,6 +205,17 @@
       assertEquals(DrainStage.LIMIT_REACHED, first.stages.get(2));
     }
 
+    /** Guards against admission that still assumes the limit from before a second request. */
+    @Test
+    void shortenedLimitIsReportedAgain() {
+      long startMs = cluster.nowMs;
+      first.handle(new MembershipMessage.StopRequested(), startMs);
+      long limitMs = first.drainLimitMs;
+      cluster.advance(8_000);
+      first.handle(new MembershipMessage.StopRequested(), cluster.nowMs);
+      assertEquals(limitMs - (60_000 - 8_000 - LocalDrain.SHORTENED_LIMIT_MS), first.drainLimitMs);
+    }
+
     /**
      * Guards against a drain that a second request does not shorten, and against a lost report of a
      * stage.
--- a/membership/src/test/java/dev/caroblb/membership/Node.java
+++ b/membership/src/test/java/dev/caroblb/membership/Node.java
@@ -24,6 +24,7 @@
 
   InstanceView view = new InstanceView(List.of(), List.of());
   boolean outletsFull;
+  long drainLimitMs;
 
   private final MembershipHandler handler;
   private final long clockOffsetMs;
@@ -39,7 +40,7 @@
             new FixedTopology(peers),
             60_000,
             new AllTargets(),
-            new MembershipOutlets(sent::add, this::change, this::showView, this::stage));
+            new MembershipOutlets(sent::add, this::change, this::showView, this::drainProgress));
   }
 
   private boolean change(TargetChange change) {
@@ -64,8 +65,12 @@
     return true;
   }
 
-  private boolean stage(DrainStage stage) {
-    return !outletsFull && stages.add(stage);
+  private boolean drainProgress(DrainProgress progress) {
+    if (outletsFull) {
+      return false;
+    }
+    drainLimitMs = progress.limitAtMs();
+    return stages.add(progress.stage());
   }
 
   private long localTimeMs(long realMs) {
