Show that a stopping entry accepts generations that it has to cut off

ForwardingDrainTest shows the same for arriving, queued and retried requests; its tests of requests that are rightly served pass before and after.

--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -0,0 +1,177 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.TargetId;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Admission of requests while the instance stops. */
+class ForwardingDrainTest extends ForwardingFixture {
+  private static final InstanceId CONTROL = new InstanceId("control");
+
+  /** Expected output tokens; the fixture's maximum is twice as many. */
+  private static final long LONG_GENERATION = 1_000;
+
+  /** Takes between 2.3 s and 3.3 s according to the estimate without observations. */
+  private static final long MEDIUM_GENERATION = 25;
+
+  private static final long SHORT_GENERATION = 10;
+
+  private void drain(long limitMs) {
+    handle(new ForwardingMessage.DrainStarted(nowMs + limitMs));
+  }
+
+  @Nested
+  class ArrivingRequest {
+    /** Guards against accepting a generation that the drain limit would cut off. */
+    @Test
+    @Tag("known-red")
+    void generationThatCannotEndBeforeTheLimitIsRefused() {
+      install(1);
+      drain(3_300);
+      arriveGeneration("/long/x", LONG_GENERATION);
+      assertEquals(List.of("refused DRAINING"), caller.events);
+      assertEquals(0, targets.sent.size());
+      assertEquals(0, handler.running());
+    }
+
+    /** Guards against accepting a stream of unknown length that the drain limit would cut off. */
+    @Test
+    @Tag("known-red")
+    void streamOfUnknownLengthIsRefusedIfItsTimeoutIsAfterTheLimit() {
+      install(1);
+      drain(3_300);
+      arrive("/long/x");
+      assertEquals(List.of("refused DRAINING"), caller.events);
+    }
+
+    /** Guards against refusing short requests while callers may still have the address cached. */
+    @Test
+    void requestsThatEndBeforeTheLimitAreServed() {
+      install(1);
+      drain(3_300);
+      arriveGeneration("/long/x", SHORT_GENERATION);
+      assertEquals(1, targets.sent.size());
+      loseTarget();
+      arrive("/safe/x");
+      assertEquals(2, targets.sent.size());
+    }
+
+    /** Guards against refusing a request because of a drain limit that is after its timeout. */
+    @Test
+    void requestWhoseTimeoutIsBeforeTheLimitIsServed() {
+      install(1);
+      drain(7_300);
+      arriveGeneration("/long/x", 10 * LONG_GENERATION);
+      assertEquals(1, targets.sent.size());
+    }
+
+    /** Guards against plain requests that are accepted too late to get a response. */
+    @Test
+    @Tag("known-red")
+    void plainRequestIsRefusedShortlyBeforeTheLimit() {
+      install(1);
+      drain(200);
+      arrive("/once/x");
+      assertEquals(List.of("refused DRAINING"), caller.events);
+      assertEquals(0, targets.sent.size());
+    }
+  }
+
+  @Nested
+  class WaitingRequest {
+    private void queueAtControlInstance(long outputTokens) {
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 1));
+      install(1);
+      arriveGeneration("/long/x", outputTokens);
+      fromControl(new PeerMessage.PlacementQueued(1));
+    }
+
+    private void fromControl(PeerMessage message) {
+      handle(new ForwardingMessage.FromPeer(new PeerEnvelope<>(CONTROL, message)));
+    }
+
+    /** Guards against a queued generation that waits although it can no longer end in time. */
+    @Test
+    @Tag("known-red")
+    void queuedGenerationIsRefusedWhenTheDrainStarts() {
+      queueAtControlInstance(LONG_GENERATION);
+      drain(3_300);
+      assertEquals(List.of("refused DRAINING"), caller.events);
+    }
+
+    /** Guards against a queued generation that is sent although it can no longer end in time. */
+    @Test
+    @Tag("known-red")
+    void queuedGenerationIsNotSentWhenTheTimeLeftBecameTooShort() {
+      queueAtControlInstance(MEDIUM_GENERATION);
+      drain(3_300);
+      assertEquals(List.of(), caller.events);
+      nowMs += 1_000;
+      fromControl(
+          new PeerMessage.PlacementReply(1, 1, Optional.of(new TargetId("t0")), Optional.empty()));
+      assertEquals(List.of("refused DRAINING"), caller.events);
+      assertEquals(0, targets.sent.size());
+    }
+
+    /** Guards against a request that waits for a target until the drain limit aborts it. */
+    @Test
+    @Tag("known-red")
+    void requestWithoutATargetIsRefusedWhenTheDrainStarts() {
+      install(0);
+      arrive("/once/x");
+      drain(200);
+      assertEquals(List.of("refused DRAINING"), caller.events);
+    }
+  }
+
+  @Nested
+  class RefusedByItsTarget {
+    /** Guards against sending a generation again that can no longer end in time. */
+    @Test
+    @Tag("known-red")
+    void generationIsRefusedInsteadOfSentAgain() {
+      install(2);
+      arriveGeneration("/long/x", LONG_GENERATION);
+      drain(3_300);
+      refuseByTarget();
+      assertEquals(List.of("refused DRAINING"), caller.events);
+      assertEquals(1, targets.sent.size());
+    }
+  }
+
+  @Nested
+  class RunningRequest {
+    /** Guards against ending a running generation before the limit. */
+    @Test
+    void streamIsRelayedUntilTheLimit() {
+      install(1);
+      arriveGeneration("/long/x", LONG_GENERATION);
+      startStream();
+      drain(3_300);
+      nowMs += 3_000;
+      handler.tick(nowMs);
+      handle(new ForwardingMessage.RefuseNew());
+      assertEquals(1, handler.running());
+      handle(new ForwardingMessage.AbortRunning());
+      assertEquals("abort", lastEvent());
+    }
+
+    /** Guards against the statement that a request did not run which a target may have run. */
+    @Test
+    @Tag("known-red")
+    void requestThatMayHaveRunIsNotRefusedAsNotRun() {
+      install(2);
+      arrive("/safe/x");
+      drain(100);
+      loseTarget();
+      assertEquals("refused CONNECTION_LOST", lastEvent());
+    }
+  }
+}
