Bound the heads, chunk headers and trailers of responses

A faulty target that sent a status line, a header line, header fields, a chunk header or trailers without end filled the memory of the instance. The I/O thread ended with an OutOfMemoryError, after which no request was served any more. Interim responses (1xx) without end kept a request waiting until its deadline and a processor busy.

Cause: the client side of HttpCore has no limit of line length and header count by default; only the listeners set one. HttpCore passes a response 100 to nobody, and its own close of a connection has no effect while bytes arrive.

Evidence: EndlessResponseTest failed before in six of nine tests. With a heap of 512 MiB: "OutOfMemoryError: Java heap space" on requester-dispatch-1 in SessionInputBufferImpl.readLine; with 2 GiB: "the peer could send bytes" and "expected: <failed> but was: <null>".

The window of the body, the close after a complete response and the end of a response without a length were right before; ResponseMatchingTest and the other tests guard them.

--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -196,7 +196,7 @@
       return;
     }
     sink.failed(mayHaveRun, String.valueOf(cause));
-    discard();
+    closeConnection();
   }
 
   @Override
@@ -212,6 +212,10 @@
   /** Closes the connection, even while a response is pending. The sink is not called any more. */
   public void close() {
     markFinished();
+    closeConnection();
+  }
+
+  private void closeConnection() {
     Optional<SocketAddress> connection;
     synchronized (this) {
       connection = localAddress;
--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -15,6 +15,12 @@
 public final class HttpConnector implements AutoCloseable {
   private static final int MAX_CONNECTIONS = 1 << 20;
 
+  /** Limit of a status, header, chunk or trailer line. HttpCore has no limit by default. */
+  private static final int MAX_LINE_BYTES = 16_384;
+
+  /** Limit of the header fields and of the trailers of a response. */
+  private static final int MAX_HEADERS = 100;
+
   private final HttpAsyncRequester requester;
   private final OpenConnections connections = new OpenConnections();
   private final Timeout connectTimeout;
@@ -34,9 +40,14 @@
                     .setSoTimeout(idleTimeout)
                     .setTcpNoDelay(true)
                     .build())
-            .setHttp1Config(Http1Config.custom().setInitialWindowSize(1).build())
+            .setHttp1Config(
+                Http1Config.custom()
+                    .setInitialWindowSize(1)
+                    .setMaxLineLength(MAX_LINE_BYTES)
+                    .setMaxHeaderCount(MAX_HEADERS)
+                    .build())
             .setIOSessionListener(connections)
-            .setStreamListener(new IdleTimeoutListener(idleTimeout))
+            .setStreamListener(new ConnectionMonitor(idleTimeout, connections::close))
             .setMaxTotal(MAX_CONNECTIONS)
             .setDefaultMaxPerRoute(MAX_CONNECTIONS)
             .create();
