Read the lines of an unfinished event without copying it

A faulty target that sent short lines without the empty line that ends an event kept the forwarding duty busy, so that the instance served no other request until the limit of 1 MiB was reached.

Cause: EventFraming copied the whole buffer at the end of every line, about 0.5 MiB for each of up to 500,000 lines.

Evidence: EndlessEventTest.ofManyShortLinesReachesTheLimitSoon failed before, "execution timed out after 10000 ms" for one event of 1 MiB.

The lines are read in place, so the work is proportional to the bytes.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
@@ -1,7 +1,6 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.Payload;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
@@ -16,7 +15,10 @@
   /** Limit that keeps a faulty target from exhausting memory; a larger event fails the attempt. */
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
-  private ByteArrayOutputStream buffer = new ByteArrayOutputStream(512);
+  private static final int INITIAL_BYTES = 512;
+
+  private byte[] buffer = new byte[INITIAL_BYTES];
+  private int size;
   private int lineStart;
   private Optional<String> pendingId = Optional.empty();
   private Optional<String> lastEventId = Optional.empty();
@@ -24,47 +26,57 @@
   /** Appends a part and returns the bytes up to the end of the last complete event. */
   Payload add(Payload part) {
     byte[] bytes = part.toBytes();
+    reserve(bytes.length);
     int completeEnd = -1;
-    for (int i = 0; i < bytes.length; i++) {
-      buffer.write(bytes[i]);
-      if (bytes[i] == '\n' && endLine()) {
-        completeEnd = buffer.size();
+    for (byte next : bytes) {
+      buffer[size] = next;
+      size++;
+      if (next == '\n' && endLine()) {
+        completeEnd = size;
       }
     }
     return completeEnd < 0 ? Payload.empty() : split(completeEnd);
   }
 
-  /** Processes the end of a line; returns true if it was the empty line that ends an event. */
+  private void reserve(int bytes) {
+    if (size + bytes > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(size + bytes, 2 * buffer.length));
+    }
+  }
+
+  /**
+   * Processes the end of a line; returns true if it was the empty line that ends an event. Reads
+   * the buffer in place: copying it for each line took over 10 s for one event of short lines.
+   */
   private boolean endLine() {
-    byte[] all = buffer.toByteArray();
-    int end = all.length - 1;
-    if (end > lineStart && all[end - 1] == '\r') {
+    int end = size - 1;
+    if (end > lineStart && buffer[end - 1] == '\r') {
       end--;
     }
     boolean empty = end == lineStart;
     if (empty) {
       lastEventId = pendingId.isPresent() ? pendingId : lastEventId;
       pendingId = Optional.empty();
-    } else if (startsWithId(all, end)) {
+    } else if (startsWithId(end)) {
       pendingId =
           Optional.of(
               new String(
-                      all,
+                      buffer,
                       lineStart + ID_FIELD.length,
                       end - lineStart - ID_FIELD.length,
                       StandardCharsets.UTF_8)
                   .strip());
     }
-    lineStart = all.length;
+    lineStart = size;
     return empty;
   }
 
-  private boolean startsWithId(byte[] all, int end) {
+  private boolean startsWithId(int end) {
     if (end - lineStart < ID_FIELD.length) {
       return false;
     }
     for (int i = 0; i < ID_FIELD.length; i++) {
-      if (all[lineStart + i] != ID_FIELD[i]) {
+      if (buffer[lineStart + i] != ID_FIELD[i]) {
         return false;
       }
     }
@@ -72,28 +84,30 @@
   }
 
   private Payload split(int completeEnd) {
-    byte[] all = buffer.toByteArray();
-    byte[] events = Arrays.copyOf(all, completeEnd);
-    buffer = new ByteArrayOutputStream(512);
-    buffer.write(all, completeEnd, all.length - completeEnd);
+    byte[] events = Arrays.copyOf(buffer, completeEnd);
+    int rest = size - completeEnd;
+    byte[] next = new byte[Math.max(rest, INITIAL_BYTES)];
+    System.arraycopy(buffer, completeEnd, next, 0, rest);
+    buffer = next;
+    size = rest;
     lineStart -= completeEnd;
     return Payload.copyOf(events);
   }
 
   /** Discards an incomplete event. */
   void dropPartial() {
-    buffer.reset();
+    size = 0;
     lineStart = 0;
     pendingId = Optional.empty();
   }
 
   /** Whether an incomplete event is buffered. */
   boolean hasPartialEvent() {
-    return buffer.size() > 0;
+    return size > 0;
   }
 
   boolean overLimit() {
-    return buffer.size() > MAX_EVENT_BYTES;
+    return size > MAX_EVENT_BYTES;
   }
 
   /** The ID of the last complete event that had one. */
