Log the shared parts of prompts and the progress of failed attempts

The logs could not tell whether the crashes of engines have a prompt in common. forwarding.sent now names the first eight shared parts, forwarding.failed how far the response had come (NONE, HEAD, CONTENT).

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.quarantine.PromptPart;
 import dev.caroblb.routing.Route;
 import java.util.Optional;
 
@@ -200,6 +201,7 @@
             .with("after", order.lastEventId().orElse("none"))
             .with("backup", order.backup().map(engine -> engine.id().name()).orElse("none"))
             .with("left_ms", order.timeoutMs())
+            .with("shared_parts", PromptPart.toLogValue(exchange.call().sharedPromptParts()))
             .toString());
     port.start(order);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -41,6 +41,8 @@
   private int possibleRuns;
   private int moveAttempts;
   private boolean continuesFromCopy;
+  private long sentMs;
+  private AttemptProgress progress = AttemptProgress.NONE;
   private long prefillTokens;
   private Optional<Target> target = Optional.empty();
   private Optional<PendingPlacement> pendingPlacement = Optional.empty();
@@ -221,6 +223,20 @@
     return framing;
   }
 
+  /** Time at which the current attempt was sent. */
+  long sentMs() {
+    return sentMs;
+  }
+
+  /** How far the response to the current attempt has come. */
+  AttemptProgress progress() {
+    return progress;
+  }
+
+  void setProgress(AttemptProgress reached) {
+    progress = reached;
+  }
+
   /** Starts a new attempt at a target. */
   AttemptOrder startAttempt(
       Target chosen, Optional<CopiedMemory> memory, Optional<Target> chosenBackup, long nowMs) {
@@ -230,6 +246,8 @@
     continuesFromCopy = memory.isPresent();
     possibleRuns += continuesFromCopy ? 0 : 1;
     waiting = false;
+    sentMs = nowMs;
+    progress = AttemptProgress.NONE;
     target = Optional.of(chosen);
     backup = chosenBackup;
     backup.ifPresent(engine -> engine.reserve(tokens()));
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -1,5 +1,7 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.forwarding.quarantine.PromptPart;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -12,6 +14,7 @@
  * @param timeoutMs timeout in milliseconds requested by the caller
  * @param key API key of the caller's workspace
  * @param generationSize size of the prompt and of the output, for a generation
+ * @param sharedPromptParts parts of the prompt that other requests may share, in order
  * @param port receives the response
  */
 public record ForwardCall(
@@ -22,4 +25,9 @@
     Optional<Long> timeoutMs,
     Optional<String> key,
     Optional<GenerationSize> generationSize,
-    CallerPort port) {}
+    List<PromptPart> sharedPromptParts,
+    CallerPort port) {
+  public ForwardCall {
+    sharedPromptParts = List.copyOf(sharedPromptParts);
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -42,6 +42,7 @@
       return;
     }
     exchange.setHead(head);
+    exchange.setProgress(AttemptProgress.HEAD);
     if (head.success() && head.stream() && !exchange.streaming()) {
       exchange.setStreaming();
       exchange.prefillDone();
@@ -55,6 +56,7 @@
     } else if (!exchange.bufferBody(part)) {
       targetFailed(exchange, "response too large", nowMs);
     } else {
+      exchange.setProgress(AttemptProgress.CONTENT);
       port.acknowledge(exchange.call().id(), exchange.attempt());
     }
   }
@@ -66,6 +68,7 @@
       return;
     }
     if (events.size() > 0) {
+      exchange.setProgress(AttemptProgress.CONTENT);
       long gapMs = exchange.recordPart(nowMs);
       if (gapMs == 0) {
         observer.responded(nowMs - exchange.arrivedMs());
@@ -152,6 +155,7 @@
             .with("request", exchange.call().requestId())
             .with("target", exchange.target().map(t -> t.info().id().name()).orElse("none"))
             .with("cause", cause)
+            .with("progress", exchange.progress())
             .with("again", retry)
             .toString());
     if (!retry) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -93,7 +93,15 @@
   static Exchange exchange(long id, Optional<GenerationSize> size) {
     ForwardCall call =
         new ForwardCall(
-            id, "id", "host", "/", Optional.empty(), Optional.empty(), size, new RecordingCaller());
+            id,
+            "id",
+            "host",
+            "/",
+            Optional.empty(),
+            Optional.empty(),
+            size,
+            List.of(),
+            new RecordingCaller());
     return new Exchange(
         call, table().match("host", "/long/x").orElseThrow(), "service", Optional.empty(), 1, 0);
   }
@@ -135,7 +143,8 @@
   private void arrive(String path, Optional<String> key, Optional<GenerationSize> size) {
     handle(
         new ForwardingMessage.RequestArrived(
-            new ForwardCall(7, "id-7", "host", path, Optional.of(4_000L), key, size, caller)));
+            new ForwardCall(
+                7, "id-7", "host", path, Optional.of(4_000L), key, size, List.of(), caller)));
   }
 
   static ResponseHead head(int status, boolean stream) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingHandlerTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingHandlerTest.java
@@ -198,6 +198,7 @@
                   Optional.empty(),
                   Optional.of("key"),
                   Optional.empty(),
+                  List.of(),
                   caller)));
       assertEquals("refused DRAINING", lastEvent());
       respond(200, "ok");
