--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
@@ -0,0 +1,120 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.forwarding.quarantine.PromptPart;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests several entries whose engines crash on one part of a prompt. */
+class CrashingPromptTest {
+  private static final PromptPart[] SHARED = parts("a", "b", "c", "d");
+  private static final long CONTACT_MS = 3_000;
+
+  private static PromptPart[] parts(String... ids) {
+    PromptPart[] parts = new PromptPart[ids.length];
+    for (int i = 0; i < ids.length; i++) {
+      parts[i] = new PromptPart(ids[i]);
+    }
+    return parts;
+  }
+
+  private static PromptPart oneOf(PromptPart[] parts, Random random) {
+    return parts[random.nextInt(parts.length)];
+  }
+
+  /** Requests of which a share has the crashing part, spread over entries. */
+  private static final class Traffic {
+    private final EntryGroup group;
+    private final Random random;
+    private final String path;
+    private int sound;
+    private int soundBegun;
+
+    Traffic(EntryGroup group, String path, long seed) {
+      this.group = group;
+      this.path = path;
+      random = new Random(seed);
+    }
+
+    void run(int entries, int requests, double crashingShare) {
+      for (int i = 0; i < requests; i++) {
+        PromptPart first = oneOf(SHARED, random);
+        PromptPart second = new PromptPart("second-" + random.nextInt(20));
+        int entry = random.nextInt(entries);
+        if (random.nextDouble() < crashingShare) {
+          long unused = group.arrive(entry, path, first, EntryGroup.CRASHING, second);
+        } else {
+          long call = group.arrive(entry, path, first, second);
+          sound++;
+          group.advance(1_000 / 6);
+          group.advance(400);
+          soundBegun += group.begun(call) ? 1 : 0;
+        }
+        group.advance(random.nextInt(100));
+      }
+    }
+  }
+
+  @Nested
+  class OnePart {
+    /**
+     * Guards against requests with a part that crashes engines reaching engines again and again, at
+     * every entry in turn.
+     */
+    @Tag("known-red")
+    @Test
+    void stopsReachingEngines() {
+      for (long seed = 1; seed <= 5; seed++) {
+        EntryGroup group = new EntryGroup(3, 5, 30);
+        group.advance(2_000);
+        Traffic traffic = new Traffic(group, "/long/x", seed);
+        traffic.run(5, 100, 0.4);
+        assertTrue(group.sentAfterFifthCrash(CONTACT_MS) <= 3, group.crashes() + " crashes");
+        assertTrue(group.crashes() >= 3);
+      }
+    }
+  }
+
+  @Nested
+  class SoundParts {
+    /** Guards against refusing sound requests that share parts with requests that crash engines. */
+    @Test
+    void areServedBesideTheCrashingPart() {
+      for (long seed = 1; seed <= 5; seed++) {
+        EntryGroup group = new EntryGroup(3, 5, 30);
+        group.advance(2_000);
+        Traffic traffic = new Traffic(group, "/long/x", seed);
+        traffic.run(5, 40, 0.4);
+        traffic.sound = 0;
+        traffic.soundBegun = 0;
+        traffic.run(5, 60, 0.4);
+        assertTrue(
+            traffic.soundBegun >= 0.8 * traffic.sound,
+            traffic.soundBegun + " of " + traffic.sound + " sound requests began");
+      }
+    }
+
+    /** Guards against quarantining parts of all prompts when a failure domain loses power. */
+    @Test
+    void areServedAfterManyEnginesCrashAtOnce() {
+      EntryGroup group = new EntryGroup(3, 5, 30);
+      group.advance(2_000);
+      for (int round = 0; round < 4; round++) {
+        for (int i = 0; i < 40; i++) {
+          long unused = group.arrive(i % 5, "/long/x", SHARED);
+        }
+        group.advance(200);
+        group.engines().stream().limit(25).toList().forEach(group::crash);
+        group.advance(6_000);
+      }
+      long call = group.arrive(0, "/long/x", SHARED);
+      group.advance(1_000);
+      assertTrue(group.begun(call));
+      assertEquals(0, group.crashes());
+    }
+  }
+}
