Hold back only requests with all parts of an unresolved group

Parts that were together in every request with the crashing part cannot be told apart. Holding back each of them refused sound requests that have one of them. A group is now held back as a whole: a request with some of its parts is sent, and its answer clears them, or its crash shows the culprit among them.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
+import dev.caroblb.forwarding.quarantine.PromptPart;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.forwarding.quarantine.Quarantine;
 import java.util.Optional;
@@ -58,7 +59,8 @@
   private static Refusal refusal(Quarantine blocking) {
     return Refusal.of(
             RefusalReason.PROMPT_QUARANTINED,
-            "part " + blocking.part().id() + " of the prompt crashes engines")
+            "the prompt has a part that crashes engines: "
+                + PromptPart.toLogValue(blocking.parts()))
         .retryAfter(blocking.leftMs());
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/Culprit.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/Culprit.java
@@ -1,10 +1,25 @@
 package dev.caroblb.forwarding.quarantine;
 
+import java.util.List;
+
 /**
- * A part of a prompt that crashes engines.
+ * Parts of prompts of which one crashes engines; usually one part. Several cannot be told apart
+ * yet.
  *
- * @param part the part
- * @param crashes number of crashes that it explains
+ * @param parts the parts
+ * @param crashes number of crashes that each of them explains
  * @param lastCrashMs time of the last of them
  */
-record Culprit(PromptPart part, int crashes, long lastCrashMs) {}
+record Culprit(List<PromptPart> parts, int crashes, long lastCrashMs) {
+  Culprit {
+    parts = List.copyOf(parts);
+  }
+
+  /**
+   * Whether a request is held back. One with some of several parts is not: it is either answered,
+   * which clears them, or shows that the culprit is among them.
+   */
+  boolean holdsBack(List<PromptPart> requestParts) {
+    return requestParts.containsAll(parts);
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,10 +14,7 @@
  */
 final class CulpritFinder {
   /** Number of crashes that convict a part. */
-  static final int CONVICTING_CRASHES = 3;
-
-  /** Number of crashes that convict parts that cannot be told apart and were answered before. */
-  private static final int CONVICTING_CRASHES_IF_TIED = 4;
+  private static final int CONVICTING_CRASHES = 3;
 
   /**
    * Crashes less than this time apart, in milliseconds, count once for a part unless its request
@@ -36,28 +32,26 @@
   /** Crashes that a part explains. */
   private record Count(int crashes, long lastMs) {}
 
-  /** Returns the culprits, with the number of crashes and the time of the last one. */
-  Map<PromptPart, Culprit> find() {
+  /** Returns the culprits of all crashes that are explained. */
+  List<Culprit> find() {
     List<EngineCrash> open = log.crashes();
     open.sort(Comparator.comparingLong(EngineCrash::crashedMs));
-    Map<PromptPart, Culprit> culprits = new LinkedHashMap<>();
+    List<Culprit> culprits = new ArrayList<>();
     while (!open.isEmpty()) {
       Map<PromptPart, Count> counts = count(open);
       List<PromptPart> worst = worst(counts);
       if (worst.isEmpty()) {
         break;
       }
-      for (PromptPart part : worst) {
-        Count count = counts.get(part);
-        culprits.put(part, new Culprit(part, count.crashes(), count.lastMs()));
-      }
+      Count count = counts.get(worst.get(0));
+      culprits.add(new Culprit(worst, count.crashes(), count.lastMs()));
       open.removeIf(crash -> worst.stream().anyMatch(part -> log.suspected(part, crash)));
     }
     return culprits;
   }
 
   private Map<PromptPart, Count> count(List<EngineCrash> ordered) {
-    Map<PromptPart, Count> counts = new HashMap<>();
+    Map<PromptPart, Count> counts = new LinkedHashMap<>();
     for (EngineCrash crash : ordered) {
       for (PromptPart part : crash.suspects()) {
         if (log.suspected(part, crash)) {
@@ -74,27 +68,22 @@
     return separate ? new Count(sum.crashes() + 1, crash.crashedMs()) : sum;
   }
 
-  /** The parts with most crashes; of several, those that were never answered, if there are any. */
+  /**
+   * The parts with most crashes, if these are enough. Of several, those on which no engine ever
+   * generated, if there are any.
+   */
   private List<PromptPart> worst(Map<PromptPart, Count> counts) {
     int most = counts.values().stream().mapToInt(Count::crashes).max().orElse(0);
     if (most < CONVICTING_CRASHES) {
       return List.of();
     }
     List<PromptPart> tied = new ArrayList<>();
-    List<PromptPart> neverAnswered = new ArrayList<>();
     for (Map.Entry<PromptPart, Count> entry : counts.entrySet()) {
-      if (entry.getValue().crashes() < most) {
-        continue;
-      }
-      tied.add(entry.getKey());
-      if (!log.everAnswered(entry.getKey())) {
-        neverAnswered.add(entry.getKey());
+      if (entry.getValue().crashes() == most) {
+        tied.add(entry.getKey());
       }
     }
-    if (!neverAnswered.isEmpty()) {
-      return neverAnswered;
-    }
-    boolean convicted = tied.size() == 1 || most >= CONVICTING_CRASHES_IF_TIED;
-    return convicted ? tied : List.of();
+    List<PromptPart> neverAnswered = tied.stream().filter(part -> !log.everAnswered(part)).toList();
+    return neverAnswered.isEmpty() ? tied : neverAnswered;
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/EngineCrash.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/EngineCrash.java
@@ -27,7 +27,7 @@
     return crashedMs;
   }
 
-  /** Time at which the latest request with a suspect was sent. */
+  /** Time at which a request with a suspect was sent. */
   long sentMs(PromptPart suspect) {
     return sentMsByPart.get(suspect);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
@@ -2,12 +2,10 @@
 
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.TargetId;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -24,6 +22,8 @@
    */
   private static final long MEMORY_MS = 2 * QUARANTINE_MS;
 
+  private static final int MAX_LOGGED_TARGETS = 8;
+
   private static final System.Logger LOGGER = System.getLogger(PromptQuarantine.class.getName());
 
   /** Evidence of this instance, which it reports. */
@@ -33,7 +33,7 @@
   private final CrashLog all = new CrashLog();
 
   private final CulpritFinder finder = new CulpritFinder(all);
-  private Map<PromptPart, Culprit> culprits = Map.of();
+  private List<Culprit> culprits = List.of();
 
   /**
    * Records that an engine broke off a request before any content of its response. Returns whether
@@ -99,30 +99,33 @@
   }
 
   private void decide() {
-    Map<PromptPart, Culprit> before = culprits;
+    List<List<PromptPart>> before = culprits.stream().map(Culprit::parts).toList();
     culprits = finder.find();
-    for (Culprit culprit : culprits.values()) {
-      if (!before.containsKey(culprit.part())) {
+    List<List<PromptPart>> after = culprits.stream().map(Culprit::parts).toList();
+    for (Culprit culprit : culprits) {
+      if (!before.contains(culprit.parts())) {
         log(
             "prompt.quarantined",
-            "part",
-            culprit.part().id(),
+            "parts",
+            PromptPart.toLogValue(culprit.parts()),
             "crashes",
             Integer.toString(culprit.crashes()),
             "targets",
-            targets(culprit.part()));
+            targets(culprit.parts().get(0)));
+      }
+    }
+    for (List<PromptPart> parts : before) {
+      if (!after.contains(parts)) {
+        log("prompt.cleared", "parts", PromptPart.toLogValue(parts));
       }
     }
-    Set<PromptPart> cleared = new HashSet<>(before.keySet());
-    cleared.removeAll(culprits.keySet());
-    cleared.forEach(part -> log("prompt.cleared", "part", part.id()));
   }
 
   private String targets(PromptPart part) {
     return all.crashes().stream()
         .filter(crash -> all.suspected(part, crash))
         .map(crash -> crash.run().target().name())
-        .limit(CulpritFinder.CONVICTING_CRASHES)
+        .limit(MAX_LOGGED_TARGETS)
         .collect(Collectors.joining("+"));
   }
 
@@ -136,14 +139,10 @@
 
   /** Why a request with these parts must not be sent; empty if it may. */
   public Optional<Quarantine> blocking(List<PromptPart> parts, long nowMs) {
-    if (culprits.isEmpty()) {
-      return Optional.empty();
-    }
-    for (PromptPart part : parts) {
-      Culprit culprit = culprits.get(part);
-      long leftMs = culprit == null ? 0 : culprit.lastCrashMs() + QUARANTINE_MS - nowMs;
-      if (leftMs > 0) {
-        return Optional.of(new Quarantine(part, leftMs));
+    for (Culprit culprit : culprits) {
+      long leftMs = culprit.lastCrashMs() + QUARANTINE_MS - nowMs;
+      if (leftMs > 0 && culprit.holdsBack(parts)) {
+        return Optional.of(new Quarantine(culprit.parts(), leftMs));
       }
     }
     return Optional.empty();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/Quarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/Quarantine.java
@@ -1,9 +1,15 @@
 package dev.caroblb.forwarding.quarantine;
 
+import java.util.List;
+
 /**
  * Why a request is not sent to engines.
  *
- * @param part a part of its prompt that crashes engines
- * @param leftMs time in milliseconds until requests with the part are admitted again
+ * @param parts parts of its prompt of which one crashes engines
+ * @param leftMs time in milliseconds until requests with them are admitted again
  */
-public record Quarantine(PromptPart part, long leftMs) {}
+public record Quarantine(List<PromptPart> parts, long leftMs) {
+  public Quarantine {
+    parts = List.copyOf(parts);
+  }
+}
--- a/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.quarantine.PromptPart;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -77,8 +80,79 @@
     }
   }
 
+  @Nested
+  class Sharing {
+    private final EntryGroup group = new EntryGroup(3, 5, 30);
+
+    private void crashThreeEnginesAt(int entry) {
+      for (int i = 0; i < 3; i++) {
+        long unused = group.arrive(entry, "/long/x", SHARED[i], EntryGroup.CRASHING);
+        group.advance(1_000);
+      }
+    }
+
+    private boolean refused(int entry) {
+      long call = group.arrive(entry, "/long/x", SHARED[3], EntryGroup.CRASHING);
+      return group.callers.get(call).events.equals(List.of("refused PROMPT_QUARANTINED"));
+    }
+
+    /** Guards against an entry that learns of a crashing part only from its own crashes. */
+    @Test
+    void reachesAllEntries() {
+      group.advance(2_000);
+      crashThreeEnginesAt(0);
+      for (int entry = 0; entry < 5; entry++) {
+        assertTrue(refused(entry));
+      }
+    }
+
+    /** Guards against an entry without contact that sends crashing prompts to engines forever. */
+    @Test
+    void isNotNeededByAnEntryThatIsCutOff() {
+      group.advance(2_000);
+      group.cutOff("entry-1");
+      crashThreeEnginesAt(1);
+      assertTrue(refused(1));
+      assertTrue(!refused(0));
+      group.rejoin("entry-1");
+      group.advance(1_500);
+      assertTrue(refused(2));
+    }
+
+    /** Guards against forgetting a crashing part when control instances restart. */
+    @Test
+    void survivesRestartsOfControlInstances() {
+      group.advance(2_000);
+      crashThreeEnginesAt(0);
+      group.restart("control-0");
+      group.restart("control-1");
+      group.restart("control-2");
+      group.advance(2_500);
+      group.restart("entry-4");
+      group.advance(2_500);
+      assertTrue(refused(4));
+    }
+  }
+
   @Nested
   class SoundParts {
+    /**
+     * Guards against quarantining parts because connections break now and then, as they do when
+     * engines send malformed responses or reset connections.
+     */
+    @Test
+    void areServedWhenConnectionsBreak() {
+      EntryGroup group = new EntryGroup(3, 5, 10);
+      Random random = new Random(4);
+      group.advance(2_000);
+      for (int i = 0; i < 300; i++) {
+        long unused = group.arrive(i % 5, "/long/x", oneOf(SHARED, random));
+        group.advance(150);
+        group.resetConnections(new TargetId("t" + random.nextInt(10)));
+      }
+      assertEquals(null, group.refusals.get(RefusalReason.PROMPT_QUARANTINED));
+    }
+
     /** Guards against refusing sound requests that share parts with requests that crash engines. */
     @Test
     void areServedBesideTheCrashingPart() {
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,197 @@
+package dev.caroblb.forwarding.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.caroblb.core.TargetId;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PromptQuarantineTest {
+  private final PromptQuarantine quarantine = new PromptQuarantine();
+  private long nowMs = 1_000_000;
+  private int engines;
+
+  private static List<PromptPart> parts(String... ids) {
+    List<PromptPart> parts = new ArrayList<>();
+    for (String id : ids) {
+      parts.add(new PromptPart(id));
+    }
+    return parts;
+  }
+
+  /** Sends a request to an engine of its own, which crashes. */
+  private void crash(String... ids) {
+    long sentMs = nowMs;
+    nowMs += 400;
+    assertTrue(quarantine.crashed(new TargetId("t" + engines++), 1, parts(ids), sentMs, nowMs));
+    nowMs += 10;
+  }
+
+  private void answer(String... ids) {
+    nowMs += 10;
+    quarantine.answered(parts(ids), nowMs);
+    nowMs += 10;
+  }
+
+  private boolean blocked(String... ids) {
+    return quarantine.blocking(parts(ids), nowMs).isPresent();
+  }
+
+  @Nested
+  class Conviction {
+    /** Guards against refusing a prompt after crashes that have other causes. */
+    @Test
+    void takesThreeCrashes() {
+      crash("x");
+      crash("x");
+      assertFalse(blocked("x"));
+      crash("x");
+      assertTrue(blocked("x"));
+      assertTrue(blocked("a", "x", "b"));
+      assertFalse(blocked("a"));
+      assertFalse(blocked());
+    }
+
+    /** Guards against convicting parts that share requests with the culprit. */
+    @Test
+    void sparesThePartsOfOtherAnsweredRequests() {
+      answer("a");
+      for (int i = 0; i < 5; i++) {
+        crash("a", "x", "b");
+      }
+      assertFalse(blocked("a"));
+      assertFalse(blocked("b"));
+      assertTrue(blocked("a", "x", "b"));
+      answer("b");
+      assertTrue(blocked("x", "c"));
+      assertFalse(blocked("a", "b"));
+    }
+
+    /** Guards against convicting a rare part for crashes that another part explains. */
+    @Test
+    void sparesPartsWhoseCrashesAreExplained() {
+      crash("rare", "x");
+      crash("rare", "x");
+      crash("rare", "x");
+      crash("other", "x");
+      assertTrue(blocked("x"));
+      assertFalse(blocked("rare"));
+    }
+
+    /** Guards against crashes that add up for a part on which engines generate in between. */
+    @Test
+    void startsAnewAfterAnAnswer() {
+      for (int i = 0; i < 10; i++) {
+        crash("a");
+        crash("a");
+        answer("a");
+      }
+      assertFalse(blocked("a"));
+    }
+
+    /** Guards against a conviction for several requests that broke off at one engine. */
+    @Test
+    void countsOneRunOfAnEngineOnce() {
+      for (int i = 0; i < 5; i++) {
+        quarantine.crashed(new TargetId("t"), 1, parts("a"), nowMs, nowMs + 400);
+        nowMs += 2_000;
+      }
+      assertFalse(blocked("a"));
+      for (int run = 2; run < 4; run++) {
+        quarantine.crashed(new TargetId("t"), run, parts("a"), nowMs, nowMs + 400);
+        nowMs += 2_000;
+      }
+      assertTrue(blocked("a"));
+    }
+
+    /** Guards against quarantining parts of all prompts when a failure domain loses power. */
+    @Test
+    void countsEnginesThatCrashTogetherOnce() {
+      long sentMs = nowMs;
+      for (int i = 0; i < 30; i++) {
+        quarantine.crashed(new TargetId("t" + i), 1, parts("a"), sentMs, nowMs + i);
+      }
+      nowMs += 100;
+      assertFalse(blocked("a"));
+    }
+  }
+
+  @Nested
+  class Release {
+    /** Guards against a wrong verdict that stays although engines generate on the part. */
+    @Test
+    void followsAnAnswer() {
+      crash("x");
+      crash("x");
+      crash("x");
+      answer("x");
+      assertFalse(blocked("x"));
+    }
+
+    /** Guards against a part that is refused forever, or that crashes three engines again. */
+    @Test
+    void followsAfterTheQuarantineUntilTheNextCrash() {
+      crash("x");
+      crash("x");
+      crash("x");
+      nowMs += PromptQuarantine.QUARANTINE_MS - 20;
+      assertTrue(blocked("x"));
+      assertTrue(quarantine.blocking(parts("x"), nowMs).get().leftMs() <= 10);
+      nowMs += 20;
+      quarantine.expire(nowMs);
+      assertFalse(blocked("x"));
+      crash("x");
+      assertTrue(blocked("x"));
+    }
+  }
+
+  @Nested
+  class Sharing {
+    private final PromptQuarantine other = new PromptQuarantine();
+
+    /** Guards against entries that each need three crashes of their own. */
+    @Test
+    void addsUpTheCrashesOfAllInstances() {
+      crash("a", "x");
+      crash("b", "x");
+      assertTrue(other.received(quarantine.ownEvidence(nowMs), nowMs + 5));
+      assertFalse(other.received(quarantine.ownEvidence(nowMs), nowMs + 5));
+      nowMs += 100;
+      other.crashed(new TargetId("u"), 1, parts("c", "x"), nowMs, nowMs + 400);
+      nowMs += 500;
+      assertTrue(other.blocking(parts("x"), nowMs).isPresent());
+      assertFalse(blocked("x"));
+      quarantine.received(other.allEvidence(nowMs), nowMs);
+      assertTrue(blocked("x"));
+    }
+
+    /** Guards against convicting a part that other instances see answered. */
+    @Test
+    void reportsAnswersToTheSuspectsOfOthers() {
+      crash("a");
+      crash("a");
+      crash("a");
+      assertTrue(blocked("a"));
+      other.answered(parts("a", "unrelated"), nowMs);
+      nowMs += 5;
+      other.received(quarantine.ownEvidence(nowMs), nowMs);
+      Evidence answers = other.ownEvidence(nowMs);
+      assertEquals(1, answers.answered().size());
+      assertTrue(quarantine.received(answers, nowMs));
+      assertFalse(blocked("a"));
+    }
+
+    /** Guards against state that grows with the number of crashes. */
+    @Test
+    void isBounded() {
+      for (int i = 0; i < 1_000; i++) {
+        crash("a" + i, "b" + i);
+      }
+      assertEquals(Evidence.MAX_CRASHES, quarantine.allEvidence(nowMs).crashes().size());
+    }
+  }
+}
