--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -2,9 +2,11 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.LogLine;
+import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.quarantine.PromptPart;
 import dev.caroblb.routing.Route;
 import java.util.Optional;
 
@@ -36,6 +38,7 @@
   private final CallObserver observer;
   private final CallFinisher finisher;
   private final DrainAdmission drain;
+  private final PromptGuard guard;
   private boolean anyWaiting;
 
   Dispatcher(
@@ -47,7 +50,8 @@
       RetryBudget budget,
       CallObserver observer,
       CallFinisher finisher,
-      DrainAdmission drain) {
+      DrainAdmission drain,
+      PromptGuard guard) {
     this.exchanges = exchanges;
     this.domain = domain;
     this.pool = pool;
@@ -57,6 +61,7 @@
     this.observer = observer;
     this.finisher = finisher;
     this.drain = drain;
+    this.guard = guard;
   }
 
   /** Finds a target for a request. For generations, a control instance chooses it. */
@@ -202,6 +207,19 @@
     }
   }
 
+  /** Ends the requests that wait for a target and whose prompt has been quarantined meanwhile. */
+  void endQuarantined(long nowMs) {
+    if (!guard.isActive()) {
+      return;
+    }
+    for (Exchange exchange : exchanges.all()) {
+      Optional<Refusal> blocking = guard.blocking(exchange.call(), nowMs);
+      if (exchange.target().isEmpty() && blocking.isPresent()) {
+        finisher.fail(exchange, blocking.get(), nowMs);
+      }
+    }
+  }
+
   void send(Exchange exchange, Target target, Optional<CopiedMemory> memory, long nowMs) {
     PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
     Optional<Target> backup = pool.chooseBackup(need, target, nowMs);
@@ -217,6 +235,11 @@
     if (memory.isEmpty() && refusedByDrain(exchange, nowMs)) {
       return;
     }
+    Optional<Refusal> blocking = guard.blocking(exchange.call(), nowMs);
+    if (blocking.isPresent()) {
+      finisher.fail(exchange, blocking.get(), nowMs);
+      return;
+    }
     AttemptOrder order = exchange.startAttempt(target, memory, backup, nowMs);
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -231,6 +254,7 @@
             .with("backup", order.backup().map(engine -> engine.id().name()).orElse("none"))
             .with("left_ms", order.timeoutMs())
             .with("drain_left_ms", drain.logValue(nowMs))
+            .with("shared_parts", PromptPart.toLogValue(exchange.call().sharedPromptParts()))
             .toString());
     port.start(order);
   }
@@ -265,6 +289,7 @@
     boolean possible =
         exchange.sends() < MAX_SENDS
             && nowMs < exchange.deadlineMs()
+            && guard.blocking(exchange.call(), nowMs).isEmpty()
             && pool.choose(need, nowMs).isPresent();
     if (!possible || !budget.tryRetry(exchange.service(), nowMs)) {
       finisher.fail(exchange, otherwise, reason.wireName(), nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -14,18 +14,21 @@
   private final Dispatcher dispatcher;
   private final CallFinisher finisher;
   private final GenerationDurations durations;
+  private final PromptGuard guard;
 
   ResponseRelay(
       TargetPort port,
       CallObserver observer,
       Dispatcher dispatcher,
       CallFinisher finisher,
-      GenerationDurations durations) {
+      GenerationDurations durations,
+      PromptGuard guard) {
     this.port = port;
     this.observer = observer;
     this.dispatcher = dispatcher;
     this.finisher = finisher;
     this.durations = durations;
+    this.guard = guard;
   }
 
   void head(Exchange exchange, ResponseHead head, long nowMs) {
@@ -48,6 +51,7 @@
       return;
     }
     exchange.setHead(head);
+    exchange.setProgress(AttemptProgress.HEAD);
     if (head.success() && head.stream() && !exchange.streaming()) {
       exchange.setStreaming();
       exchange.prefillDone();
@@ -61,6 +65,7 @@
     } else if (!exchange.bufferBody(part)) {
       targetFailed(exchange, "response too large", nowMs);
     } else {
+      exchange.setProgress(AttemptProgress.CONTENT);
       port.acknowledge(exchange.call().id(), exchange.attempt());
     }
   }
@@ -72,6 +77,10 @@
       return;
     }
     if (events.size() > 0) {
+      if (exchange.progress() != AttemptProgress.CONTENT) {
+        exchange.setProgress(AttemptProgress.CONTENT);
+        guard.answered(exchange, nowMs);
+      }
       long gapMs = exchange.recordPart(nowMs);
       if (gapMs == 0) {
         observer.responded(nowMs - exchange.arrivedMs());
@@ -133,6 +142,9 @@
     if (!head.serverError()) {
       exchange.target().ifPresent(Target::succeeded);
     }
+    if (head.success()) {
+      guard.answered(exchange, nowMs);
+    }
     observer.responded(nowMs - exchange.arrivedMs());
     exchange.call().port().respond(head, exchange.bufferedBody());
     finisher.finish(exchange, "answered", "status " + head.status(), nowMs);
@@ -159,6 +171,7 @@
             .with("request", exchange.call().requestId())
             .with("target", exchange.target().map(t -> t.info().id().name()).orElse("none"))
             .with("cause", cause)
+            .with("progress", exchange.progress())
             .with("again", retry)
             .toString());
     if (!retry) {
--- /dev/null
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
@@ -0,0 +1,89 @@
+package dev.caroblb.forwarding.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Finds the parts that explain the crashes of engines. A part that crashes engines is a suspect of
+ * each such crash and is never answered; the parts that it shares requests with are answered in
+ * other requests, which clears them. The part that explains most crashes is found first, and the
+ * crashes that it explains are not counted for the others.
+ */
+final class CulpritFinder {
+  /** Number of crashes that convict a part. */
+  private static final int CONVICTING_CRASHES = 3;
+
+  /**
+   * Crashes less than this time apart, in milliseconds, count once for a part unless its request
+   * was sent after the earlier one. Otherwise a loss of power of many engines would convict parts
+   * that are in many requests.
+   */
+  private static final long SAME_EVENT_MS = 1_000;
+
+  private final CrashLog log;
+
+  CulpritFinder(CrashLog log) {
+    this.log = log;
+  }
+
+  /** Crashes that a part explains. */
+  private record Count(int crashes, long lastMs) {}
+
+  /** Returns the culprits of all crashes that are explained. */
+  List<Culprit> find() {
+    List<EngineCrash> open = log.crashes();
+    open.sort(Comparator.comparingLong(EngineCrash::crashedMs));
+    List<Culprit> culprits = new ArrayList<>();
+    while (!open.isEmpty()) {
+      Map<PromptPart, Count> counts = count(open);
+      List<PromptPart> worst = worst(counts);
+      if (worst.isEmpty()) {
+        break;
+      }
+      Count count = counts.get(worst.get(0));
+      culprits.add(new Culprit(worst, count.crashes(), count.lastMs()));
+      open.removeIf(crash -> worst.stream().anyMatch(part -> log.suspected(part, crash)));
+    }
+    return culprits;
+  }
+
+  private Map<PromptPart, Count> count(List<EngineCrash> ordered) {
+    Map<PromptPart, Count> counts = new LinkedHashMap<>();
+    for (EngineCrash crash : ordered) {
+      for (PromptPart part : crash.suspects()) {
+        if (log.suspected(part, crash)) {
+          counts.merge(part, new Count(1, crash.crashedMs()), (sum, one) -> sum(sum, crash, part));
+        }
+      }
+    }
+    return counts;
+  }
+
+  private static Count sum(Count sum, EngineCrash crash, PromptPart part) {
+    boolean separate =
+        crash.sentMs(part) > sum.lastMs() || crash.crashedMs() - sum.lastMs() >= SAME_EVENT_MS;
+    return separate ? new Count(sum.crashes() + 1, crash.crashedMs()) : sum;
+  }
+
+  /**
+   * The parts with most crashes, if these are enough. Of several, those on which no engine ever
+   * generated, if there are any.
+   */
+  private List<PromptPart> worst(Map<PromptPart, Count> counts) {
+    int most = counts.values().stream().mapToInt(Count::crashes).max().orElse(0);
+    if (most < CONVICTING_CRASHES) {
+      return List.of();
+    }
+    List<PromptPart> tied = new ArrayList<>();
+    for (Map.Entry<PromptPart, Count> entry : counts.entrySet()) {
+      if (entry.getValue().crashes() == most) {
+        tied.add(entry.getKey());
+      }
+    }
+    List<PromptPart> neverAnswered = tied.stream().filter(part -> !log.everAnswered(part)).toList();
+    return neverAnswered.isEmpty() ? tied : neverAnswered;
+  }
+}
