--- a/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
@@ -6,20 +6,31 @@
 import dev.caroblb.configuration.EntryView;
 import dev.caroblb.configuration.WorkspaceSettings;
 import dev.caroblb.core.CallPolicy;
+import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.WorkspaceId;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Admits calls under the latest configuration while its lease is valid, until a drain reaches the
  * stage in which new calls are refused.
  */
 final class ConfigurationGate implements AdmissionGate, Outlet<EntryView> {
+  private static final System.Logger LOGGER = System.getLogger(ConfigurationGate.class.getName());
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** The change of admission that was logged last. */
+  private enum Logged {
+    NONE,
+    OPEN,
+    REFUSING
+  }
+
+  private final AtomicReference<Logged> logged = new AtomicReference<>(Logged.NONE);
   private final MillisClock clock;
   private final Outlet<ConfigurationSnapshot> configurationChanges;
   private volatile EntryView view = new EntryView(ConfigurationSnapshot.empty(), 0);
@@ -37,6 +48,7 @@
   public boolean offer(EntryView latest) {
     boolean changed = latest.snapshot().number() != view.snapshot().number();
     view = latest;
+    logOpened(latest);
     if (changed) {
       configurationChanges.offer(latest.snapshot());
     }
@@ -60,13 +72,41 @@
     if (draining) {
       return Optional.of(Refusal.of(RefusalReason.DRAINING));
     }
-    if (!view.admitsAt(clock.nowMs())) {
+    EntryView current = view;
+    if (!current.admitsAt(clock.nowMs())) {
+      logFirstRefusal(current);
       return Optional.of(
           Refusal.of(RefusalReason.CONFIGURATION_LEASE_EXPIRED).retryAfter(RETRY_AFTER_MS));
     }
     return Optional.empty();
   }
 
+  private void logOpened(EntryView latest) {
+    long nowMs = clock.nowMs();
+    if (latest.admitsAt(nowMs) && logged.getAndSet(Logged.OPEN) != Logged.OPEN) {
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("admission.open")
+              .with("configuration", latest.snapshot().number())
+              .with("lease_ms", latest.leaseValidUntilMs() - nowMs)
+              .toString());
+    }
+  }
+
+  /** Logs only the first call refused without a lease: callers may repeat theirs at once. */
+  private void logFirstRefusal(EntryView current) {
+    Logged before = logged.getAndSet(Logged.REFUSING);
+    if (before != Logged.REFUSING) {
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("admission.refused")
+              .with("reason", RefusalReason.CONFIGURATION_LEASE_EXPIRED)
+              .with("configuration", current.snapshot().number())
+              .with("had_lease", before == Logged.OPEN)
+              .toString());
+    }
+  }
+
   @Override
   public Optional<WorkspaceAccess> workspace(WorkspaceId workspace) {
     return view.snapshot().workspace(workspace).map(Access::new);
