List an instance as an entry only while it holds a configuration lease

Cause: an instance reported ready from its first heartbeat, although it admits calls only under a lease, which it gets after 10 to 450 ms, or after an election.

The membership duty now learns until when its instance admits calls and reports not_admitting otherwise, at once when it changes. Look-ups list such instances only if no instance admits calls, and then for 1 s. The platform's instances report no lease and stay listed as before.

--- a/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ConfigurationGate.java
@@ -33,15 +33,19 @@
   private final AtomicReference<Logged> logged = new AtomicReference<>(Logged.NONE);
   private final MillisClock clock;
   private final Outlet<ConfigurationSnapshot> configurationChanges;
+  private final Outlet<Long> leases;
   private volatile EntryView view = new EntryView(ConfigurationSnapshot.empty(), 0);
   private volatile boolean draining;
 
   /**
    * @param configurationChanges receives each new configuration
+   * @param leases receives the monotonic time until which calls are admitted, with each renewal
    */
-  ConfigurationGate(MillisClock clock, Outlet<ConfigurationSnapshot> configurationChanges) {
+  ConfigurationGate(
+      MillisClock clock, Outlet<ConfigurationSnapshot> configurationChanges, Outlet<Long> leases) {
     this.clock = clock;
     this.configurationChanges = configurationChanges;
+    this.leases = leases;
   }
 
   @Override
@@ -52,6 +56,7 @@
     if (changed) {
       configurationChanges.offer(latest.snapshot());
     }
+    leases.offer(latest.leaseValidUntilMs());
     return true;
   }
 
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -65,7 +65,8 @@
     duties = new DutyRegistry(clock);
     transport = createTransport(clock);
     connector = new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
-    ConfigurationGate gate = new ConfigurationGate(clock, this::configurationChanged);
+    ConfigurationGate gate =
+        new ConfigurationGate(clock, this::configurationChanged, this::leaseRenewed);
     LateBoundOutlet<IdempotencyMessage> toIdempotency = new LateBoundOutlet<>();
     LateBoundOutlet<StreamsMessage> toStreams = new LateBoundOutlet<>();
     keys = new KeyBridge(toIdempotency, toStreams, clock);
@@ -132,6 +133,10 @@
     return membership.offer(new MembershipMessage.ConfigurationInstalled(snapshot.number()));
   }
 
+  private boolean leaseRenewed(long validUntilMs) {
+    return membership.offer(new MembershipMessage.AdmitsUntil(validUntilMs));
+  }
+
   private boolean controlLeaseChanged(LeaderLease lease) {
     return orders.map(bridge -> bridge.leaseChanged(lease)).orElse(true);
   }
@@ -201,6 +206,9 @@
             outlets);
     Duty<MembershipMessage> duty = duties.create("membership", handler);
     membership.bind(duty);
+    // The first message of the duty, so that its first heartbeat does not announce an entry that
+    // still refuses calls.
+    duty.offer(new MembershipMessage.AdmitsUntil(Long.MIN_VALUE));
     peers.setReceiver(message -> duty.offer(new MembershipMessage.FromPeer(message)));
   }
 
--- a/daemon/src/main/java/dev/caroblb/daemon/MembershipEntryDirectory.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/MembershipEntryDirectory.java
@@ -37,6 +37,6 @@
 
   @Override
   public long addressTtlMs() {
-    return InstanceView.ADDRESS_TTL_MS;
+    return view.addressTtlMs();
   }
 }
--- a/membership/src/main/java/dev/caroblb/membership/InstanceState.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceState.java
@@ -3,5 +3,7 @@
 /** Whether new callers may be directed to an instance. */
 public enum InstanceState {
   READY,
-  DRAINING
+  DRAINING,
+  /** Refuses new calls for now, for example because it has no configuration lease yet. */
+  NOT_ADMITTING
 }
--- a/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
@@ -74,23 +74,33 @@
    * probably cut off itself, so the view keeps the others as entries that may still serve callers.
    */
   InstanceView view(InstanceRecord self, long nowMs) {
-    List<InstanceRecord> entries = new ArrayList<>();
+    List<InstanceRecord> reachable = new ArrayList<>();
     List<InstanceRecord> instances = new ArrayList<>();
-    addEntry(entries, self);
+    reachable.add(self);
     instances.add(self);
     boolean cutOff = known.values().stream().allMatch(other -> other.silentAt(nowMs));
     for (KnownInstance other : known.values()) {
       instances.add(other.instance());
       if (cutOff || !other.silentAt(nowMs)) {
-        addEntry(entries, other.instance());
+        reachable.add(other.instance());
       }
     }
-    return new InstanceView(entries, instances);
+    return new InstanceView(entries(reachable), instances);
   }
 
-  private static void addEntry(List<InstanceRecord> entries, InstanceRecord instance) {
-    if (instance.state() == InstanceState.READY && !instance.address().isEmpty()) {
-      entries.add(instance);
-    }
+  /**
+   * The instances that admit new calls. If there are none, those that refuse them for now: their
+   * refusals tell callers when to try again.
+   */
+  private static List<InstanceRecord> entries(List<InstanceRecord> reachable) {
+    List<InstanceRecord> ready = entriesIn(InstanceState.READY, reachable);
+    return ready.isEmpty() ? entriesIn(InstanceState.NOT_ADMITTING, reachable) : ready;
+  }
+
+  private static List<InstanceRecord> entriesIn(
+      InstanceState state, List<InstanceRecord> reachable) {
+    return reachable.stream()
+        .filter(instance -> instance.state() == state && !instance.address().isEmpty())
+        .toList();
   }
 }
--- a/membership/src/main/java/dev/caroblb/membership/InstanceView.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceView.java
@@ -15,11 +15,20 @@
   /** Time for which callers may cache the addresses. */
   public static final long ADDRESS_TTL_MS = 5_000;
 
+  /** Time for which callers may cache the addresses while no instance admits new calls. */
+  static final long NOT_ADMITTING_TTL_MS = 1_000;
+
   public InstanceView {
     entries = List.copyOf(entries);
     instances = List.copyOf(instances);
   }
 
+  /** Time for which callers may cache the addresses in this view. */
+  public long addressTtlMs() {
+    boolean admitting = entries.stream().anyMatch(entry -> entry.state() == InstanceState.READY);
+    return admitting ? ADDRESS_TTL_MS : NOT_ADMITTING_TTL_MS;
+  }
+
   /**
    * The entries, shuffled by the seed. With a random seed for each answer, callers that use the
    * first address are spread evenly. Failure domains do not affect the order.
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -49,6 +49,8 @@
 
   private Optional<InstanceView> offeredView = Optional.empty();
   private long configuration;
+  private long admitsUntilMs = Long.MAX_VALUE;
+  private InstanceState sentState = InstanceState.READY;
   private long heartbeatSequence;
   private long nextHeartbeatMs;
   private long nextDigestMs;
@@ -78,6 +80,9 @@
       peerMessageReceived(peer.received().peer(), peer.received().message(), nowMs);
     } else if (message instanceof MembershipMessage.ConfigurationInstalled installed) {
       configuration = Math.max(configuration, installed.number());
+    } else if (message instanceof MembershipMessage.AdmitsUntil admits) {
+      admitsUntilMs = admits.untilMs();
+      announceStateChange(nowMs);
     } else if (message instanceof MembershipMessage.Withdrawn withdrawn) {
       withdrawn.known().offer(withdraw(withdrawn.target(), nowMs));
     } else if (message instanceof MembershipMessage.StopRequested) {
@@ -231,6 +236,7 @@
   @Override
   public void tick(long nowMs) {
     nextTickMs = nowMs + TICK_MS;
+    announceStateChange(nowMs);
     if (nowMs >= nextHeartbeatMs) {
       sendHeartbeat(nowMs);
       forwardRefreshedTargets(nowMs);
@@ -257,7 +263,21 @@
     }
   }
 
+  private InstanceState stateAt(long nowMs) {
+    InstanceState state = drain.state();
+    boolean refusing = state == InstanceState.READY && nowMs >= admitsUntilMs;
+    return refusing ? InstanceState.NOT_ADMITTING : state;
+  }
+
+  private void announceStateChange(long nowMs) {
+    if (stateAt(nowMs) != sentState) {
+      sendHeartbeat(nowMs);
+      offerView(nowMs);
+    }
+  }
+
   private void sendHeartbeat(long nowMs) {
+    sentState = stateAt(nowMs);
     nextHeartbeatMs = nowMs + HEARTBEAT_MS;
     topology.expire(nowMs);
     sender.broadcast(heartbeatMessage(nowMs));
@@ -268,7 +288,7 @@
     return new PeerMessage.Heartbeat(
         self.incarnation(),
         heartbeatSequence,
-        drain.state(),
+        stateAt(nowMs),
         configuration,
         self.domain(),
         self.address(),
@@ -281,7 +301,7 @@
         new InstanceRecord(
             self.id(),
             self.incarnation(),
-            drain.state(),
+            stateAt(nowMs),
             configuration,
             self.domain(),
             self.address());
--- a/membership/src/main/java/dev/caroblb/membership/MembershipMessage.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipMessage.java
@@ -18,6 +18,12 @@
   /** This instance has installed the configuration with this number. */
   record ConfigurationInstalled(long number) implements MembershipMessage {}
 
+  /**
+   * This instance admits new calls until the given monotonic time. An instance that never sends
+   * this message always admits calls.
+   */
+  record AdmitsUntil(long untilMs) implements MembershipMessage {}
+
   /** The process was asked to stop; a second request shortens the drain. */
   record StopRequested() implements MembershipMessage {}
 }
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -24,7 +24,7 @@
 public final class MembershipCodec implements MessageCodec<PeerMessage> {
   /** The position of a constant is its code on the wire; later versions only append. */
   private static final List<InstanceState> STATES =
-      List.of(InstanceState.READY, InstanceState.DRAINING);
+      List.of(InstanceState.READY, InstanceState.DRAINING, InstanceState.NOT_ADMITTING);
 
   private static final int TYPE_HEARTBEAT = 1;
   private static final int TYPE_RECORDS = 2;
--- a/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -184,6 +184,60 @@
     }
   }
 
+  @Nested
+  class EntryWithoutLease {
+    private void admitUntil(Node entry, long untilMs) {
+      entry.admitUntil(untilMs, cluster.nowMs);
+      cluster.collect();
+    }
+
+    /**
+     * Guards against callers that are directed to an instance which has started again and refuses
+     * their calls because it holds no configuration lease yet.
+     */
+    @Test
+    void isListedOnlyOnceItAdmitsCalls() {
+      admitUntil(second, cluster.nowMs);
+      cluster.advance(50);
+      assertEquals(List.of("i0", "i2"), entriesOf(first));
+      assertEquals(List.of("i0", "i2"), entriesOf(second));
+      admitUntil(second, cluster.nowMs + 4_000);
+      cluster.advance(50);
+      assertEquals(List.of("i0", "i1", "i2"), entriesOf(first));
+    }
+
+    /** Guards against an instance that is still listed after its lease has expired. */
+    @Test
+    void leavesTheListWhenItsLeaseExpires() {
+      admitUntil(second, cluster.nowMs + 1_000);
+      cluster.advance(900);
+      assertEquals(List.of("i0", "i1", "i2"), entriesOf(first));
+      cluster.advance(300);
+      assertEquals(List.of("i0", "i2"), entriesOf(first));
+    }
+
+    /**
+     * Guards against look-ups without any address while there is no leader, and against callers
+     * that keep such addresses after another instance admits calls again.
+     */
+    @Test
+    void isListedForAShortTimeIfNoInstanceAdmitsCalls() {
+      cluster.nodes.forEach(node -> admitUntil(node, cluster.nowMs));
+      cluster.advance(50);
+      assertEquals(List.of("i0", "i1", "i2"), entriesOf(first).stream().sorted().toList());
+      assertEquals(InstanceView.NOT_ADMITTING_TTL_MS, first.view.addressTtlMs());
+    }
+
+    /** Guards against an instance without a lease that is listed again during its planned stop. */
+    @Test
+    void isNotListedWhileItDrains() {
+      second.handle(new MembershipMessage.StopRequested(), cluster.nowMs);
+      cluster.nodes.forEach(node -> admitUntil(node, cluster.nowMs));
+      cluster.advance(50);
+      assertEquals(List.of("i0", "i2"), entriesOf(first).stream().sorted().toList());
+    }
+  }
+
   @Nested
   class PlannedStop {
     /**
--- a/membership/src/test/java/dev/caroblb/membership/Node.java
+++ b/membership/src/test/java/dev/caroblb/membership/Node.java
@@ -84,6 +84,10 @@
     handle(new MembershipMessage.Announced(announcement), realMs);
   }
 
+  void admitUntil(long untilRealMs, long realMs) {
+    handle(new MembershipMessage.AdmitsUntil(localTimeMs(untilRealMs)), realMs);
+  }
+
   void tickIfDue(long realMs) {
     if (handler.nextTickMs() <= localTimeMs(realMs)) {
       handler.tick(localTimeMs(realMs));
--- a/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
@@ -53,6 +53,15 @@
               "",
               -4,
               List.of(new InstanceId("control-1"))),
+          new PeerMessage.Heartbeat(
+              1,
+              3,
+              InstanceState.NOT_ADMITTING,
+              3,
+              new FailureDomain("d1"),
+              "10.0.0.1:80",
+              -4,
+              List.of()),
           new PeerMessage.Records(
               Optional.of(new Echo(1, 2, 3)), List.of(new AgedAnnouncement(ANNOUNCEMENT, 9))),
           new PeerMessage.Records(Optional.empty(), List.of()),
--- a/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
+++ b/systemtests/src/test/java/dev/caroblb/systemtests/PlannedStopTest.java
@@ -14,10 +14,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -122,7 +122,6 @@
   }
 
   @Nested
-  @Tag("known-red")
   class InstancesInTurn {
     private static final long TIMEOUT_MS = 60_000;
 
@@ -165,6 +164,59 @@
     }
   }
 
+  @Nested
+  class LeaderRestarts {
+    private static final long TIMEOUT_MS = 60_000;
+    private static final int ROUNDS = 2;
+
+    /**
+     * Guards against callers that are directed to an instance which has started again and refuses
+     * their calls because it holds no configuration lease yet. It gets none before the replicas
+     * have elected another leader.
+     */
+    @Test
+    void isListedOnlyOnceItAdmitsCalls() throws Exception {
+      for (int i = 0; i < ROUNDS; i++) {
+        String leader = awaitLeader();
+        String observer = cluster.address(nameOtherThan(leader));
+        cluster.instance(leader).terminate();
+        Wait.until(leader + " is not listed", TIMEOUT_MS, () -> !lists(observer, leader));
+        assertEquals(0, cluster.instance(leader).awaitExit(TIMEOUT_MS).orElse(-1), leader);
+        cluster.start(leader);
+        Wait.until(leader + " is listed", TIMEOUT_MS, () -> lists(observer, leader));
+        assertTrue(probe.status(leader).path("admits").asBoolean(), leader + " admits calls");
+      }
+    }
+
+    private String awaitLeader() throws Exception {
+      AtomicReference<String> leader = new AtomicReference<>("");
+      Wait.until(
+          "the control group has a leader",
+          TIMEOUT_MS,
+          () -> {
+            leader.set(probe.leader(cluster.names().get(0), "control").orElse(""));
+            return !leader.get().isEmpty() && probe.status(leader.get()).path("admits").asBoolean();
+          });
+      return leader.get();
+    }
+
+    private String nameOtherThan(String name) {
+      return cluster.names().stream()
+          .filter(other -> !other.equals(name))
+          .findFirst()
+          .orElseThrow();
+    }
+
+    private boolean lists(String observer, String name) throws Exception {
+      return CALLER
+          .get(observer, "/v1/entries")
+          .body()
+          .path("entries")
+          .findValuesAsText("instance")
+          .contains(name);
+    }
+  }
+
   @Nested
   class TargetLeaves {
     /** Guards against new work that a target gets later than the bound after its leave notice. */
