Write complete responses before a stopped instance closes its connections

Cause: a call counts as open until its response is queued on its connection. The planned stop ended when no call was open, and closed all connections at once, without writing what was queued. Closing the front end now lets connections write their responses, for at most 2 s.

CallersServerTest.Closing failed before ("HTTP/1.1 header parser received no bytes") and passes now.

--- a/callers/src/main/java/dev/caroblb/callers/CallersServer.java
+++ b/callers/src/main/java/dev/caroblb/callers/CallersServer.java
@@ -16,6 +16,9 @@
 public final class CallersServer implements AutoCloseable {
   private static final int NOT_FOUND = 404;
 
+  /** Bounds the wait for a caller that does not read the rest of its response. */
+  private static final long WRITE_TIMEOUT_MS = 2_000;
+
   private final List<Route> routes;
   private final CallerConnections connections;
   private final RefusalCounter refusals;
@@ -99,13 +102,17 @@
     return connections.open();
   }
 
-  /** Closes the listener; responses in progress may finish within the given time. */
-  public void closeGracefully(long graceMs) throws InterruptedException {
-    listener.closeGracefully(graceMs);
-  }
-
+  /**
+   * Closes the listener and its connections. Responses that are complete here are written first: a
+   * call no longer counts as open once its response is queued on the connection.
+   */
   @Override
   public void close() {
+    try {
+      listener.closeGracefully(WRITE_TIMEOUT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     listener.close();
   }
 }
--- a/callers/src/test/java/dev/caroblb/callers/CallersServerTest.java
+++ b/callers/src/test/java/dev/caroblb/callers/CallersServerTest.java
@@ -28,6 +28,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -45,12 +47,16 @@
   private int maxStreams = 10;
   private CallersServer server;
 
+  /** Runs once the response to a call is complete, before its connection can write it. */
+  private Runnable beforeWriting = () -> {};
+
   private final class Calls implements CallSink {
     @Override
     public Optional<Refusal> submit(CallRequest call, Outlet<CallerEvent> caller) {
       submitted.add(call);
       caller.offer(new CallerEvent.Token(GENERATION, 1, Payload.ofText("\"x\"")));
       caller.offer(new CallerEvent.Completed(GENERATION, 1));
+      beforeWriting.run();
       return Optional.empty();
     }
 
@@ -288,6 +294,28 @@
     }
   }
 
+  @Nested
+  class Closing {
+    /**
+     * Guards against a planned stop that cuts a response which is complete but not yet written to
+     * its connection.
+     */
+    @Test
+    void writesCompleteResponsesFirst() throws Exception {
+      Thread closer = new Thread(server::close);
+      beforeWriting =
+          () -> {
+            closer.start();
+            while (closer.getState() == Thread.State.RUNNABLE) {
+              LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+            }
+          };
+      HttpResponse<String> response = send("POST", CALL, "{}", "Authorization", "Bearer secret");
+      closer.join();
+      assertTrue(response.body().contains("event: final"), response::body);
+    }
+  }
+
   @Nested
   class StreamLimit {
     /**
