Handle termination signals before an instance serves callers

The signal handler was installed after the instance had begun to listen and to announce itself. A SIGTERM in between ended the process at once with code 143 instead of a planned stop. The queue of the membership duty takes the request before its thread starts.

--- a/daemon/src/main/java/dev/caroblb/daemon/Caroblbd.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Caroblbd.java
@@ -88,7 +88,6 @@
   private static int serve(InstanceSettings settings) {
     LogFormat.install(settings.logLevel());
     try (Instance instance = Instance.start(settings, new SystemMillisClock())) {
-      instance.stopOnSignal();
       instance.awaitStop();
       return instance.failed() ? EXIT_START : EXIT_OK;
     } catch (IOException e) {
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -93,6 +93,7 @@
   /** Creates the instance and starts its threads. */
   static Instance start(InstanceSettings settings, MillisClock clock) throws IOException {
     Instance instance = new Instance(settings, clock);
+    instance.stopOnSignal();
     instance.run();
     return instance;
   }
@@ -259,7 +260,7 @@
   }
 
   /** Starts a planned stop on a termination signal; a second signal shortens it. */
-  void stopOnSignal() {
+  private void stopOnSignal() {
     TerminationSignal.onTermination(() -> membership.offer(new MembershipMessage.StopRequested()));
   }
 
