List an instance that starts only once it knows the targets

The instance that had just started held a lease and was listed, but learns of targets by a digest that the others send once a second.

The platform's instances report no admission and are listed as before.

EntryThatStarts.isListedOnlyOnceItKnowsTheTargets failed without the change ("listed without targets") and passes with it.

--- a/membership/src/main/java/dev/caroblb/membership/InstanceState.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceState.java
@@ -4,6 +4,9 @@
 public enum InstanceState {
   READY,
   DRAINING,
-  /** Refuses new calls for now, for example because it has no configuration lease yet. */
+  /**
+   * Refuses new calls for now, for example because it has no configuration lease or knows no
+   * targets.
+   */
   NOT_ADMITTING
 }
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -24,6 +24,8 @@
   /** Interval at which silence of instances and targets is checked. */
   private static final long TICK_MS = 100;
 
+  private static final long ALWAYS = Long.MAX_VALUE;
+
   private final LocalInstance self;
   private final TargetSelection selection;
   private final Outlet<InstanceView> viewOutlet;
@@ -49,7 +51,8 @@
 
   private Optional<InstanceView> offeredView = Optional.empty();
   private long configuration;
-  private long admitsUntilMs = Long.MAX_VALUE;
+  private final TargetCatchUp catchUp = new TargetCatchUp();
+  private long admitsUntilMs = ALWAYS;
   private InstanceState sentState = InstanceState.READY;
   private long heartbeatSequence;
   private long nextHeartbeatMs;
@@ -178,6 +181,7 @@
   }
 
   private void digestReceived(InstanceId peer, List<TargetSummary> digest) {
+    catchUp.digestReceived(digest);
     for (TargetSummary theirs : digest) {
       if (targets.markLeaving(theirs)) {
         targetNotifier.markChanged(theirs.target());
@@ -264,9 +268,12 @@
   }
 
   private InstanceState stateAt(long nowMs) {
-    InstanceState state = drain.state();
-    boolean refusing = state == InstanceState.READY && nowMs >= admitsUntilMs;
-    return refusing ? InstanceState.NOT_ADMITTING : state;
+    if (drain.state() != InstanceState.READY) {
+      return drain.state();
+    }
+    boolean admits =
+        admitsUntilMs == ALWAYS || (catchUp.completeAt(targets, nowMs) && nowMs < admitsUntilMs);
+    return admits ? InstanceState.READY : InstanceState.NOT_ADMITTING;
   }
 
   private void announceStateChange(long nowMs) {
--- a/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -238,6 +238,43 @@
     }
   }
 
+  @Nested
+  class EntryThatStarts {
+    /**
+     * Guards against callers that are directed to an instance which has just started and refuses
+     * their calls because it knows no target yet.
+     */
+    @Test
+    void isListedOnlyOnceItKnowsTheTargets() {
+      Cluster starting = new Cluster(2, 1);
+      Node running = starting.nodes.get(0);
+      Node started = starting.nodes.get(1);
+      starting.allLinks(Cluster.Link.DROPS);
+      running.announce(alive(1, 1), starting.nowMs);
+      started.admitUntil(10_000, starting.nowMs);
+      starting.advance(100);
+      starting.allLinks(Cluster.Link.GOOD);
+      starting.advance(
+          TargetCatchUp.TIMEOUT_MS - 500,
+          () -> {
+            boolean listed = entriesOf(running).contains("i1");
+            assertTrue(!listed || started.available.containsKey(ENGINE), "listed without targets");
+          });
+      assertTrue(entriesOf(running).contains("i1"));
+    }
+
+    /** Guards against an instance that is never listed because no other one runs. */
+    @Test
+    void isListedAfterAWhileIfItIsAlone() {
+      Cluster starting = new Cluster(2, 1);
+      Node started = starting.nodes.get(1);
+      starting.allLinks(Cluster.Link.DROPS);
+      started.admitUntil(10_000, starting.nowMs);
+      starting.advance(TargetCatchUp.TIMEOUT_MS + 500);
+      assertEquals(InstanceView.ADDRESS_TTL_MS, started.view.addressTtlMs());
+    }
+  }
+
   @Nested
   class PlannedStop {
     /**
