--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -65,7 +65,8 @@
     duties = new DutyRegistry(clock);
     transport = createTransport(clock);
     connector = new HttpConnector(IO_THREADS, CONNECT_TIMEOUT_MS, settings.times().drainLimitMs());
-    ConfigurationGate gate = new ConfigurationGate(clock, this::configurationChanged);
+    ConfigurationGate gate =
+        new ConfigurationGate(clock, this::configurationChanged, this::leaseRenewed);
     LateBoundOutlet<IdempotencyMessage> toIdempotency = new LateBoundOutlet<>();
     LateBoundOutlet<StreamsMessage> toStreams = new LateBoundOutlet<>();
     keys = new KeyBridge(toIdempotency, toStreams, clock);
@@ -92,6 +93,7 @@
   /** Creates the instance and starts its threads. */
   static Instance start(InstanceSettings settings, MillisClock clock) throws IOException {
     Instance instance = new Instance(settings, clock);
+    instance.stopOnSignal();
     instance.run();
     return instance;
   }
@@ -132,6 +134,10 @@
     return membership.offer(new MembershipMessage.ConfigurationInstalled(snapshot.number()));
   }
 
+  private boolean leaseRenewed(long validUntilMs) {
+    return membership.offer(new MembershipMessage.AdmitsUntil(validUntilMs));
+  }
+
   private boolean controlLeaseChanged(LeaderLease lease) {
     return orders.map(bridge -> bridge.leaseChanged(lease)).orElse(true);
   }
@@ -201,6 +207,9 @@
             outlets);
     Duty<MembershipMessage> duty = duties.create("membership", handler);
     membership.bind(duty);
+    // The first message of the duty, so that its first heartbeat does not announce an entry that
+    // still refuses calls.
+    duty.offer(new MembershipMessage.AdmitsUntil(Long.MIN_VALUE));
     peers.setReceiver(message -> duty.offer(new MembershipMessage.FromPeer(message)));
   }
 
@@ -251,7 +260,7 @@
   }
 
   /** Starts a planned stop on a termination signal; a second signal shortens it. */
-  void stopOnSignal() {
+  private void stopOnSignal() {
     TerminationSignal.onTermination(() -> membership.offer(new MembershipMessage.StopRequested()));
   }
 
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -24,6 +24,8 @@
   /** Interval at which silence of instances and targets is checked. */
   private static final long TICK_MS = 100;
 
+  private static final long ALWAYS = Long.MAX_VALUE;
+
   private final LocalInstance self;
   private final TargetSelection selection;
   private final Outlet<InstanceView> viewOutlet;
@@ -50,6 +52,9 @@
 
   private Optional<InstanceView> offeredView = Optional.empty();
   private long configuration;
+  private final TargetCatchUp catchUp = new TargetCatchUp();
+  private long admitsUntilMs = ALWAYS;
+  private InstanceState sentState = InstanceState.READY;
   private long heartbeatSequence;
   private long nextHeartbeatMs;
   private long nextDigestMs;
@@ -79,6 +84,9 @@
       peerMessageReceived(peer.received().peer(), peer.received().message(), nowMs);
     } else if (message instanceof MembershipMessage.ConfigurationInstalled installed) {
       configuration = Math.max(configuration, installed.number());
+    } else if (message instanceof MembershipMessage.AdmitsUntil admits) {
+      admitsUntilMs = admits.untilMs();
+      announceStateChange(nowMs);
     } else if (message instanceof MembershipMessage.Withdrawn withdrawn) {
       withdrawn.known().offer(withdraw(withdrawn.target(), nowMs));
     } else if (message instanceof MembershipMessage.StopRequested) {
@@ -175,6 +183,7 @@
   }
 
   private void digestReceived(InstanceId peer, List<TargetSummary> digest) {
+    catchUp.digestReceived(digest);
     for (TargetSummary theirs : digest) {
       if (targets.markLeaving(theirs)) {
         targetNotifier.markChanged(theirs.target());
@@ -233,6 +242,7 @@
   @Override
   public void tick(long nowMs) {
     nextTickMs = nowMs + TICK_MS;
+    announceStateChange(nowMs);
     if (nowMs >= nextHeartbeatMs) {
       sendHeartbeat(nowMs);
       forwardRefreshedTargets(nowMs);
@@ -259,7 +269,24 @@
     }
   }
 
+  private InstanceState stateAt(long nowMs) {
+    if (drain.state() != InstanceState.READY) {
+      return drain.state();
+    }
+    boolean admits =
+        admitsUntilMs == ALWAYS || (catchUp.completeAt(targets, nowMs) && nowMs < admitsUntilMs);
+    return admits ? InstanceState.READY : InstanceState.NOT_ADMITTING;
+  }
+
+  private void announceStateChange(long nowMs) {
+    if (stateAt(nowMs) != sentState) {
+      sendHeartbeat(nowMs);
+      offerView(nowMs);
+    }
+  }
+
   private void sendHeartbeat(long nowMs) {
+    sentState = stateAt(nowMs);
     nextHeartbeatMs = nowMs + HEARTBEAT_MS;
     topology.expire(nowMs);
     sender.broadcast(heartbeatMessage(nowMs));
@@ -270,7 +297,7 @@
     return new PeerMessage.Heartbeat(
         self.incarnation(),
         heartbeatSequence,
-        drain.state(),
+        stateAt(nowMs),
         configuration,
         self.domain(),
         self.address(),
@@ -283,7 +310,7 @@
         new InstanceRecord(
             self.id(),
             self.incarnation(),
-            drain.state(),
+            stateAt(nowMs),
             configuration,
             self.domain(),
             self.address());
