Wait for requests in the ring before an entry ends its drain

The main thread ended the drain as soon as the stage REFUSE_NEW_CALLS was published and no request ran. Requests that were read earlier could still be in the ring of the forwarding duty: their connections were closed without a response, or they were passed on and cut off.

The duty itself now tells when it is drained: it has handled the refusal of new requests, hence everything that arrived before it, and no request runs. Found by reading; callers were not seen to lose a request this way. Before, the check that ForwardingDrainTest makes first (nothing runs, the refusal not handled yet) ended the drain.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -302,19 +302,12 @@
   public void awaitStop() throws InterruptedException {
     stopStarted.await();
     while (!immediateStop.await(DRAIN_POLL_MS, TimeUnit.MILLISECONDS)) {
-      if (drainComplete()) {
+      if (forwardingHandler.drained()) {
         return;
       }
     }
   }
 
-  private boolean drainComplete() {
-    if (drainStage.isEmpty() || drainStage.get() == DrainStage.ANNOUNCED) {
-      return false;
-    }
-    return forwardingHandler.running() == 0;
-  }
-
   /** Whether the replica stopped because of a failure. */
   public boolean failed() {
     return failed;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -32,7 +32,7 @@
   private final CoordinatorClient coordinator;
   private final PlacementCoordinator localCoordinator;
   private Optional<RoutingTable> table = Optional.empty();
-  private boolean refuseNew;
+  private volatile boolean refuseNew;
 
   public ForwardingHandler(
       ForwardingSettings settings,
@@ -196,6 +196,14 @@
     return exchanges.size();
   }
 
+  /**
+   * Whether no request runs and none that arrived before {@link ForwardingMessage.RefuseNew} is
+   * still to be handled; may be called from any thread.
+   */
+  public boolean drained() {
+    return refuseNew && exchanges.size() == 0;
+  }
+
   private void arrived(ForwardCall call, long nowMs) {
     long number = table.map(RoutingTable::number).orElse(0L);
     Optional<Route> route = table.flatMap(t -> t.match(call.host(), call.path()));
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -1,6 +1,8 @@
 package dev.caroblb.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.PeerEnvelope;
@@ -138,6 +140,25 @@
     }
   }
 
+  @Nested
+  class EndOfTheDrain {
+    /**
+     * Guards against a stop that closes connections while requests which arrived before the refusal
+     * of new ones wait in the ring of the duty.
+     */
+    @Test
+    void waitsUntilTheRefusalOfNewRequestsWasHandled() {
+      install(1);
+      drain(3_300);
+      assertFalse(handler.drained());
+      arriveGeneration("/long/x", SHORT_GENERATION);
+      handle(new ForwardingMessage.RefuseNew());
+      assertFalse(handler.drained());
+      loseTarget();
+      assertTrue(handler.drained());
+    }
+  }
+
   @Nested
   class RunningRequest {
     /** Guards against ending a running generation before the limit. */
