Treat a stream that ends before its first event as broken off

A stream without length and chunks ends with its connection, also when its engine crashes. If that happened after the head and before any event, callers got a complete, empty stream, and the crash left no evidence. ForwardingStreamTest.isAbortedWhenItEndsBeforeTheFirstEvent failed before with "expected: <abort> but was: <complete>".

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -306,6 +306,14 @@
     streaming = true;
   }
 
+  /**
+   * Whether a stream would be incomplete if it ended now: within an event, or before the first one.
+   * A stream without length and chunks ends with its connection, also when its target crashes.
+   */
+  boolean incompleteStream() {
+    return framing.hasPartialEvent() || (streaming && firstPartMs == 0);
+  }
+
   /** Buffers a part of a response that is not a stream; returns false if it grew too large. */
   boolean bufferBody(Payload part) {
     byte[] bytes = part.toBytes();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -107,7 +107,7 @@
     } else if (message instanceof ForwardingMessage.Head head) {
       responses.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
-      boolean incomplete = exchange.stopOrdered() || exchange.framing().hasPartialEvent();
+      boolean incomplete = exchange.stopOrdered() || exchange.incompleteStream();
       if (incomplete) {
         connectionBroken(exchange, nowMs);
       }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -106,8 +106,8 @@
       completeBuffered(exchange, nowMs);
       return;
     }
-    if (exchange.framing().hasPartialEvent()) {
-      targetFailed(exchange, "stream ended within an event", nowMs);
+    if (exchange.incompleteStream()) {
+      targetFailed(exchange, "stream ended within or before an event", nowMs);
       return;
     }
     exchange.setTargetEnded();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -48,6 +48,16 @@
       assertEquals("abort", lastEvent());
     }
 
+    /** Guards against a crash before the first event that looks like a complete, empty stream. */
+    @Test
+    void isAbortedWhenItEndsBeforeTheFirstEvent() {
+      install(2);
+      arrive("/long/x");
+      handle(new ForwardingMessage.Head(7, attempt(), head(200, true)));
+      handle(new ForwardingMessage.Ended(7, attempt()));
+      assertEquals("abort", lastEvent());
+    }
+
     /** Guards against lost or duplicate events when a stream resumes at another target. */
     @Test
     void resumesAfterTheLastCompleteEvent() {
