Stop reading a rejected request body

A caller that sent a chunked body without end kept its connection for ever: the listener discarded what exceeded the limit and waited for the end of the body before it responded.

Cause: only an announced length was rejected at once.

Evidence: EndlessRequestTest.ChunkedBody.isBounded failed before, "read without end", after 32 MiB. Heads, chunk headers and trailers were bounded before.

The body is rejected with 413 as soon as it exceeds the limit. Up to 8 MiB more are read, so that the caller can read the response, then the connection is closed.

--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -30,6 +30,13 @@
   private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
+
+  /**
+   * Bytes of a rejected body that are read. Closing the connection earlier would reset it, and the
+   * caller might not see the response.
+   */
+  private static final long MAX_DISCARDED_BYTES = 8 << 20;
+
   private static final Map<String, String> CLOSE_HEADER = Map.of(HttpHeaders.CONNECTION, "close");
 
   private final HttpLimits limits;
@@ -42,8 +49,8 @@
   private ResponseChannel responses;
   private HttpContext context;
   private DataStreamChannel channel;
+  private long discardedBytes;
   private int outputBytes;
-  private boolean tooLarge;
   private boolean rejected;
   private boolean aborted;
   private boolean dispatched;
@@ -72,7 +79,7 @@
     String target = request.getPath() == null ? "/" : request.getPath();
     head = new IncomingRequest(request.getMethod(), target, fields, Payload.empty());
     if (entity != null && entity.getContentLength() > limits.maxBodyBytes()) {
-      reject(BODY_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+      rejectLargeBody();
       return;
     }
     if (entity == null) {
@@ -80,6 +87,10 @@
     }
   }
 
+  private void rejectLargeBody() {
+    reject(BODY_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+  }
+
   /**
    * Rejects a request before its body is read and closes the connection, since the unread body
    * cannot be distinguished from a next request.
@@ -97,14 +108,12 @@
   }
 
   @Override
-  public void consume(ByteBuffer source) {
-    if (rejected) {
-      source.position(source.limit());
-      return;
+  public void consume(ByteBuffer source) throws IOException {
+    if (!rejected && body.size() + source.remaining() > limits.maxBodyBytes()) {
+      rejectLargeBody();
     }
-    if (tooLarge || body.size() + source.remaining() > limits.maxBodyBytes()) {
-      tooLarge = true;
-      source.position(source.limit());
+    if (rejected) {
+      discard(source);
       return;
     }
     byte[] bytes = new byte[source.remaining()];
@@ -112,6 +121,15 @@
     body.write(bytes, 0, bytes.length);
   }
 
+  /** Discards a part of a rejected body, so that the caller can read the response meanwhile. */
+  private void discard(ByteBuffer source) throws IOException {
+    discardedBytes += source.remaining();
+    source.position(source.limit());
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      throw new IOException("more than " + MAX_DISCARDED_BYTES + " bytes of a rejected body");
+    }
+  }
+
   @Override
   public void streamEnd(List<? extends Header> trailers) {
     if (!rejected) {
@@ -121,15 +139,6 @@
 
   private void dispatch() {
     dispatched = true;
-    if (tooLarge) {
-      observer.rejected(BODY_TOO_LARGE);
-      send(
-          BODY_TOO_LARGE,
-          "text/plain",
-          Payload.ofText("the body is longer than " + limits.maxBodyBytes() + " bytes"),
-          Map.of());
-      return;
-    }
     IncomingRequest request =
         new IncomingRequest(
             head.method(), head.requestTarget(), head.fields(), Payload.copyOf(body.toByteArray()));
