--- a/soak/src/main/java/dev/caroblb/soak/InstanceStops.java
+++ b/soak/src/main/java/dev/caroblb/soak/InstanceStops.java
@@ -63,8 +63,9 @@
       return;
     }
     history.stopBegan(instance);
-    cluster.instance(instance).terminate();
-    stops.add(executor.submit(() -> stopAndStart(instance, signals, gapMs)));
+    ManagedProcess process = cluster.instance(instance);
+    process.terminate();
+    stops.add(executor.submit(() -> stopAndStart(instance, process, signals, gapMs)));
   }
 
   /** Begins to stop all instances in turn, each after the given gap, without waiting for them. */
@@ -88,8 +89,8 @@
     }
   }
 
-  private Void stopAndStart(String instance, Signals signals, long gapMs) throws Exception {
-    ManagedProcess process = cluster.instance(instance);
+  private Void stopAndStart(String instance, ManagedProcess process, Signals signals, long gapMs)
+      throws Exception {
     long beganNanos = System.nanoTime();
     if (signals == Signals.SECOND && process.awaitExit(gapMs).isEmpty()) {
       process.terminate();
@@ -98,9 +99,9 @@
     startIfEnded(instance);
     if (signals == Signals.AFTER_START) {
       TimeUnit.MILLISECONDS.sleep(gapMs);
-      process = cluster.instance(instance);
-      process.terminate();
-      awaitEnd(instance, process, beganNanos);
+      ManagedProcess restarted = cluster.instance(instance);
+      restarted.terminate();
+      awaitEnd(instance, restarted, beganNanos);
       startIfEnded(instance);
     }
     synchronized (this) {
