--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -53,7 +53,7 @@
   private boolean streaming;
   private boolean targetEnded;
   private boolean waiting;
-  private long sentMs;
+  private long firstPartSentMs;
   private long firstPartMs;
   private long lastPartMs;
   private long longestGapMs;
@@ -244,7 +244,6 @@
     endAttempt();
     attempt++;
     sends++;
-    sentMs = firstPartMs == 0 ? nowMs : sentMs;
     continuesFromCopy = memory.isPresent();
     possibleRuns += continuesFromCopy ? 0 : 1;
     waiting = false;
@@ -361,6 +360,7 @@
   long recordPart(long nowMs) {
     if (firstPartMs == 0) {
       firstPartMs = nowMs;
+      firstPartSentMs = sentMs;
       lastPartMs = nowMs;
       return 0;
     }
@@ -382,7 +382,7 @@
 
   /** Time in milliseconds from the send to the target that responded to the first part. */
   long firstPartAfterSendMs() {
-    return firstPartMs - sentMs;
+    return firstPartMs - firstPartSentMs;
   }
 
   /** Time in milliseconds from the first part to the last one. */
