Prefer parts that were never answered as the cause of crashes

Callers would have been refused for the first part of all prompts: a part that is in many requests also breaks off for other reasons, so that it may explain one crash more than the part that causes them. Whether a part was ever answered decided only between parts with equally many crashes.

Parts that no engine ever generated on now come first. Found by review; PromptQuarantineTest.prefersPartsThatWereNeverAnswered failed before.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
@@ -13,13 +13,13 @@
  * crashes that it explains are not counted for the others.
  */
 final class CulpritFinder {
-  /** Number of crashes that convict a part. */
-  private static final int CONVICTING_CRASHES = 3;
+  /** Number of crashes after which a part is quarantined. */
+  private static final int MIN_CRASHES = 3;
 
   /**
    * Crashes less than this time apart, in milliseconds, count once for a part unless its request
-   * was sent after the earlier one. Otherwise a loss of power of many engines would convict parts
-   * that are in many requests.
+   * was sent after the earlier one. Otherwise a loss of power of many engines would quarantine
+   * parts that are in many requests.
    */
   private static final long SAME_EVENT_MS = 1_000;
 
@@ -39,13 +39,13 @@
     List<Culprit> culprits = new ArrayList<>();
     while (!open.isEmpty()) {
       Map<PromptPart, Count> counts = count(open);
-      List<PromptPart> worst = worst(counts);
-      if (worst.isEmpty()) {
+      List<PromptPart> found = mostCrashes(counts);
+      if (found.isEmpty()) {
         break;
       }
-      Count count = counts.get(worst.get(0));
-      culprits.add(new Culprit(worst, count.crashes(), count.lastMs()));
-      open.removeIf(crash -> worst.stream().anyMatch(part -> log.suspected(part, crash)));
+      Count count = counts.get(found.get(0));
+      culprits.add(new Culprit(found, count.crashes(), count.lastMs()));
+      open.removeIf(crash -> found.stream().anyMatch(part -> log.suspected(part, crash)));
     }
     return culprits;
   }
@@ -69,21 +69,20 @@
   }
 
   /**
-   * The parts with most crashes, if these are enough. Of several, those on which no engine ever
-   * generated, if there are any.
+   * The parts with most crashes among those with enough of them. A part on which no engine ever
+   * generated comes first: one that was answered before is more likely a part that many share.
    */
-  private List<PromptPart> worst(Map<PromptPart, Count> counts) {
-    int most = counts.values().stream().mapToInt(Count::crashes).max().orElse(0);
-    if (most < CONVICTING_CRASHES) {
-      return List.of();
-    }
-    List<PromptPart> tied = new ArrayList<>();
+  private List<PromptPart> mostCrashes(Map<PromptPart, Count> counts) {
+    List<PromptPart> candidates = new ArrayList<>();
     for (Map.Entry<PromptPart, Count> entry : counts.entrySet()) {
-      if (entry.getValue().crashes() == most) {
-        tied.add(entry.getKey());
+      if (entry.getValue().crashes() >= MIN_CRASHES) {
+        candidates.add(entry.getKey());
       }
     }
-    List<PromptPart> neverAnswered = tied.stream().filter(part -> !log.everAnswered(part)).toList();
-    return neverAnswered.isEmpty() ? tied : neverAnswered;
+    List<PromptPart> neverAnswered =
+        candidates.stream().filter(part -> !log.everAnswered(part)).toList();
+    List<PromptPart> preferred = neverAnswered.isEmpty() ? candidates : neverAnswered;
+    int most = preferred.stream().mapToInt(part -> counts.get(part).crashes()).max().orElse(0);
+    return preferred.stream().filter(part -> counts.get(part).crashes() == most).toList();
   }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -82,6 +82,18 @@
       assertFalse(blocked("rare"));
     }
 
+    /** Guards against refusing a part that is known to be answered instead of the cause. */
+    @Test
+    void prefersPartsThatWereNeverAnswered() {
+      answer("a");
+      crash("a", "n");
+      for (int i = 0; i < 3; i++) {
+        crash("a", "x");
+      }
+      assertTrue(blocked("x"));
+      assertFalse(blocked("a"));
+    }
+
     /** Guards against crashes that add up for a part on which engines generate in between. */
     @Test
     void startsAnewAfterAnAnswer() {
