Keep the evidence that holds a quarantine when other evidence is dropped

A part that crashes engines would have been admitted again after 62 other broken requests, and never have been found on an engine with many of them: the limits of 64 crashes, and of 64 suspects of a crash, dropped the oldest crash and the latest suspect. Instances with different crashes at the limit also sent each other what the other had dropped, every 50 ms.

Crashes of quarantined parts are now dropped last, and nothing is added that would be dropped next. Of the suspects those of the latest requests are kept. Found by review; findsThePartBehindManyEarlierSuspects, keepsTheCrashesThatHoldAQuarantine and doesNotAddAgainWhatWasDropped of PromptQuarantineTest failed before.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
@@ -1,6 +1,8 @@
 package dev.caroblb.forwarding.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,20 +26,49 @@
         }
       };
 
+  private Set<PromptPart> quarantined = Set.of();
+
   /** Adds a report of a crash; returns whether it adds anything. */
   boolean add(EngineCrash.EngineRun run, long crashedMs, Map<PromptPart, Long> sentMs) {
     EngineCrash known = crashes.get(run);
     if (known != null) {
       return known.merge(crashedMs, sentMs);
     }
-    if (crashes.size() >= Evidence.MAX_CRASHES) {
-      crashes.remove(crashes.keySet().iterator().next());
+    if (!makeRoom(crashedMs)) {
+      return false;
     }
     EngineCrash crash = new EngineCrash(run, crashedMs);
     crashes.put(run, crash);
     return crash.merge(crashedMs, sentMs);
   }
 
+  /**
+   * Drops the oldest of too many crashes, but not those of quarantined parts while there are
+   * others. Returns false if a new crash would be dropped itself, since instances that add and drop
+   * the same crashes would send each other their evidence without end.
+   */
+  private boolean makeRoom(long crashedMs) {
+    if (crashes.size() < Evidence.MAX_CRASHES) {
+      return true;
+    }
+    List<EngineCrash> droppable =
+        crashes.values().stream().filter(crash -> !crash.hasAnySuspect(quarantined)).toList();
+    EngineCrash oldest =
+        Collections.min(
+            droppable.isEmpty() ? crashes.values() : droppable,
+            Comparator.comparingLong(EngineCrash::crashedMs));
+    if (oldest.crashedMs() >= crashedMs) {
+      return false;
+    }
+    crashes.remove(oldest.run());
+    return true;
+  }
+
+  /** Sets the parts whose crashes are kept longest. */
+  void setQuarantined(Set<PromptPart> parts) {
+    quarantined = Set.copyOf(parts);
+  }
+
   /**
    * Records that an engine generated on a part; returns whether this exonerates it of a crash of
    * which it was a suspect until now.
@@ -80,10 +111,6 @@
     return new ArrayList<>(crashes.values());
   }
 
-  boolean isEmpty() {
-    return crashes.isEmpty();
-  }
-
   /** All parts that are or were suspects of a crash. */
   Set<PromptPart> suspects() {
     Set<PromptPart> suspects = new HashSet<>();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/EngineCrash.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/EngineCrash.java
@@ -1,9 +1,11 @@
 package dev.caroblb.forwarding.quarantine;
 
 import dev.caroblb.core.TargetId;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A possible crash of one run of an engine, with the parts that may have caused it. */
 final class EngineCrash {
@@ -40,19 +42,39 @@
     return sentMsByPart.containsKey(part);
   }
 
-  /** Adds a report of the same crash; returns whether it names a new suspect. */
+  boolean hasAnySuspect(Set<PromptPart> parts) {
+    return !Collections.disjoint(sentMsByPart.keySet(), parts);
+  }
+
+  /**
+   * Adds a report of the same crash; returns whether it names a new suspect. Of too many suspects,
+   * those with the latest requests are kept: the crash is seen shortly after its cause was sent.
+   */
   boolean merge(long seenMs, Map<PromptPart, Long> sentMs) {
     crashedMs = Math.min(crashedMs, seenMs);
     boolean changed = false;
     for (Map.Entry<PromptPart, Long> suspect : sentMs.entrySet()) {
-      if (sentMsByPart.size() >= Evidence.MAX_SUSPECTS) {
-        break;
+      if (!sentMsByPart.containsKey(suspect.getKey()) && makeRoom(suspect.getValue())) {
+        sentMsByPart.put(suspect.getKey(), suspect.getValue());
+        changed = true;
       }
-      changed |= sentMsByPart.putIfAbsent(suspect.getKey(), suspect.getValue()) == null;
     }
     return changed;
   }
 
+  private boolean makeRoom(long sentMs) {
+    if (sentMsByPart.size() < Evidence.MAX_SUSPECTS) {
+      return true;
+    }
+    Map.Entry<PromptPart, Long> earliest =
+        Collections.min(sentMsByPart.entrySet(), Map.Entry.comparingByValue());
+    if (earliest.getValue() >= sentMs) {
+      return false;
+    }
+    sentMsByPart.remove(earliest.getKey());
+    return true;
+  }
+
   CrashReport toReport(long nowMs) {
     return new CrashReport(
         run.target(),
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
@@ -2,10 +2,12 @@
 
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.TargetId;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -101,6 +103,10 @@
   private void decide() {
     List<List<PromptPart>> before = culprits.stream().map(Culprit::parts).toList();
     culprits = finder.find();
+    Set<PromptPart> quarantined = new HashSet<>();
+    culprits.forEach(culprit -> quarantined.addAll(culprit.parts()));
+    own.setQuarantined(quarantined);
+    all.setQuarantined(quarantined);
     List<List<PromptPart>> after = culprits.stream().map(Culprit::parts).toList();
     for (Culprit culprit : culprits) {
       if (!before.contains(culprit.parts())) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -94,6 +94,24 @@
       assertFalse(blocked("a"));
     }
 
+    /** Guards against suspects of earlier broken requests that leave no room for the cause. */
+    @Test
+    void findsThePartBehindManyEarlierSuspects() {
+      for (int engine = 0; engine < 3; engine++) {
+        for (int i = 0; i < 2 * Evidence.MAX_SUSPECTS; i++) {
+          quarantine.crashed(
+              new TargetId("t" + engine), 1, parts("n" + engine + "-" + i), nowMs, nowMs + 5);
+          nowMs += 10;
+        }
+      }
+      for (int engine = 0; engine < 3; engine++) {
+        nowMs += 2_000;
+        quarantine.crashed(new TargetId("t" + engine), 1, parts("x"), nowMs, nowMs + 400);
+      }
+      nowMs += 1_000;
+      assertTrue(blocked("x"));
+    }
+
     /** Guards against crashes that add up for a part on which engines generate in between. */
     @Test
     void startsAnewAfterAnAnswer() {
@@ -197,6 +215,31 @@
       assertFalse(blocked("a"));
     }
 
+    /** Guards against a quarantine that ends when many other requests break off. */
+    @Test
+    void keepsTheCrashesThatHoldAQuarantine() {
+      crash("x");
+      crash("x");
+      crash("x");
+      for (int i = 0; i < 2 * Evidence.MAX_CRASHES; i++) {
+        crash("n" + i);
+      }
+      assertTrue(blocked("x"));
+    }
+
+    /** Guards against instances that send each other the same crashes again and again. */
+    @Test
+    void doesNotAddAgainWhatWasDropped() {
+      for (int i = 0; i < Evidence.MAX_CRASHES; i++) {
+        crash("a" + i);
+        other.crashed(new TargetId("u" + i), 1, parts("b" + i), nowMs - 400, nowMs);
+      }
+      boolean first = quarantine.received(other.ownEvidence(nowMs), nowMs);
+      assertTrue(first);
+      assertFalse(quarantine.received(other.ownEvidence(nowMs), nowMs));
+      assertFalse(quarantine.received(quarantine.ownEvidence(nowMs), nowMs));
+    }
+
     /** Guards against state that grows with the number of crashes. */
     @Test
     void isBounded() {
