--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -10,7 +9,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ContentType;
-import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -39,23 +37,23 @@
   private final OutgoingRequest request;
   private final ResponseSink sink;
   private final ByteBuffer body;
-  private final Consumer<SocketAddress> connectionCloser;
+  private final Consumer<ConnectionAddresses> connectionCloser;
 
   private AsyncClientEndpoint endpoint;
   private CapacityChannel capacity;
   private long unacknowledgedBytes;
-  private Optional<SocketAddress> localAddress = Optional.empty();
+  private Optional<ConnectionAddresses> connection = Optional.empty();
   private boolean written;
   private boolean finished;
 
   /**
-   * @param connectionCloser immediately closes the connection with the given local address
+   * @param connectionCloser immediately closes a connection
    */
   ClientExchange(
       InetSocketAddress address,
       OutgoingRequest request,
       ResponseSink sink,
-      Consumer<SocketAddress> connectionCloser) {
+      Consumer<ConnectionAddresses> connectionCloser) {
     this.address = address;
     this.request = request;
     this.sink = sink;
@@ -83,9 +81,12 @@
         throw new IOException("the exchange was closed");
       }
       written = true;
-      localAddress =
+      connection =
           Optional.ofNullable(HttpCoreContext.cast(context).getEndpointDetails())
-              .map(EndpointDetails::getLocalAddress);
+              .map(
+                  details ->
+                      new ConnectionAddresses(
+                          details.getLocalAddress(), details.getRemoteAddress()));
     }
     BasicHttpRequest head =
         new BasicHttpRequest(request.method(), URIScheme.HTTP.id, authority(), request.path());
@@ -216,11 +217,11 @@
   }
 
   private void closeConnection() {
-    Optional<SocketAddress> connection;
+    Optional<ConnectionAddresses> current;
     synchronized (this) {
-      connection = localAddress;
+      current = connection;
     }
-    connection.ifPresent(connectionCloser);
+    current.ifPresent(connectionCloser);
     discard();
   }
 
--- a/http/src/main/java/dev/caroblb/http/ConnectionMonitor.java
+++ b/http/src/main/java/dev/caroblb/http/ConnectionMonitor.java
@@ -1,6 +1,5 @@
 package dev.caroblb.http;
 
-import java.net.SocketAddress;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
@@ -13,10 +12,10 @@
  * connect timeout. Closes a connection on which interim responses (1xx) arrive without end, since
  * HttpCore passes only some of them on to the exchange.
  *
- * @param connectionCloser immediately closes the connection with the given local address;
- *     HttpCore's own close has no effect while bytes arrive
+ * @param connectionCloser immediately closes a connection; HttpCore's own close has no effect while
+ *     bytes arrive
  */
-record ConnectionMonitor(Timeout idleTimeout, Consumer<SocketAddress> connectionCloser)
+record ConnectionMonitor(Timeout idleTimeout, Consumer<ConnectionAddresses> connectionCloser)
     implements Http1StreamListener {
   private static final int FIRST_FINAL_STATUS = 200;
 
@@ -32,7 +31,8 @@
   public void onResponseHead(HttpConnection connection, HttpResponse response) {
     boolean interim = response.getCode() < FIRST_FINAL_STATUS;
     if (interim && connection.getEndpointDetails().getReceivedBytesCount() > MAX_INTERIM_BYTES) {
-      connectionCloser.accept(connection.getLocalAddress());
+      connectionCloser.accept(
+          new ConnectionAddresses(connection.getLocalAddress(), connection.getRemoteAddress()));
     }
   }
 
--- a/http/src/main/java/dev/caroblb/http/OpenConnections.java
+++ b/http/src/main/java/dev/caroblb/http/OpenConnections.java
@@ -1,6 +1,5 @@
 package dev.caroblb.http;
 
-import java.net.SocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -9,34 +8,36 @@
 import org.apache.hc.core5.reactor.IOSessionListener;
 
 /**
- * Open connections of a connector by local address. Discarding a connection through HttpCore leaves
- * it open while a response is pending, so that the peer continues to process the request.
+ * Open connections of a connector by their addresses. Discarding a connection through HttpCore
+ * leaves it open while a response is pending, so that the peer continues to process the request.
  */
 final class OpenConnections implements IOSessionListener {
-  private final Map<SocketAddress, IOSession> sessions = new ConcurrentHashMap<>();
+  private final Map<ConnectionAddresses, IOSession> sessions = new ConcurrentHashMap<>();
 
-  /** Local addresses by session id; a closed session no longer returns its address. */
-  private final Map<String, SocketAddress> addresses = new ConcurrentHashMap<>();
+  /** Addresses by session id; a closed session no longer returns its local address. */
+  private final Map<String, ConnectionAddresses> addresses = new ConcurrentHashMap<>();
 
   /** Closes a connection immediately, also during an exchange. */
-  void close(SocketAddress local) {
-    Optional.ofNullable(sessions.remove(local))
+  void close(ConnectionAddresses connection) {
+    Optional.ofNullable(sessions.remove(connection))
         .ifPresent(session -> session.close(CloseMode.IMMEDIATE));
   }
 
   @Override
   public void connected(IOSession session) {
-    SocketAddress local = session.getLocalAddress();
-    if (local != null) {
-      sessions.put(local, session);
-      addresses.put(session.getId(), local);
+    if (session.getLocalAddress() == null) {
+      return;
     }
+    ConnectionAddresses connection =
+        new ConnectionAddresses(session.getLocalAddress(), session.getRemoteAddress());
+    sessions.put(connection, session);
+    addresses.put(session.getId(), connection);
   }
 
   @Override
   public void disconnected(IOSession session) {
     Optional.ofNullable(addresses.remove(session.getId()))
-        .ifPresent(local -> sessions.remove(local, session));
+        .ifPresent(connection -> sessions.remove(connection, session));
   }
 
   @Override
