End a graceful close of a listener within the given time

A planned stop could take five seconds longer than its limit: after the given time the listener called HttpCore's graceful close, which waits for another five seconds while a request has no response.

HttpListenerTest.GracefulClose failed before with "closed after 5200 ms".

--- a/callers/src/main/java/dev/caroblb/callers/CallersServer.java
+++ b/callers/src/main/java/dev/caroblb/callers/CallersServer.java
@@ -108,11 +108,6 @@
    */
   @Override
   public void close() {
-    try {
-      listener.closeGracefully(WRITE_TIMEOUT_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    listener.close();
+    listener.closeGracefully(WRITE_TIMEOUT_MS);
   }
 }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -100,11 +100,19 @@
     return address;
   }
 
-  /** Closes idle connections immediately and all others within the given time. */
-  public void closeGracefully(long graceMs) throws InterruptedException {
+  /**
+   * Closes idle connections immediately and all others within the given time, so that responses
+   * that are already queued are written first.
+   */
+  public void closeGracefully(long graceMs) {
     server.initiateShutdown();
-    server.awaitShutdown(TimeValue.ofMilliseconds(graceMs));
-    server.close(CloseMode.GRACEFUL);
+    try {
+      server.awaitShutdown(TimeValue.ofMilliseconds(graceMs));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    // HttpCore's graceful close would wait for another five seconds.
+    server.close(CloseMode.IMMEDIATE);
   }
 
   @Override
--- a/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -226,4 +226,28 @@
       }
     }
   }
+
+  @Nested
+  class GracefulClose {
+    private static final long GRACE_MS = 200;
+
+    /** Time for the threads of the listener to end after the connections were closed. */
+    private static final long MAX_CLOSE_MS = 3_000;
+
+    /** Guards against a stop that takes longer than its limit while a request has no response. */
+    @Test
+    void endsAfterTheGivenTime() throws Exception {
+      try (Socket socket = connect()) {
+        socket
+            .getOutputStream()
+            .write("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals("/wait", received.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+        long startNanos = System.nanoTime();
+        listener.closeGracefully(GRACE_MS);
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(elapsedMs < MAX_CLOSE_MS, () -> "closed after " + elapsedMs + " ms");
+        assertEquals("/wait", disconnected.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+      }
+    }
+  }
 }
