--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CulpritFinder.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashAttribution.java
@@ -12,7 +12,7 @@
  * other requests, which clears them. The part that explains most crashes is found first, and the
  * crashes that it explains are not counted for the others.
  */
-final class CulpritFinder {
+final class CrashAttribution {
   /** Number of crashes after which a part is quarantined. */
   private static final int MIN_CRASHES = 3;
 
@@ -25,18 +25,18 @@
 
   private final CrashLog log;
 
-  CulpritFinder(CrashLog log) {
+  CrashAttribution(CrashLog log) {
     this.log = log;
   }
 
   /** Crashes that a part explains. */
   private record Count(int crashes, long lastMs) {}
 
-  /** Returns the culprits of all crashes that are explained. */
-  List<Culprit> find() {
+  /** Returns the causes of all crashes that are explained. */
+  List<CrashCause> find() {
     List<EngineCrash> open = log.crashes();
     open.sort(Comparator.comparingLong(EngineCrash::crashedMs));
-    List<Culprit> culprits = new ArrayList<>();
+    List<CrashCause> causes = new ArrayList<>();
     while (!open.isEmpty()) {
       Map<PromptPart, Count> counts = count(open);
       List<PromptPart> found = mostCrashes(counts);
@@ -44,10 +44,10 @@
         break;
       }
       Count count = counts.get(found.get(0));
-      culprits.add(new Culprit(found, count.crashes(), count.lastMs()));
+      causes.add(new CrashCause(found, count.crashes(), count.lastMs()));
       open.removeIf(crash -> found.stream().anyMatch(part -> log.suspected(part, crash)));
     }
-    return culprits;
+    return causes;
   }
 
   private Map<PromptPart, Count> count(List<EngineCrash> ordered) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/Culprit.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashCause.java
@@ -10,16 +10,16 @@
  * @param crashes number of crashes that each of them explains
  * @param lastCrashMs time of the last of them
  */
-record Culprit(List<PromptPart> parts, int crashes, long lastCrashMs) {
-  Culprit {
+record CrashCause(List<PromptPart> parts, int crashes, long lastCrashMs) {
+  CrashCause {
     parts = List.copyOf(parts);
   }
 
   /**
    * Whether a request is held back. One with some of several parts is not: it is either answered,
-   * which clears them, or shows that the culprit is among them.
+   * which clears them, or shows that the cause is among them.
    */
-  boolean holdsBack(List<PromptPart> requestParts) {
+  boolean matches(List<PromptPart> requestParts) {
     return requestParts.containsAll(parts);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
@@ -70,8 +70,8 @@
   }
 
   /**
-   * Records that an engine generated on a part; returns whether this exonerates it of a crash of
-   * which it was a suspect until now.
+   * Records that an engine generated on a part; returns whether this rules it out as the cause of a
+   * crash of which it was a suspect until now.
    */
   boolean answered(PromptPart part, long answerMs) {
     long before = answeredMs.getOrDefault(part, Long.MIN_VALUE);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
@@ -34,8 +34,8 @@
   /** Evidence of all instances. */
   private final CrashLog all = new CrashLog();
 
-  private final CulpritFinder finder = new CulpritFinder(all);
-  private List<Culprit> culprits = List.of();
+  private final CrashAttribution finder = new CrashAttribution(all);
+  private List<CrashCause> causes = List.of();
 
   /**
    * Records that an engine broke off a request before any content of its response. Returns whether
@@ -101,23 +101,23 @@
   }
 
   private void decide() {
-    List<List<PromptPart>> before = culprits.stream().map(Culprit::parts).toList();
-    culprits = finder.find();
+    List<List<PromptPart>> before = causes.stream().map(CrashCause::parts).toList();
+    causes = finder.find();
     Set<PromptPart> quarantined = new HashSet<>();
-    culprits.forEach(culprit -> quarantined.addAll(culprit.parts()));
+    causes.forEach(cause -> quarantined.addAll(cause.parts()));
     own.setQuarantined(quarantined);
     all.setQuarantined(quarantined);
-    List<List<PromptPart>> after = culprits.stream().map(Culprit::parts).toList();
-    for (Culprit culprit : culprits) {
-      if (!before.contains(culprit.parts())) {
+    List<List<PromptPart>> after = causes.stream().map(CrashCause::parts).toList();
+    for (CrashCause cause : causes) {
+      if (!before.contains(cause.parts())) {
         log(
             "prompt.quarantined",
             "parts",
-            PromptPart.toLogValue(culprit.parts()),
+            PromptPart.toLogValue(cause.parts()),
             "crashes",
-            Integer.toString(culprit.crashes()),
+            Integer.toString(cause.crashes()),
             "targets",
-            targets(culprit.parts().get(0)));
+            targets(cause.parts().get(0)));
       }
     }
     for (List<PromptPart> parts : before) {
@@ -145,10 +145,10 @@
 
   /** Why a request with these parts must not be sent; empty if it may. */
   public Optional<Quarantine> blocking(List<PromptPart> parts, long nowMs) {
-    for (Culprit culprit : culprits) {
-      long leftMs = culprit.lastCrashMs() + QUARANTINE_MS - nowMs;
-      if (leftMs > 0 && culprit.holdsBack(parts)) {
-        return Optional.of(new Quarantine(culprit.parts(), leftMs));
+    for (CrashCause cause : causes) {
+      long leftMs = cause.lastCrashMs() + QUARANTINE_MS - nowMs;
+      if (leftMs > 0 && cause.matches(parts)) {
+        return Optional.of(new Quarantine(cause.parts(), leftMs));
       }
     }
     return Optional.empty();
@@ -156,7 +156,7 @@
 
   /** Whether any part is quarantined. */
   public boolean isActive() {
-    return !culprits.isEmpty();
+    return !causes.isEmpty();
   }
 
   /** Forgets old evidence. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
@@ -33,8 +33,8 @@
     private final EntryGroup group;
     private final Random random;
     private final String path;
-    private int sound;
-    private int soundBegun;
+    private int others;
+    private int otherBegun;
 
     Traffic(EntryGroup group, String path, long seed) {
       this.group = group;
@@ -51,10 +51,10 @@
           long unused = group.arrive(entry, path, first, EntryGroup.CRASHING, second);
         } else {
           long call = group.arrive(entry, path, first, second);
-          sound++;
+          others++;
           group.advance(1_000 / 6);
           group.advance(400);
-          soundBegun += group.begun(call) ? 1 : 0;
+          otherBegun += group.begun(call) ? 1 : 0;
         }
         group.advance(random.nextInt(100));
       }
@@ -153,7 +153,7 @@
       assertEquals(null, group.refusals.get(RefusalReason.PROMPT_QUARANTINED));
     }
 
-    /** Guards against refusing sound requests that share parts with requests that crash engines. */
+    /** Guards against refusing other requests that share parts with requests that crash engines. */
     @Test
     void areServedBesideTheCrashingPart() {
       for (long seed = 1; seed <= 5; seed++) {
@@ -161,12 +161,12 @@
         group.advance(2_000);
         Traffic traffic = new Traffic(group, "/long/x", seed);
         traffic.run(5, 40, 0.4);
-        traffic.sound = 0;
-        traffic.soundBegun = 0;
+        traffic.others = 0;
+        traffic.otherBegun = 0;
         traffic.run(5, 60, 0.4);
         assertTrue(
-            traffic.soundBegun >= 0.8 * traffic.sound,
-            traffic.soundBegun + " of " + traffic.sound + " sound requests began");
+            traffic.otherBegun >= 0.8 * traffic.others,
+            traffic.otherBegun + " of " + traffic.others + " other requests began");
       }
     }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -42,7 +42,7 @@
   }
 
   @Nested
-  class Conviction {
+  class Threshold {
     /** Guards against refusing a prompt after crashes that have other causes. */
     @Test
     void takesThreeCrashes() {
@@ -56,7 +56,7 @@
       assertFalse(blocked());
     }
 
-    /** Guards against convicting parts that share requests with the culprit. */
+    /** Guards against quarantining parts that share requests with the cause. */
     @Test
     void sparesThePartsOfOtherAnsweredRequests() {
       answer("a");
@@ -71,7 +71,7 @@
       assertFalse(blocked("a", "b"));
     }
 
-    /** Guards against convicting a rare part for crashes that another part explains. */
+    /** Guards against quarantining a rare part for crashes that another part explains. */
     @Test
     void sparesPartsWhoseCrashesAreExplained() {
       crash("rare", "x");
@@ -123,7 +123,7 @@
       assertFalse(blocked("a"));
     }
 
-    /** Guards against a conviction for several requests that broke off at one engine. */
+    /** Guards against a quarantine after several requests that broke off at one engine. */
     @Test
     void countsOneRunOfAnEngineOnce() {
       for (int i = 0; i < 5; i++) {
@@ -151,8 +151,8 @@
   }
 
   @Nested
-  class Release {
-    /** Guards against a wrong verdict that stays although engines generate on the part. */
+  class Expiry {
+    /** Guards against a wrong quarantine that stays although engines generate on the part. */
     @Test
     void followsAnAnswer() {
       crash("x");
@@ -199,7 +199,7 @@
       assertTrue(blocked("x"));
     }
 
-    /** Guards against convicting a part that other instances see answered. */
+    /** Guards against quarantining a part that other instances see answered. */
     @Test
     void reportsAnswersToTheSuspectsOfOthers() {
       crash("a");
