--- a/http/src/test/java/dev/caroblb/http/ResponseMatchingTest.java
+++ b/http/src/test/java/dev/caroblb/http/ResponseMatchingTest.java
@@ -18,7 +18,7 @@
   private static final String OK =
       "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok";
   private static final String REFUSAL =
-      "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      "HTTP/1.1 503 Full\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
 
   private final HttpConnector connector = new HttpConnector(1, 1_000, 120_000);
 
