Show that broken links can quarantine a part that crashes no engine

Callers would be refused for ten minutes: a broken connection counts as a crash of its engine although the engine goes on responding.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CrashingPromptTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests several entries whose engines crash on one part of a prompt. */
@@ -135,7 +136,7 @@
   }
 
   @Nested
-  class SoundParts {
+  class OtherParts {
     /**
      * Guards against quarantining parts because connections break now and then, as they do when
      * engines send malformed responses or reset connections.
@@ -153,6 +154,27 @@
       assertEquals(null, group.refusals.get(RefusalReason.PROMPT_QUARANTINED));
     }
 
+    /**
+     * Guards against refusing a rare part at all entries because links to engines that go on
+     * running broke.
+     */
+    @Test
+    @Tag("known-red")
+    void areServedAfterLinksToRunningEnginesBroke() {
+      EntryGroup group = new EntryGroup(3, 5, 10);
+      PromptPart rare = new PromptPart("rare");
+      group.advance(2_000);
+      for (int i = 0; i < 6; i++) {
+        long unused = group.arrive(0, "/long/x", SHARED[i % SHARED.length], rare);
+        group.advance(100);
+        group.engines().forEach(group::resetConnections);
+        group.advance(1_500);
+      }
+      long call = group.arrive(1, "/long/x", SHARED[0], rare);
+      group.advance(1_000);
+      assertTrue(group.begun(call));
+    }
+
     /** Guards against refusing other requests that share parts with requests that crash engines. */
     @Test
     void areServedBesideTheCrashingPart() {
