--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
@@ -52,7 +52,10 @@
     own.add(run, nowMs, suspects);
     boolean changed = all.add(run, nowMs, suspects);
     if (changed) {
-      log("prompt.suspected", "target", target.name(), "parts", PromptPart.toLogValue(parts));
+      log(
+          LogLine.of("prompt.suspected")
+              .with("target", target.name())
+              .with("parts", PromptPart.toLogValue(parts)));
       decide();
     }
     return changed;
@@ -111,18 +114,15 @@
     for (CrashCause cause : causes) {
       if (!before.contains(cause.parts())) {
         log(
-            "prompt.quarantined",
-            "parts",
-            PromptPart.toLogValue(cause.parts()),
-            "crashes",
-            Integer.toString(cause.crashes()),
-            "targets",
-            targets(cause.parts().get(0)));
+            LogLine.of("prompt.quarantined")
+                .with("parts", PromptPart.toLogValue(cause.parts()))
+                .with("crashes", cause.crashes())
+                .with("targets", targets(cause.parts().get(0))));
       }
     }
     for (List<PromptPart> parts : before) {
       if (!after.contains(parts)) {
-        log("prompt.cleared", "parts", PromptPart.toLogValue(parts));
+        log(LogLine.of("prompt.cleared").with("parts", PromptPart.toLogValue(parts)));
       }
     }
   }
@@ -135,11 +135,7 @@
         .collect(Collectors.joining("+"));
   }
 
-  private static void log(String event, String... pairs) {
-    LogLine line = LogLine.of(event);
-    for (int i = 0; i + 1 < pairs.length; i += 2) {
-      line = line.with(pairs[i], pairs[i + 1]);
-    }
+  private static void log(LogLine line) {
     LOGGER.log(System.Logger.Level.INFO, line.toString());
   }
 
