Observe what targets say about themselves in responses

A target may say in any response that it leaves, and with a 503 for how long it wants no requests. Neither was read: requests went on to reach a leaving target until its announcement arrived, if there was one, and a full target again and again within the time that it had asked for.

Leaving marks the target like its announcement does, starts the moves of its generations, and reaches the other instances through membership. A rejecting target gets nothing from this instance until its time is over: no request, retry, placement, move or backup; the continuation of a generation from a copy there waits up to 4 s. If no target is left, the caller is refused at once with the time of the first that accepts again.

Two parts of a stream in the same millisecond no longer count as two first responses.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -18,6 +18,7 @@
 import dev.caroblb.forwarding.ForwardingMessage;
 import dev.caroblb.forwarding.TargetInfo;
 import dev.caroblb.forwarding.TargetPort;
+import dev.caroblb.forwarding.TargetRun;
 import dev.caroblb.forwarding.codec.LoadCodec;
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.Announcement;
@@ -167,7 +168,12 @@
         new PeerChannel<>(transport, Channel.FORWARDING, new LoadCodec());
     ForwardingHandler handler =
         new ForwardingHandler(
-            settings.forwarding(), targets, peers, new CallMetricsObserver(), new Random());
+            settings.forwarding(),
+            targets,
+            peers,
+            this::targetLeaves,
+            new CallMetricsObserver(),
+            new Random());
     Duty<ForwardingMessage> duty = duties.create("forwarding", handler);
     forwarding.bind(duty);
     peers.setReceiver(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
@@ -195,6 +201,10 @@
     peers.setReceiver(message -> duty.offer(new MembershipMessage.FromPeer(message)));
   }
 
+  private boolean targetLeaves(TargetRun run) {
+    return membership.offer(new MembershipMessage.LeavingObserved(run.target(), run.incarnation()));
+  }
+
   private boolean targetChanged(TargetChange change) {
     if (change instanceof TargetChange.Leaving leaving) {
       return forwarding.offer(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
@@ -57,7 +57,8 @@
     fail(exchange, refusal, refusal.message(), nowMs);
   }
 
-  private void fail(Exchange exchange, Refusal refusal, String cause, long nowMs) {
+  /** Ends a request without a complete response: aborts its stream, or refuses the request. */
+  void fail(Exchange exchange, Refusal refusal, String cause, long nowMs) {
     if (exchange.target().isPresent()) {
       port.cancel(exchange.call().id(), exchange.attempt());
     }
@@ -105,7 +106,7 @@
             .with("target", target)
             .with("sendings", exchange.sends())
             .with("first_ms", exchange.firstPartAfterMs())
-            .with("longest_pause_ms", exchange.longestGapMs())
+            .with("longest_pause_ms", exchange.timing().longestGapMs())
             .with("elapsed_ms", nowMs - exchange.arrivedMs())
             .with("drain_left_ms", drain.logValue(nowMs))
             .toString());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -73,7 +73,7 @@
     PlacementNeed need =
         exchange
             .placementNeed(PlacementNeed.Purpose.START, domain, nowMs)
-            .excluding(pool.penalized(exchange.service(), nowMs));
+            .excluding(pool.excluded(exchange.service(), nowMs));
     Optional<Long> replyByMs =
         need.tokens() > 0 && !exchange.streaming()
             ? coordinator.requestPlacement(exchange, need, nowMs)
@@ -102,12 +102,17 @@
   void placementReceived(
       Exchange exchange, Optional<TargetId> target, Optional<TargetId> backup, long nowMs) {
     exchange.clearPendingPlacement();
-    Optional<Target> chosen = target.flatMap(pool::usable);
+    Optional<Target> chosen = target.flatMap(id -> pool.usable(id, nowMs));
     if (chosen.isEmpty()) {
       placeLocally(exchange, nowMs);
       return;
     }
-    send(exchange, chosen.get(), Optional.empty(), backup.flatMap(pool::usable), nowMs);
+    send(
+        exchange,
+        chosen.get(),
+        Optional.empty(),
+        backup.flatMap(id -> pool.usable(id, nowMs)),
+        nowMs);
   }
 
   /** Handles a timer of a request that has no target yet. */
@@ -175,8 +180,9 @@
       return;
     }
     long waitUntilMs = waitUntilMs(exchange);
-    if (nowMs >= waitUntilMs) {
-      finisher.fail(
+    Optional<Long> acceptingMs = pool.nextAcceptingMs(need, nowMs);
+    if (nowMs >= waitUntilMs || acceptingMs.filter(ms -> ms > waitUntilMs).isPresent()) {
+      failWithoutTarget(
           exchange,
           RefusalReason.NO_TARGET,
           "no available target of service " + exchange.service(),
@@ -185,7 +191,21 @@
     }
     exchange.setWaiting(true);
     anyWaiting = true;
-    exchanges.wakeAt(exchange, waitUntilMs);
+    exchanges.wakeAt(exchange, acceptingMs.orElse(waitUntilMs));
+  }
+
+  /**
+   * Refuses a request for which no target is left. If targets have said when they accept requests
+   * again, the caller is told that time.
+   */
+  private void failWithoutTarget(
+      Exchange exchange, RefusalReason reason, String cause, long nowMs) {
+    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
+    long retryAfterMs =
+        pool.nextAcceptingMs(need.withoutExclusions(), nowMs)
+            .map(acceptingMs -> acceptingMs - nowMs)
+            .orElse(RetryAfter.delayMs(reason));
+    finisher.fail(exchange, Refusal.of(reason, cause).retryAfter(retryAfterMs), cause, nowMs);
   }
 
   private static long waitUntilMs(Exchange exchange) {
@@ -292,7 +312,7 @@
             && guard.blocking(exchange.call(), nowMs).isEmpty()
             && pool.choose(need, nowMs).isPresent();
     if (!possible || !budget.tryRetry(exchange.service(), nowMs)) {
-      finisher.fail(exchange, otherwise, reason.wireName(), nowMs);
+      failWithoutTarget(exchange, otherwise, reason.wireName(), nowMs);
       return;
     }
     observer.retried(reason);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -35,6 +35,7 @@
   private final EventFraming framing = new EventFraming();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private final ArrayDeque<Payload> pendingEvents = new ArrayDeque<>();
+  private final StreamTiming timing = new StreamTiming();
 
   private int attempt;
   private int sends;
@@ -49,14 +50,11 @@
   private Optional<ResponseHead> head = Optional.empty();
   private Optional<GenerationMove> move = Optional.empty();
   private Optional<Target> backup = Optional.empty();
+  private Optional<DelayedContinuation> continuation = Optional.empty();
   private int pendingBytes;
   private boolean streaming;
   private boolean targetEnded;
   private boolean waiting;
-  private long firstPartSentMs;
-  private long firstPartMs;
-  private long lastPartMs;
-  private long longestGapMs;
 
   Exchange(
       ForwardCall call,
@@ -202,6 +200,15 @@
     move = Optional.empty();
   }
 
+  /** The continuation from a copy that waits until its engine accepts requests. */
+  Optional<DelayedContinuation> continuation() {
+    return continuation;
+  }
+
+  void setContinuation(DelayedContinuation delayed) {
+    continuation = Optional.of(delayed);
+  }
+
   /** The engine that continuously gets a copy of the generation's memory. */
   Optional<Target> backup() {
     return backup;
@@ -290,6 +297,7 @@
     target = Optional.empty();
     backup.ifPresent(engine -> engine.reserve(-tokens()));
     backup = Optional.empty();
+    continuation = Optional.empty();
     cancelMove();
     attempt++;
   }
@@ -312,7 +320,7 @@
    * A stream without length and chunks ends with its connection, also when its target crashes.
    */
   boolean incompleteStream() {
-    return framing.hasPartialEvent() || (streaming && firstPartMs == 0);
+    return framing.hasPartialEvent() || (streaming && !timing.begun());
   }
 
   /** Buffers a part of a response that is not a stream; returns false if it grew too large. */
@@ -356,42 +364,18 @@
     return targetEnded;
   }
 
-  /** Records a stream part; returns the time since the previous one, 0 for the first. */
-  long recordPart(long nowMs) {
-    if (firstPartMs == 0) {
-      firstPartMs = nowMs;
-      firstPartSentMs = sentMs;
-      lastPartMs = nowMs;
-      return 0;
-    }
-    long gap = nowMs - lastPartMs;
-    lastPartMs = nowMs;
-    longestGapMs = Math.max(longestGapMs, gap);
-    return gap;
+  /** Records a stream part; returns the time since the previous one, empty for the first. */
+  Optional<Long> recordPart(long nowMs) {
+    return timing.recordPart(sentMs, nowMs);
   }
 
-  /** Time in milliseconds since the last part of a stream. */
-  long sinceLastPartMs(long nowMs) {
-    return nowMs - lastPartMs;
+  /** When the parts of a stream arrived. */
+  StreamTiming timing() {
+    return timing;
   }
 
   /** Time in milliseconds from the arrival to the first part; 0 if there is none yet. */
   long firstPartAfterMs() {
-    return firstPartMs == 0 ? 0 : firstPartMs - arrivedMs;
-  }
-
-  /** Time in milliseconds from the send to the target that responded to the first part. */
-  long firstPartAfterSendMs() {
-    return firstPartMs - firstPartSentMs;
-  }
-
-  /** Time in milliseconds from the first part to the last one. */
-  long streamedMs() {
-    return lastPartMs - firstPartMs;
-  }
-
-  /** Longest time in milliseconds between two parts. */
-  long longestGapMs() {
-    return longestGapMs;
+    return timing.begun() ? timing.firstPartMs() - arrivedMs : 0;
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -7,6 +7,7 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
@@ -20,6 +21,7 @@
   private static final System.Logger LOGGER = System.getLogger(ForwardingHandler.class.getName());
 
   private final ForwardingSettings settings;
+  private final Outlet<TargetRun> leaving;
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
   private final GenerationDurations durations = new GenerationDurations();
@@ -38,13 +40,18 @@
   private Optional<RoutingTable> table = Optional.empty();
   private volatile boolean refuseNew;
 
+  /**
+   * @param leaving receives the targets that said in a response that they leave
+   */
   public ForwardingHandler(
       ForwardingSettings settings,
       TargetPort port,
       Outlet<PeerEnvelope<PeerMessage>> peers,
+      Outlet<TargetRun> leaving,
       CallObserver observer,
       RandomGenerator random) {
     this.settings = settings;
+    this.leaving = leaving;
     this.random = random;
     PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
     pool = new TargetPool(random, List.of(remoteLoad, ledger));
@@ -111,6 +118,7 @@
       responses.body(exchange, body.part(), nowMs);
       mover.moveIfLeaving(exchange, table, nowMs);
     } else if (message instanceof ForwardingMessage.Head head) {
+      noticeReceived(exchange, head.head().notice(), nowMs);
       responses.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
       boolean incomplete = exchange.stopOrdered() || exchange.incompleteStream();
@@ -133,6 +141,41 @@
     }
   }
 
+  /** Applies what a target says about itself before its response is handled. */
+  private void noticeReceived(Exchange exchange, TargetNotice notice, long nowMs) {
+    Optional<Target> target = exchange.target();
+    if (target.isEmpty()) {
+      return;
+    }
+    TargetInfo info = target.get().info();
+    if (notice.rejectsForMs().isPresent()) {
+      long rejectsForMs = notice.rejectsForMs().get();
+      target.get().rejectsUntil(nowMs + rejectsForMs);
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("target.rejecting")
+              .with("target", info.id())
+              .with("for_ms", rejectsForMs)
+              .toString());
+    }
+    if (notice.leaving() && targetLeaving(info.id(), info.incarnation(), nowMs)) {
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("target.leaving")
+              .with("target", info.id())
+              .with("source", "response")
+              .toString());
+      boolean unused = leaving.offer(TargetRun.of(info));
+    }
+  }
+
+  /** Marks a target as leaving and moves its generations; returns false if that was known. */
+  private boolean targetLeaving(TargetId id, long incarnation, long nowMs) {
+    Optional<Target> target = pool.leaving(id, incarnation, nowMs);
+    target.ifPresent(engine -> mover.moveAway(engine, table, nowMs));
+    return target.isPresent();
+  }
+
   private void connectionBroken(Exchange exchange, long nowMs) {
     guard.connectionBroken(exchange, nowMs);
     dispatcher.endQuarantined(nowMs);
@@ -175,7 +218,7 @@
       return;
     }
     if (pending.get().purpose() == PlacementNeed.Purpose.MOVE) {
-      mover.destinationChosen(exchange, reply.target());
+      mover.destinationChosen(exchange, reply.target(), nowMs);
     } else {
       dispatcher.placementReceived(exchange, reply.target(), reply.backup(), nowMs);
     }
@@ -189,9 +232,8 @@
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
       guard.heartbeatReceived(available.target(), nowMs);
-    } else if (message instanceof ForwardingMessage.TargetLeaving leaving) {
-      pool.leaving(leaving.target(), leaving.incarnation(), nowMs)
-          .ifPresent(target -> mover.moveAway(target, table, nowMs));
+    } else if (message instanceof ForwardingMessage.TargetLeaving announced) {
+      boolean unused = targetLeaving(announced.target(), announced.incarnation(), nowMs);
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationDurations.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationDurations.java
@@ -48,10 +48,10 @@
       return;
     }
     Pace pace = byService.computeIfAbsent(exchange.service(), service -> new Pace());
-    pace.firstEventMs().observe((double) exchange.firstPartAfterSendMs());
+    pace.firstEventMs().observe((double) exchange.timing().firstPartAfterSendMs());
     long tokens = (exchange.framing().events() - 1) * eventTokens(exchange.service());
     if (tokens >= MIN_OBSERVED_TOKENS) {
-      pace.tokenMs().observe((double) exchange.streamedMs() / tokens);
+      pace.tokenMs().observe((double) exchange.timing().streamedMs() / tokens);
     }
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -28,6 +28,12 @@
    */
   private static final long SILENCE_TIMEOUT_MS = 400;
 
+  /**
+   * Maximum time in milliseconds that a generation waits for an engine with its copy that rejects
+   * requests. Engines keep a copy for some seconds, and callers abandon a stream without events.
+   */
+  private static final long MAX_CONTINUATION_DELAY_MS = 4_000;
+
   /** Age in milliseconds at which a copy is updated. */
   private static final long REFRESH_MS = 2_000;
 
@@ -79,7 +85,7 @@
       return;
     }
     boolean quarantined = guard.blocking(exchange.call(), nowMs).isPresent();
-    if (quarantined || exchange.backup().filter(pool::usable).isPresent()) {
+    if (quarantined || exchange.backup().filter(pool::staying).isPresent()) {
       return;
     }
     start(exchange, source.get(), nowMs);
@@ -108,11 +114,11 @@
   }
 
   /** Starts the copy to the destination that a control instance chose, if it is still needed. */
-  void destinationChosen(Exchange exchange, Optional<TargetId> destination) {
+  void destinationChosen(Exchange exchange, Optional<TargetId> destination, long nowMs) {
     exchange.clearPendingPlacement();
     Optional<Target> source = exchange.target().filter(Target::leaving);
     if (source.isPresent() && exchange.move().isEmpty() && !exchange.targetEnded()) {
-      startCopy(exchange, source.get(), destination.flatMap(pool::usable));
+      startCopy(exchange, source.get(), destination.flatMap(id -> pool.usable(id, nowMs)));
     }
   }
 
@@ -191,6 +197,11 @@
    * to stop the generation.
    */
   void timerFired(Exchange exchange, long nowMs) {
+    Optional<DelayedContinuation> delayed = exchange.continuation();
+    if (delayed.isPresent()) {
+      continueDelayed(exchange, delayed.get(), nowMs);
+      return;
+    }
     if (exchange.pendingPlacement().isPresent()) {
       if (!exchange.pendingPlacement().get().awaitsFirstReply(nowMs)) {
         placementTimedOut(exchange, nowMs);
@@ -204,8 +215,11 @@
     }
     GenerationMove current = move.get();
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
-    if (exchange.sinceLastPartMs(nowMs) >= SILENCE_TIMEOUT_MS) {
-      log(exchange, "forwarding.stopping", "silent for " + exchange.sinceLastPartMs(nowMs) + " ms");
+    if (exchange.timing().sinceLastPartMs(nowMs) >= SILENCE_TIMEOUT_MS) {
+      log(
+          exchange,
+          "forwarding.stopping",
+          "silent for " + exchange.timing().sinceLastPartMs(nowMs) + " ms");
       exchange.setMove(current.stopping());
       port.move(order(exchange, source.get(), current.destination(), true));
     } else if (nowMs - current.copiedAtMs() >= REFRESH_MS) {
@@ -227,7 +241,7 @@
       continueAt(exchange, moved.get().destination(), moved.get().copy().get(), nowMs);
       return true;
     }
-    Optional<Target> backup = exchange.backup().filter(pool::usable);
+    Optional<Target> backup = exchange.backup().filter(pool::staying);
     backup.ifPresent(engine -> continueAt(exchange, engine, backupOf(exchange, engine), nowMs));
     return backup.isPresent();
   }
@@ -236,9 +250,33 @@
     return new CopiedMemory(engine.info().address(), exchange.call().requestId());
   }
 
+  /**
+   * Continues a generation at the engine that has its copy. If that engine wants no requests from
+   * this instance for a short time, the generation continues after it.
+   */
   private void continueAt(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
-    log(exchange, "forwarding.moved", "to " + destination.info().id());
-    dispatcher.continueFromCopy(exchange, destination, memory, nowMs);
+    if (destination.accepts(nowMs) || destination.leaving()) {
+      log(exchange, "forwarding.moved", "to " + destination.info().id());
+      dispatcher.continueFromCopy(exchange, destination, memory, nowMs);
+      return;
+    }
+    if (destination.rejectsUntilMs() - nowMs > MAX_CONTINUATION_DELAY_MS) {
+      exchange.cancelMove();
+      responses.targetFailed(exchange, "the engine with the copy rejects requests", nowMs);
+      return;
+    }
+    log(exchange, "forwarding.continuation_delayed", "to " + destination.info().id());
+    exchange.setContinuation(new DelayedContinuation(destination, memory));
+    exchanges.wakeAt(exchange, destination.rejectsUntilMs());
+  }
+
+  private void continueDelayed(Exchange exchange, DelayedContinuation delayed, long nowMs) {
+    if (pool.staying(delayed.destination())) {
+      continueAt(exchange, delayed.destination(), delayed.memory(), nowMs);
+      return;
+    }
+    exchange.cancelMove();
+    responses.targetFailed(exchange, "the engine with the copy is gone", nowMs);
   }
 
   /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
@@ -52,6 +52,20 @@
         objectiveMs);
   }
 
+  /** Returns the same requirements without excluded targets. */
+  PlacementNeed withoutExclusions() {
+    return new PlacementNeed(
+        purpose,
+        service,
+        tokens,
+        promptTokens,
+        Set.of(),
+        preferredDomain,
+        wantsBackup,
+        priority,
+        objectiveMs);
+  }
+
   public PlacementNeed {
     excluded = Set.copyOf(excluded);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -81,12 +81,10 @@
         exchange.setProgress(AttemptProgress.CONTENT);
         guard.answered(exchange, nowMs);
       }
-      long gapMs = exchange.recordPart(nowMs);
-      if (gapMs == 0) {
-        observer.responded(nowMs - exchange.arrivedMs());
-      } else {
-        observer.partGap(gapMs);
-      }
+      exchange
+          .recordPart(nowMs)
+          .ifPresentOrElse(
+              observer::partGap, () -> observer.responded(nowMs - exchange.arrivedMs()));
     }
     if (exchange.forwardEvents(events)) {
       port.acknowledge(exchange.call().id(), exchange.attempt());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
@@ -18,6 +18,7 @@
   private long prefillTokens;
   private long penaltyUntilMs = Long.MIN_VALUE;
   private long penaltyMs = MIN_PENALTY_MS;
+  private long rejectsUntilMs = Long.MIN_VALUE;
 
   Target(TargetInfo info) {
     this.info = info;
@@ -86,6 +87,20 @@
     penaltyUntilMs = Long.MIN_VALUE;
   }
 
+  /** Records that the target wants no requests from this instance until a time. */
+  void rejectsUntil(long untilMs) {
+    rejectsUntilMs = Math.max(rejectsUntilMs, untilMs);
+  }
+
+  long rejectsUntilMs() {
+    return rejectsUntilMs;
+  }
+
+  /** Whether the target accepts requests, as far as it has said. */
+  boolean accepts(long nowMs) {
+    return !leaving && nowMs >= rejectsUntilMs;
+  }
+
   boolean penalized(long nowMs) {
     return nowMs < penaltyUntilMs;
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -47,10 +47,8 @@
 
   private static final double NEARLY_FULL_WEIGHT = 20;
 
-  /**
-   * Maximum number of failed targets excluded by a placement request, to keep the message small.
-   */
-  private static final int MAX_PENALIZED = 32;
+  /** Maximum number of targets excluded by a placement request, to keep the message small. */
+  private static final int MAX_EXCLUDED = 32;
 
   /**
    * Fraction of an engine's memory that expected sizes may add up to before requests are queued.
@@ -141,25 +139,49 @@
     engineLimits = Map.copyOf(limitsByService);
   }
 
-  /** Penalized targets of a service, at most {@link #MAX_PENALIZED}. */
-  Set<TargetId> penalized(String service, long nowMs) {
-    Set<TargetId> penalized = new HashSet<>();
+  /**
+   * Targets of a service that a control instance must not choose for this instance, at most {@link
+   * #MAX_EXCLUDED}: those that want no requests from it, and penalized ones.
+   */
+  Set<TargetId> excluded(String service, long nowMs) {
+    Set<TargetId> excluded = new HashSet<>();
     for (Target target : targets.values()) {
-      boolean counts = target.info().service().equals(service) && target.penalized(nowMs);
-      if (counts && penalized.size() < MAX_PENALIZED) {
-        penalized.add(target.info().id());
+      boolean counts =
+          target.info().service().equals(service)
+              && (target.penalized(nowMs) || !target.accepts(nowMs));
+      if (counts && excluded.size() < MAX_EXCLUDED) {
+        excluded.add(target.info().id());
       }
     }
-    return penalized;
+    return excluded;
+  }
+
+  /**
+   * The earliest time at which a target of a service that rejects requests for some time accepts
+   * them again; empty if no target does so.
+   */
+  Optional<Long> nextAcceptingMs(PlacementNeed need, long nowMs) {
+    Optional<Long> earliest = Optional.empty();
+    for (Target target : targets.values()) {
+      boolean candidate =
+          target.info().service().equals(need.service())
+              && !need.excluded().contains(target.info().id())
+              && !target.leaving()
+              && !target.accepts(nowMs);
+      if (candidate && earliest.filter(ms -> ms <= target.rejectsUntilMs()).isEmpty()) {
+        earliest = Optional.of(target.rejectsUntilMs());
+      }
+    }
+    return earliest;
   }
 
   /** The target with this ID, if it accepts requests. */
-  Optional<Target> usable(TargetId id) {
-    return Optional.ofNullable(targets.get(id)).filter(target -> !target.leaving());
+  Optional<Target> usable(TargetId id, long nowMs) {
+    return Optional.ofNullable(targets.get(id)).filter(target -> target.accepts(nowMs));
   }
 
-  /** Whether a previously chosen target still accepts requests. */
-  boolean usable(Target target) {
+  /** Whether a previously chosen target is still known and does not leave. */
+  boolean staying(Target target) {
     return targets.get(target.info().id()) == target && !target.leaving();
   }
 
@@ -285,7 +307,7 @@
     for (Target target : targets.values()) {
       boolean candidate =
           target.info().service().equals(service)
-              && !target.leaving()
+              && target.accepts(nowMs)
               && !excluded.contains(target.info().id());
       if (!candidate) {
         continue;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetRun.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetRun.java
@@ -3,7 +3,7 @@
 import dev.caroblb.core.TargetId;
 
 /** One run of a target; a restart discards the load of the previous run. */
-record TargetRun(TargetId target, long incarnation) {
+public record TargetRun(TargetId target, long incarnation) {
   static TargetRun of(TargetLoad load) {
     return new TargetRun(load.target(), load.incarnation());
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
@@ -58,6 +58,7 @@
                 deliver(id, message);
                 return true;
               },
+              run -> true,
               this,
               new Random(name.hashCode()));
     }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -31,11 +31,13 @@
   final RecordingCaller caller = new RecordingCaller();
   final List<RetryReason> retries = new ArrayList<>();
   final List<PeerEnvelope<PeerMessage>> toPeers = new ArrayList<>();
+  final List<TargetRun> leaving = new ArrayList<>();
   final ForwardingHandler handler =
       new ForwardingHandler(
           new ForwardingSettings(new InstanceId("entry"), ZONE, 10, 0.2, 10_000, 320),
           targets,
           toPeers::add,
+          leaving::add,
           new RecordingObserver(),
           new Random(1));
   long nowMs = 1_000;
@@ -168,6 +170,24 @@
             7, attempt(), new ResponseHead(503, true, true, false, new ResponseFields() {})));
   }
 
+  /** Refuses the current attempt as not run; the target wants no requests for some time. */
+  void rejectFor(long ms) {
+    respondWithNotice(new TargetNotice(false, Optional.of(ms)));
+  }
+
+  /** Refuses the current attempt as not run, because the target leaves. */
+  void refuseAsLeaving() {
+    respondWithNotice(new TargetNotice(true, Optional.empty()));
+  }
+
+  private void respondWithNotice(TargetNotice notice) {
+    handle(
+        new ForwardingMessage.Head(
+            7,
+            attempt(),
+            new ResponseHead(503, true, true, false, notice, new ResponseFields() {})));
+  }
+
   void startStream() {
     handle(new ForwardingMessage.Head(7, attempt(), head(200, true)));
     handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText(FIRST_EVENT + "id: 2\nda")));
--- a/forwarding/src/test/java/dev/caroblb/forwarding/RecordingCaller.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RecordingCaller.java
@@ -8,11 +8,13 @@
 /** Records the calls of the caller port. */
 final class RecordingCaller implements CallerPort {
   final List<String> events = new ArrayList<>();
+  final List<Refusal> refusals = new ArrayList<>();
   boolean full;
 
   @Override
   public void refuse(Refusal refusal) {
     events.add("refused " + refusal.reason());
+    refusals.add(refusal);
   }
 
   @Override
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -89,6 +89,8 @@
       announceStateChange(nowMs);
     } else if (message instanceof MembershipMessage.Withdrawn withdrawn) {
       withdrawn.known().offer(withdraw(withdrawn.target(), nowMs));
+    } else if (message instanceof MembershipMessage.LeavingObserved observed) {
+      leavingObserved(observed, nowMs);
     } else if (message instanceof MembershipMessage.StopRequested) {
       drain.request(nowMs);
       drain.reportStages(nowMs);
@@ -127,12 +129,24 @@
     if (known.isEmpty()) {
       return false;
     }
-    if (merge(known.get().asLeaving())) {
-      sender.forward(List.of(known.get().asLeaving().agedAt(nowMs)), nowMs);
-    }
+    markLeaving(known.get(), nowMs);
     return true;
   }
 
+  private void leavingObserved(MembershipMessage.LeavingObserved observed, long nowMs) {
+    targets
+        .find(observed.target())
+        .filter(known -> known.announcement().incarnation() == observed.incarnation())
+        .ifPresent(known -> markLeaving(known, nowMs));
+  }
+
+  private void markLeaving(TargetRecord known, long nowMs) {
+    TargetRecord leaving = known.asLeaving();
+    if (merge(leaving)) {
+      sender.forward(List.of(leaving.agedAt(nowMs)), nowMs);
+    }
+  }
+
   /**
    * Whether the announcement is already known. A duplicate that the network delivers late does not
    * show that the target is alive.
--- a/membership/src/main/java/dev/caroblb/membership/MembershipMessage.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipMessage.java
@@ -12,6 +12,9 @@
   /** A target is withdrawn; {@code known} receives whether this instance knew the target. */
   record Withdrawn(TargetId target, Outlet<Boolean> known) implements MembershipMessage {}
 
+  /** A target said in a response to this instance that it leaves. */
+  record LeavingObserved(TargetId target, long incarnation) implements MembershipMessage {}
+
   /** A message from another instance. */
   record FromPeer(PeerEnvelope<PeerMessage> received) implements MembershipMessage {}
 
