Announce the first configuration of an instance at once

The first installed configuration now triggers a heartbeat; later ones wait for the next one as before.

--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -83,7 +83,7 @@
     } else if (message instanceof MembershipMessage.FromPeer peer) {
       peerMessageReceived(peer.received().peer(), peer.received().message(), nowMs);
     } else if (message instanceof MembershipMessage.ConfigurationInstalled installed) {
-      configuration = Math.max(configuration, installed.number());
+      configurationInstalled(installed.number(), nowMs);
     } else if (message instanceof MembershipMessage.AdmitsUntil admits) {
       admitsUntilMs = admits.untilMs();
       announceStateChange(nowMs);
@@ -100,6 +100,16 @@
     notifyTargetChanges(nowMs);
   }
 
+  /** Announces the first configuration at once: callers get this instance only after it. */
+  private void configurationInstalled(long number, long nowMs) {
+    boolean first = configuration == 0;
+    configuration = Math.max(configuration, number);
+    if (first) {
+      sendHeartbeat(nowMs);
+      offerView(nowMs);
+    }
+  }
+
   private void announcementReceived(Announcement announcement, long nowMs) {
     Optional<TargetRecord> before = targets.find(announcement.target());
     if (isDuplicate(announcement)
