Do not read certificates when the HTTP client starts

After a loss of power, processes need most of their time without service to start, and with 0.36 of a core twice as long. Half of the time to instance.started went into the TLS defaults of HttpCore's client, which loads the security providers and reads the certificates of the system, although all connections are in plain text.

The client gets a strategy that leaves connections in plain text.

--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -47,6 +47,7 @@
                     .setMaxHeaderCount(MAX_HEADERS)
                     .build())
             .setIOSessionListener(connections)
+            .setTlsStrategy(new NoTls())
             .setStreamListener(new ConnectionMonitor(idleTimeout, connections::close))
             .setMaxTotal(MAX_CONNECTIONS)
             .setDefaultMaxPerRoute(MAX_CONNECTIONS)
