Apply the limits of the configuration to callers

The callers' listener reads the limits in force for each request: size and time of the head, size of the body, idle time. A change applies to the next request of each connection; requests in progress go on.

--- a/http/src/main/java/dev/caroblb/http/CallerSession.java
+++ b/http/src/main/java/dev/caroblb/http/CallerSession.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
 import java.util.concurrent.locks.Lock;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
@@ -19,9 +20,11 @@
  */
 final class CallerSession implements IOSession {
   private final IOSession session;
+  private final Supplier<RequestLimits> limits;
 
-  CallerSession(IOSession session) {
+  CallerSession(IOSession session, Supplier<RequestLimits> limits) {
     this.session = session;
+    this.limits = limits;
   }
 
   @Override
@@ -30,9 +33,24 @@
     if (count < 0) {
       throw new ConnectionClosedException("the caller closed the connection");
     }
+    if (count > 0) {
+      boundHead();
+    }
     return count;
   }
 
+  /**
+   * Shortens the timeout of an idle connection to that of a request head, so that a head which
+   * stops arriving does not hold the connection for the idle timeout.
+   */
+  private void boundHead() {
+    Timeout current = session.getSocketTimeout();
+    Timeout head = Timeout.ofMilliseconds(limits.get().headTimeoutMs());
+    if (current.compareTo(ExchangeMonitor.RESPONSE_TIMEOUT) < 0 && current.compareTo(head) > 0) {
+      session.setSocketTimeout(head);
+    }
+  }
+
   @Override
   public int write(ByteBuffer source) throws IOException {
     return session.write(source);
--- a/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
+++ b/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
@@ -1,5 +1,6 @@
 package dev.caroblb.http;
 
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -16,17 +17,17 @@
   private static final int MIN_ERROR_STATUS = 400;
 
   /** Exceeds every deadline, since a call may wait for its response without traffic. */
-  private static final Timeout RESPONSE_TIMEOUT = Timeout.ofHours(25);
+  static final Timeout RESPONSE_TIMEOUT = Timeout.ofHours(25);
 
   /** Time for the caller to read the last response of a connection and to stop sending. */
   private static final Timeout CLOSING_TIMEOUT = Timeout.ofMilliseconds(500);
 
   private final ListenerObserver observer;
-  private final Timeout idleTimeout;
+  private final Supplier<RequestLimits> limits;
 
-  ExchangeMonitor(ListenerObserver observer, long idleTimeoutMs) {
+  ExchangeMonitor(ListenerObserver observer, Supplier<RequestLimits> limits) {
     this.observer = observer;
-    this.idleTimeout = Timeout.ofMilliseconds(idleTimeoutMs);
+    this.limits = limits;
   }
 
   @Override
@@ -43,6 +44,7 @@
 
   @Override
   public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
-    connection.setSocketTimeout(keepAlive ? idleTimeout : CLOSING_TIMEOUT);
+    connection.setSocketTimeout(
+        keepAlive ? Timeout.ofMilliseconds(limits.get().idleTimeoutMs()) : CLOSING_TIMEOUT);
   }
 }
--- a/http/src/main/java/dev/caroblb/http/HttpLimits.java
+++ b/http/src/main/java/dev/caroblb/http/HttpLimits.java
@@ -22,4 +22,9 @@
     int backlog) {
   public static final HttpLimits DEFAULTS =
       new HttpLimits(16_384, 64, 1_048_576, 30_000, 65_536, 2, 256);
+
+  /** The limits that apply to requests as long as no others are set. */
+  RequestLimits requestLimits() {
+    return new RequestLimits(maxLineBytes * maxHeaders, maxBodyBytes, idleTimeoutMs, idleTimeoutMs);
+  }
 }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -1,9 +1,11 @@
 package dev.caroblb.http;
 
 import dev.caroblb.core.LogLine;
+import dev.caroblb.core.SystemMillisClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -32,14 +34,30 @@
     this.address = address;
   }
 
-  /** Starts listening; port 0 selects a free port. */
+  /** Starts listening with limits that do not change; port 0 selects a free port. */
   public static HttpListener start(
       InetSocketAddress address,
       HttpLimits limits,
       RequestHandler handler,
       ListenerObserver observer)
       throws IOException {
-    HttpAsyncServer server = create(limits, handler, observer);
+    RequestLimits fixed = limits.requestLimits();
+    return start(address, limits, () -> fixed, handler, observer);
+  }
+
+  /**
+   * Starts listening; port 0 selects a free port.
+   *
+   * @param requestLimits the limits in force, read for each request
+   */
+  public static HttpListener start(
+      InetSocketAddress address,
+      HttpLimits limits,
+      Supplier<RequestLimits> requestLimits,
+      RequestHandler handler,
+      ListenerObserver observer)
+      throws IOException {
+    HttpAsyncServer server = create(limits, requestLimits, handler, observer);
     server.start();
     try {
       ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
@@ -55,7 +73,10 @@
   }
 
   private static HttpAsyncServer create(
-      HttpLimits limits, RequestHandler handler, ListenerObserver observer) {
+      HttpLimits limits,
+      Supplier<RequestLimits> requestLimits,
+      RequestHandler handler,
+      ListenerObserver observer) {
     Http1Config config =
         Http1Config.custom()
             .setMaxLineLength(limits.maxLineBytes())
@@ -66,13 +87,18 @@
             HttpProcessors.server(),
             (request, context) ->
                 new BasicAsyncServerExpectationDecorator(
-                    new ServerExchange(limits, handler, observer), HttpListener::onException),
+                    new ServerExchange(
+                        requestLimits.get().maxBodyBytes(),
+                        limits.maxOutputBytes(),
+                        handler,
+                        observer),
+                    HttpListener::onException),
             config,
             CharCodingConfig.DEFAULT,
             DefaultConnectionReuseStrategy.INSTANCE,
-            () -> new StrictRequestParser(config),
+            () -> new StrictRequestParser(config, requestLimits, new SystemMillisClock()),
             DefaultHttpResponseWriterFactory.INSTANCE,
-            new ExchangeMonitor(observer, limits.idleTimeoutMs()),
+            new ExchangeMonitor(observer, requestLimits),
             HttpListener::onException);
     IOReactorConfig reactor =
         IOReactorConfig.custom()
@@ -85,7 +111,7 @@
     return new HttpAsyncServer(
         new ServerHttp1IOEventHandlerFactory(connections, null, null),
         reactor,
-        CallerSession::new,
+        session -> new CallerSession(session, requestLimits),
         HttpListener::onException,
         null);
   }
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -39,7 +39,8 @@
 
   private static final Map<String, String> CLOSE_HEADER = Map.of(HttpHeaders.CONNECTION, "close");
 
-  private final HttpLimits limits;
+  private final int maxBodyBytes;
+  private final int maxOutputBytes;
   private final RequestHandler handler;
   private final ListenerObserver observer;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -61,8 +62,14 @@
   private Optional<Runnable> onWritable = Optional.empty();
   private Optional<Runnable> onDisconnect = Optional.empty();
 
-  ServerExchange(HttpLimits limits, RequestHandler handler, ListenerObserver observer) {
-    this.limits = limits;
+  /**
+   * @param maxBodyBytes maximum size of the request body, in bytes
+   * @param maxOutputBytes maximum number of response bytes buffered for a slow caller
+   */
+  ServerExchange(
+      int maxBodyBytes, int maxOutputBytes, RequestHandler handler, ListenerObserver observer) {
+    this.maxBodyBytes = maxBodyBytes;
+    this.maxOutputBytes = maxOutputBytes;
     this.handler = handler;
     this.observer = observer;
   }
@@ -78,7 +85,7 @@
     }
     String target = request.getPath() == null ? "/" : request.getPath();
     head = new IncomingRequest(request.getMethod(), target, fields, Payload.empty());
-    if (entity != null && entity.getContentLength() > limits.maxBodyBytes()) {
+    if (entity != null && entity.getContentLength() > maxBodyBytes) {
       rejectLargeBody();
       return;
     }
@@ -88,7 +95,7 @@
   }
 
   private void rejectLargeBody() {
-    reject(BODY_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+    reject(BODY_TOO_LARGE, "the body is longer than " + maxBodyBytes + " bytes");
   }
 
   /**
@@ -109,7 +116,7 @@
 
   @Override
   public void consume(ByteBuffer source) throws IOException {
-    if (!rejected && body.size() + source.remaining() > limits.maxBodyBytes()) {
+    if (!rejected && body.size() + source.remaining() > maxBodyBytes) {
       rejectLargeBody();
     }
     if (rejected) {
@@ -212,7 +219,7 @@
       if (disconnected) {
         return true;
       }
-      if (outputBytes > 0 && outputBytes + chunk.size() > limits.maxOutputBytes()) {
+      if (outputBytes > 0 && outputBytes + chunk.size() > maxOutputBytes) {
         wasFull = true;
         return false;
       }
@@ -258,7 +265,7 @@
         endSent = true;
         channel.endStream(null);
       }
-      ready = wasFull && outputBytes <= limits.maxOutputBytes() / 2 ? onWritable : Optional.empty();
+      ready = wasFull && outputBytes <= maxOutputBytes / 2 ? onWritable : Optional.empty();
       if (ready.isPresent()) {
         wasFull = false;
       }
--- a/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
+++ b/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
@@ -1,11 +1,15 @@
 package dev.caroblb.http;
 
+import dev.caroblb.core.MillisClock;
 import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
@@ -16,20 +20,61 @@
  * request, a caller can smuggle a request in the body of another.
  */
 final class StrictRequestParser extends DefaultHttpRequestParser<HttpRequest> {
-  StrictRequestParser(Http1Config config) {
+  /** Colon, space and line end of a header. */
+  private static final int HEADER_FRAMING_BYTES = 4;
+
+  private final Supplier<RequestLimits> limits;
+  private final MillisClock clock;
+
+  /** Time at which the first byte of the current request head was seen. */
+  private Optional<Long> headStartedMs = Optional.empty();
+
+  StrictRequestParser(Http1Config config, Supplier<RequestLimits> limits, MillisClock clock) {
     super(config, DefaultHttpRequestFactory.INSTANCE);
+    this.limits = limits;
+    this.clock = clock;
   }
 
   @Override
   public HttpRequest parse(SessionInputBuffer input, boolean endOfStream)
       throws IOException, HttpException {
+    if (headStartedMs.isEmpty() && input.hasData()) {
+      headStartedMs = Optional.of(clock.nowMs());
+    }
     HttpRequest request = super.parse(input, endOfStream);
-    if (request != null) {
-      check(request);
+    if (request == null) {
+      checkTime();
+      return null;
     }
+    headStartedMs = Optional.empty();
+    checkSize(request);
+    check(request);
     return request;
   }
 
+  /** Rejects a head of which bytes still arrive after its timeout. */
+  private void checkTime() throws ProtocolException {
+    long timeoutMs = limits.get().headTimeoutMs();
+    if (headStartedMs.filter(started -> clock.nowMs() - started > timeoutMs).isPresent()) {
+      throw new ProtocolException("the head took longer than " + timeoutMs + " ms; send it faster");
+    }
+  }
+
+  private void checkSize(HttpRequest request) throws RequestHeaderFieldsTooLargeException {
+    long size = request.getMethod().length();
+    size += request.getRequestUri().length();
+    for (Header header : request.getHeaders()) {
+      size += header.getName().length();
+      size += header.getValue().length();
+      size += HEADER_FRAMING_BYTES;
+    }
+    if (size > limits.get().maxHeadBytes()) {
+      throw new RequestHeaderFieldsTooLargeException(
+          "the head is longer than " + limits.get().maxHeadBytes() + " bytes; send fewer headers",
+          null);
+    }
+  }
+
   private static void check(HttpRequest request) throws ProtocolException {
     int lengths = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
     int encodings = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
--- a/routing/src/main/java/dev/caroblb/routing/CallerLimits.java
+++ b/routing/src/main/java/dev/caroblb/routing/CallerLimits.java
@@ -9,4 +9,7 @@
  * @param idleTimeoutMs time in milliseconds that a connection may be idle
  */
 public record CallerLimits(
-    int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {}
+    int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
+  /** Limits as long as a configuration sets no others. */
+  public static final CallerLimits DEFAULTS = new CallerLimits(16_384, 4 << 20, 3_000, 15_000);
+}
