Update copies of moving generations more often, and spread them better

A copy was updated only after 2 s, longer than the notice of an engine, so the destination needed prefill for up to 1.8 s of tokens, behind the prompts of other requests.

Copies are now updated every 300 ms until the engine stops, which sends only the new tokens. A control instance chooses the destination among all engines, as it knows all moves; an instance on its own draws two as before.

Both new tests failed before (1 copy order instead of 2; 9 generations at 7 engines).

--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -10,8 +10,8 @@
 /**
  * Moves the generations of a leaving engine to other engines of its service, except generations
  * with a backup. A generation keeps running at its engine while its memory is copied, and continues
- * from the copy once the engine closes the stream. Tokens generated after the copy need prefill
- * again, which is faster than a final copy that waits for other copies on the same link.
+ * from the copy once the engine closes the stream. Until then the copy is updated, since tokens
+ * that it lacks need prefill again; a final copy would wait for other copies on the same link.
  */
 final class GenerationMover {
   private static final System.Logger LOGGER = System.getLogger(GenerationMover.class.getName());
@@ -34,8 +34,11 @@
    */
   private static final long MAX_CONTINUATION_DELAY_MS = 4_000;
 
-  /** Age in milliseconds at which a copy is updated. */
-  private static final long REFRESH_MS = 2_000;
+  /**
+   * Age in milliseconds at which a copy is updated. The destination needs prefill for the tokens
+   * that a copy lacks and queues it behind the prompts of other requests, which pauses the stream.
+   */
+  private static final long REFRESH_MS = 300;
 
   private final ExchangeTable exchanges;
   private final TargetPool pool;
@@ -110,7 +113,8 @@
       exchanges.wakeAt(exchange, replyByMs.get());
       return;
     }
-    startCopy(exchange, source, pool.chooseDestination(need, nowMs));
+    startCopy(
+        exchange, source, pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs));
   }
 
   /** Starts the copy to the destination that a control instance chose, if it is still needed. */
@@ -129,7 +133,10 @@
     if (source.isPresent() && exchange.move().isEmpty()) {
       PlacementNeed need =
           exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.get().info().domain(), nowMs);
-      startCopy(exchange, source.get(), pool.chooseDestination(need, nowMs));
+      startCopy(
+          exchange,
+          source.get(),
+          pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs));
     }
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
@@ -106,7 +106,8 @@
   }
 
   private void placeMove(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
-    Optional<Target> target = pool.chooseDestination(request.need(), nowMs);
+    Optional<Target> target =
+        pool.chooseDestination(request.need(), TargetPool.ALL_MOVE_CANDIDATES, nowMs);
     lastGrant++;
     target.ifPresent(chosen -> grant(peer, chosen, 0, request.need().tokens(), 0, nowMs));
     reply(peer, request.ticket(), target, Optional.empty());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -67,11 +67,14 @@
   private static final int MIN_CANDIDATES = 4;
 
   /**
-   * Number of candidates sampled for a move. All generations of an engine are moved at the same
-   * time by instances that do not know of each other's moves; the least loaded engine would get
-   * them all.
+   * Number of candidates sampled for a move that an instance places itself. All generations of an
+   * engine are moved at the same time by instances that do not know of each other's moves; the
+   * least loaded engine would get them all.
    */
-  private static final int MOVE_CANDIDATES = 2;
+  static final int OWN_MOVE_CANDIDATES = 2;
+
+  /** Number of candidates for a move that a control instance places, which knows all moves. */
+  static final int ALL_MOVE_CANDIDATES = Integer.MAX_VALUE;
 
   private final RandomGenerator random;
   private final Map<TargetId, Target> targets = new HashMap<>();
@@ -268,9 +271,9 @@
   }
 
   /** Chooses the destination of a move; a copy within a failure domain is faster. */
-  Optional<Target> chooseDestination(PlacementNeed need, long nowMs) {
+  Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
     return leastLoaded(
-        sample(MOVE_CANDIDATES, usable(need.service(), need.excluded(), nowMs)),
+        sample(candidates, usable(need.service(), need.excluded(), nowMs)),
         need,
         need.preferredDomain(),
         REMOTE_COPY_PENALTY_TOKENS,
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -134,6 +134,21 @@
       assertEquals(targets.moves.get(0).destination(), targets.last().target().address());
     }
 
+    /** Guards against a long pause after a move, because the copy lacks the latest tokens. */
+    @Test
+    void copyIsUpdatedUntilTheEngineStops() {
+      startStreamAtLeavingTarget();
+      copied(false);
+      for (int i = 0; i < 5; i++) {
+        nowMs += 100;
+        handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText("ta: b\n\nid: 3\nda")));
+        handler.tick(nowMs);
+      }
+      assertEquals(2, targets.moves.size());
+      assertEquals(targets.moves.get(0).destination(), targets.moves.get(1).destination());
+      assertTrue(!targets.moves.get(1).finalCopy());
+    }
+
     /** Guards against a generation that hangs at an engine that sends nothing. */
     @Test
     void silentEngineIsToldToStop() {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
@@ -87,6 +87,28 @@
       assertEquals(ENGINES, chosen.size());
     }
 
+    /** Guards against pauses in streams that all move from a leaving engine to the same one. */
+    @Test
+    void spreadTheGenerationsOfALeavingEngine() {
+      PlacementNeed need =
+          new PlacementNeed(
+              PlacementNeed.Purpose.MOVE,
+              "service",
+              4_000,
+              3_000,
+              Set.of(new TargetId("t0")),
+              ForwardingFixture.ZONE,
+              false,
+              1,
+              1_800);
+      Set<TargetId> chosen = new HashSet<>();
+      for (int i = 1; i < ENGINES; i++) {
+        PeerMessage.PlacementReply reply = (PeerMessage.PlacementReply) request(i, need, 10);
+        chosen.add(reply.target().orElseThrow());
+      }
+      assertEquals(ENGINES - 1, chosen.size());
+    }
+
     /** Guards against a backup on the engine that runs the generation. */
     @Test
     void placeBackupsOnAnotherEngine() {
