Update the copy of a moving generation once at a time

The next update is now ordered only after the one before has ended, also if it failed.

ForwardingStreamTest.LeavingTarget.copyIsUpdatedOnceAtATime; on the old code the second update is ordered after 300 ms.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMove.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMove.java
@@ -9,10 +9,15 @@
  * @param destination the engine that gets the copy
  * @param stage progress of the move
  * @param copy the copy that was made while the generation was running
- * @param copiedAtMs time at which the copy was complete, or at which its last update was ordered
+ * @param copiedAtMs time at which the copy or its last update was complete or failed
+ * @param updating whether an update of the copy is in progress
  */
 record GenerationMove(
-    Target destination, Stage stage, Optional<CopiedMemory> copy, long copiedAtMs) {
+    Target destination,
+    Stage stage,
+    Optional<CopiedMemory> copy,
+    long copiedAtMs,
+    boolean updating) {
   enum Stage {
     /** The generation runs while its memory is copied. */
     COPYING,
@@ -23,18 +28,22 @@
   }
 
   static GenerationMove to(Target destination) {
-    return new GenerationMove(destination, Stage.COPYING, Optional.empty(), 0);
+    return new GenerationMove(destination, Stage.COPYING, Optional.empty(), 0, false);
   }
 
   GenerationMove copied(CopiedMemory memory, long nowMs) {
-    return new GenerationMove(destination, Stage.COPIED, Optional.of(memory), nowMs);
+    return new GenerationMove(destination, Stage.COPIED, Optional.of(memory), nowMs, false);
   }
 
-  GenerationMove refreshing(long nowMs) {
-    return new GenerationMove(destination, stage, copy, nowMs);
+  GenerationMove updateOrdered() {
+    return new GenerationMove(destination, stage, copy, copiedAtMs, true);
+  }
+
+  GenerationMove updateFailed(long nowMs) {
+    return new GenerationMove(destination, stage, copy, nowMs, false);
   }
 
   GenerationMove stopping() {
-    return new GenerationMove(destination, Stage.STOPPING, copy, copiedAtMs);
+    return new GenerationMove(destination, Stage.STOPPING, copy, copiedAtMs, false);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -179,6 +179,7 @@
       return;
     }
     if (move.get().copy().isPresent()) {
+      exchange.setMove(move.get().updateFailed(nowMs));
       return;
     }
     exchange.cancelMove();
@@ -229,8 +230,8 @@
           "silent for " + exchange.timing().sinceLastPartMs(nowMs) + " ms");
       exchange.setMove(current.stopping());
       port.move(order(exchange, source.get(), current.destination(), true));
-    } else if (nowMs - current.copiedAtMs() >= REFRESH_MS) {
-      exchange.setMove(current.refreshing(nowMs));
+    } else if (!current.updating() && nowMs - current.copiedAtMs() >= REFRESH_MS) {
+      exchange.setMove(current.updateOrdered());
       port.move(order(exchange, source.get(), current.destination(), false));
     }
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -149,6 +149,26 @@
       assertTrue(!targets.moves.get(1).finalCopy());
     }
 
+    /** Guards against orders that the engine rejects because the one before is in progress. */
+    @Test
+    void copyIsUpdatedOnceAtATime() {
+      startStreamAtLeavingTarget();
+      copied(false);
+      for (int i = 0; i < 12; i++) {
+        nowMs += 100;
+        handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText("ta: b\n\nid: 3\nda")));
+        handler.tick(nowMs);
+      }
+      assertEquals(2, targets.moves.size());
+      copied(false);
+      for (int i = 0; i < 4; i++) {
+        nowMs += 100;
+        handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText("ta: b\n\nid: 3\nda")));
+        handler.tick(nowMs);
+      }
+      assertEquals(3, targets.moves.size());
+    }
+
     /** Guards against a generation that hangs at an engine that sends nothing. */
     @Test
     void silentEngineIsToldToStop() {
