Survive errors that concern one message or one request

A stack overflow or a class that could not be loaded ended the thread of a duty, or the reactor of a listener with all its connections, while the process went on without service. Only exceptions were caught.

Duty and ServerExchange now treat these errors like exceptions: logged, counted, and the next message is handled.

--- a/core/src/main/java/dev/caroblb/core/Duty.java
+++ b/core/src/main/java/dev/caroblb/core/Duty.java
@@ -118,11 +118,14 @@
     }
   }
 
-  /** Logs and counts an exception, so that one faulty message does not end the thread. */
+  /**
+   * Logs and counts a fault, so that one faulty message does not end the thread. That includes
+   * errors that concern only this message: a stack overflow, or a class that cannot be loaded.
+   */
   private void guard(Runnable step) {
     try {
       step.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError | LinkageError e) {
       faults.increment();
       LOGGER.log(
           System.Logger.Level.ERROR,
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -1,5 +1,6 @@
 package dev.caroblb.http;
 
+import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Payload;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -27,6 +28,7 @@
  * limit.
  */
 final class ServerExchange implements AsyncServerExchangeHandler, Reply {
+  private static final System.Logger LOGGER = System.getLogger(ServerExchange.class.getName());
   private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
@@ -151,7 +153,11 @@
             head.method(), head.requestTarget(), head.fields(), Payload.copyOf(body.toByteArray()));
     try {
       handler.handle(request, this);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError | LinkageError e) {
+      // An error that reached the reactor would end the listener for all callers.
+      LOGGER.log(
+          System.Logger.Level.ERROR,
+          LogLine.of("http.fault").with("path", request.path()).with("error", e).toString());
       observer.rejected(INTERNAL_ERROR);
       send(INTERNAL_ERROR, "text/plain", Payload.ofText("internal error"), Map.of());
     }
--- a/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
+++ b/http/src/test/java/dev/caroblb/http/HttpListenerTest.java
@@ -27,6 +27,9 @@
       streams.add(reply);
       return;
     }
+    if (request.path().equals("/overflow")) {
+      throw new StackOverflowError("faulty request");
+    }
     if (request.path().equals("/wait")) {
       reply.onDisconnect(() -> disconnected.add(request.path()));
       received.add(request.path());
@@ -77,6 +80,23 @@
         "HTTP/1.1 200 OK", statusOf("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"));
   }
 
+  @Nested
+  class FaultyHandler {
+    /** Guards against one request that ends the listener for all callers. */
+    @Test
+    void leavesOtherConnectionsServed() throws Exception {
+      try (Socket other = connect()) {
+        String status = statusOf("GET /overflow HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertTrue(status.isEmpty() || status.startsWith("HTTP/1.1 500"), status);
+        other
+            .getOutputStream()
+            .write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals("HTTP/1.1 200 OK", firstLine(other));
+      }
+      assertServed();
+    }
+  }
+
   /** A caller that closes its connection before any part of the response was sent. */
   @Nested
   class DisconnectedCaller {
