Reject a response whose connection ends within its head

A target that stopped in the middle of a response head and closed its connection made callers get a 200 with an empty body, framed as whole: HttpCore takes the end of input for the end of the head, so a head cut after the signature, with neither length nor chunks, was a complete response without a body. Streams ended as 200 without an event.

StrictResponseParser completes a head only at its empty line, and fails the attempt if the connection ends before. The client is created without HttpCore's bootstrap class, which has no option for the parser; this also replaces the strategy against reading certificates.

FaultyTargetTest.ConnectionClosedWithinAHead failed before: "expected: <502> but was: <200>" for a head cut after the signature, and a stream that began and broke off instead of 502.

--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -3,11 +3,17 @@
 import java.net.InetSocketAddress;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.StrictConnPool;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.Timeout;
 
@@ -32,29 +38,45 @@
   public HttpConnector(int ioThreads, long connectTimeoutMs, long idleTimeoutMs) {
     connectTimeout = Timeout.ofMilliseconds(connectTimeoutMs);
     Timeout idleTimeout = Timeout.ofMilliseconds(idleTimeoutMs);
-    requester =
-        AsyncRequesterBootstrap.bootstrap()
-            .setIOReactorConfig(
-                IOReactorConfig.custom()
-                    .setIoThreadCount(ioThreads)
-                    .setSoTimeout(idleTimeout)
-                    .setTcpNoDelay(true)
-                    .build())
-            .setHttp1Config(
-                Http1Config.custom()
-                    .setInitialWindowSize(1)
-                    .setMaxLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderCount(MAX_HEADERS)
-                    .build())
-            .setIOSessionListener(connections)
-            .setTlsStrategy(new NoTls())
-            .setStreamListener(new ConnectionMonitor(idleTimeout, connections::close))
-            .setMaxTotal(MAX_CONNECTIONS)
-            .setDefaultMaxPerRoute(MAX_CONNECTIONS)
-            .create();
+    requester = create(ioThreads, idleTimeout);
     requester.start();
   }
 
+  /**
+   * Creates the client without TLS. HttpCore's bootstrap class would read the certificates of the
+   * system, which took half of the start of a process, and has no option for the response parser.
+   */
+  private HttpAsyncRequester create(int ioThreads, Timeout idleTimeout) {
+    Http1Config config =
+        Http1Config.custom()
+            .setInitialWindowSize(1)
+            .setMaxLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderCount(MAX_HEADERS)
+            .build();
+    ClientHttp1StreamDuplexerFactory streams =
+        new ClientHttp1StreamDuplexerFactory(
+            HttpProcessors.client(),
+            config,
+            CharCodingConfig.DEFAULT,
+            DefaultConnectionReuseStrategy.INSTANCE,
+            () -> new StrictResponseParser(config),
+            DefaultHttpRequestWriterFactory.INSTANCE,
+            new ConnectionMonitor(idleTimeout, connections::close));
+    IOReactorConfig reactor =
+        IOReactorConfig.custom()
+            .setIoThreadCount(ioThreads)
+            .setSoTimeout(idleTimeout)
+            .setTcpNoDelay(true)
+            .build();
+    return new HttpAsyncRequester(
+        reactor,
+        new ClientHttp1IOEventHandlerFactory(streams, null, null),
+        null,
+        null,
+        connections,
+        new StrictConnPool<>(MAX_CONNECTIONS, MAX_CONNECTIONS));
+  }
+
   /** Starts a request; the sink receives the response or the failure. */
   public ClientExchange execute(
       InetSocketAddress address, OutgoingRequest request, ResponseSink sink) {
