Tell callers the time of a rejecting target only if no other accepts

A request that several targets had refused was answered with the longest wait that any of them had asked for, up to 60 s, although other targets accepted requests: the time was taken over all targets that reject. It is now given only if all remaining targets of the service reject; otherwise the caller gets the usual delay.

TargetNoticeTest.Rejecting.refusesWithTheUsualTimeWhileAnotherTargetAccepts failed before ("expected: <500> but was: <30000>").

--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -160,8 +160,8 @@
   }
 
   /**
-   * The earliest time at which a target of a service that rejects requests for some time accepts
-   * them again; empty if no target does so.
+   * If all remaining targets of a service reject requests for some time, the earliest time at which
+   * one of them accepts them again.
    */
   Optional<Long> nextAcceptingMs(PlacementNeed need, long nowMs) {
     Optional<Long> earliest = Optional.empty();
@@ -169,8 +169,10 @@
       boolean candidate =
           target.info().service().equals(need.service())
               && !need.excluded().contains(target.info().id())
-              && !target.leaving()
-              && !target.accepts(nowMs);
+              && !target.leaving();
+      if (candidate && target.accepts(nowMs)) {
+        return Optional.empty();
+      }
       if (candidate && earliest.filter(ms -> ms <= target.rejectsUntilMs()).isEmpty()) {
         earliest = Optional.of(target.rejectsUntilMs());
       }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
@@ -147,6 +147,18 @@
       assertEquals(2, targets.sent.size());
     }
 
+    /** Guards against callers that stay away although another target accepts their request. */
+    @Test
+    void refusesWithTheUsualTimeWhileAnotherTargetAccepts() {
+      install(6);
+      arrive("/once/x");
+      for (int i = 0; i < 4; i++) {
+        rejectFor(30_000);
+      }
+      assertEquals("refused TARGET_REFUSED", lastEvent());
+      assertEquals(500, caller.refusals.get(0).retryAfterMs());
+    }
+
     /** Guards against refusing a request that a target accepts a moment later. */
     @Test
     void waitsForATargetThatAcceptsSoon() {
