Build the success of a leaving target in one place of its test

Two tests of TargetNoticeTest wrote the same response head out in full, but for its kind of body. They share a method now; checks are unchanged.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
@@ -27,18 +27,18 @@
 
   @Nested
   class Leaving {
+    private static ResponseHead successOfLeavingTarget(boolean stream) {
+      return new ResponseHead(
+          200,
+          false,
+          true,
+          stream,
+          new TargetNotice(true, Optional.empty()),
+          new ResponseFields() {});
+    }
+
     private void respondAsLeaving() {
-      handle(
-          new ForwardingMessage.Head(
-              7,
-              attempt(),
-              new ResponseHead(
-                  200,
-                  false,
-                  true,
-                  false,
-                  new TargetNotice(true, Optional.empty()),
-                  new ResponseFields() {})));
+      handle(new ForwardingMessage.Head(7, attempt(), successOfLeavingTarget(false)));
       handle(new ForwardingMessage.Ended(7, attempt()));
     }
 
@@ -86,17 +86,7 @@
     void movesItsGenerations() {
       install(2);
       arriveGeneration("/long/x", 100);
-      handle(
-          new ForwardingMessage.Head(
-              7,
-              attempt(),
-              new ResponseHead(
-                  200,
-                  false,
-                  true,
-                  true,
-                  new TargetNotice(true, Optional.empty()),
-                  new ResponseFields() {})));
+      handle(new ForwardingMessage.Head(7, attempt(), successOfLeavingTarget(true)));
       handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText(FIRST_EVENT + "id: 2\nda")));
       assertEquals(1, targets.moves.size());
     }
