--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -209,7 +210,7 @@
   /** Sends a configuration as the operator does, until it is acknowledged. */
   boolean publish(String body, long forMs) throws InterruptedException {
     long untilMs = now() + forMs;
-    int next = 0;
+    int next = ThreadLocalRandom.current().nextInt(3);
     while (now() < untilMs) {
       String ip = control(next++ % 3);
       Http.Response response = put(ip, body);
