--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -29,6 +29,8 @@
   static final int REGISTRY = 19;
   static final int REPLICA = 20;
   private static final int PORTS = 21;
+  private static final long MIN_BACKOFF_MS = 200;
+  private static final long MAX_BACKOFF_MS = 1_600;
 
   final Path folder;
   final int basePort;
@@ -199,10 +201,6 @@
     process(ip).destroyForcibly().waitFor();
   }
 
-  void signal(String ip, String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(process(ip).pid())).start().waitFor();
-  }
-
   String log(String ip) throws IOException {
     return Files.readString(folder.resolve(ip + ".log"));
   }
@@ -210,6 +208,7 @@
   /** Sends a configuration as the operator does, until it is acknowledged. */
   boolean publish(String body, long forMs) throws InterruptedException {
     long untilMs = now() + forMs;
+    long backoffMs = MIN_BACKOFF_MS;
     int next = ThreadLocalRandom.current().nextInt(3);
     while (now() < untilMs) {
       String ip = control(next++ % 3);
@@ -221,7 +220,8 @@
       if (response.status() == 200) {
         return true;
       }
-      Thread.sleep(200);
+      Thread.sleep(backoffMs);
+      backoffMs = Math.min(2 * backoffMs, MAX_BACKOFF_MS);
     }
     return false;
   }
--- a/review/src/review/LargeBodies.java
+++ b/review/src/review/LargeBodies.java
@@ -85,10 +85,8 @@
                   }
                 }));
       }
-      for (Thread caller : callers) {
-        caller.join(20_000);
-      }
-      Thread.sleep(CONTACT_MS);
+      // Some requests may never be answered; their callers go on waiting.
+      Thread.sleep(BURST_MS + CONTACT_MS);
       return takesNoConnection(entry) ? 1 : 0;
     }
   }
--- a/review/src/review/LargeConfigurations.java
+++ b/review/src/review/LargeConfigurations.java
@@ -15,7 +15,7 @@
 final class LargeConfigurations {
   private static final int ENTRIES = 9;
   private static final int ROUTES_MORE = 390;
-  private static final int GROWTHS = 15;
+  private static final int GROWTHS = 24;
   private static final int STORMS = 3;
   private static final int STORM_MS = 1_500;
   private static final int PAUSE_MS = 2_000;
