Stop a generation before it continues at another engine

Cause: GenerationMover took a lost connection of a generation for the end of the generation. Failed orders to stop a silent engine, and late results of earlier copies, were taken for proof that it had stopped as well.

Change: the engine is told to stop the generation (final copy) before it continues. Only a refused connection, or the response that the engine no longer runs a generation that had events, counts as proof without it. Other results repeat the order; after 4 s the stream ends incomplete.

Tests: LostConnectionTest, 8 of 9 tests failed on the old GenerationMover. Two tests of ForwardingStreamTest, and the ones of TargetNoticeTest about continuations, assumed that a reset ends a generation; their engine now refuses connections as an ended process does, with the same checks. earlierCopyIsUsedWhenTheFinalOneFails took any failure as proof; it is replaced by earlierCopyIsUsedWhenTheEngineEnded and by orderIsRepeatedUntilTheEngineHasStoppedIt, which requires the opposite for failures that prove nothing.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -12,6 +12,9 @@
  * with a backup. A generation keeps running at its engine while its memory is copied, and continues
  * from the copy once the engine closes the stream. Until then the copy is updated, since tokens
  * that it lacks need prefill again; a final copy would wait for other copies on the same link.
+ *
+ * <p>A lost connection does not show that the engine stopped the generation. Before a generation
+ * continues elsewhere, its engine is therefore told to stop it, unless its process has ended.
  */
 final class GenerationMover {
   private static final System.Logger LOGGER = System.getLogger(GenerationMover.class.getName());
@@ -34,6 +37,15 @@
    */
   private static final long MAX_CONTINUATION_DELAY_MS = 4_000;
 
+  /**
+   * Time in milliseconds within which an engine must have stopped a generation. If it has not, the
+   * generation may still run and does not continue elsewhere.
+   */
+  private static final long STOP_TIMEOUT_MS = 4_000;
+
+  /** Minimum delay in milliseconds before a failed order to stop a generation is repeated. */
+  private static final long MIN_STOP_RETRY_MS = 100;
+
   /**
    * Age in milliseconds at which a copy is updated. The destination needs prefill for the tokens
    * that a copy lacks and queues it behind the prompts of other requests, which pauses the stream.
@@ -168,6 +180,10 @@
     if (move.isEmpty() || source.isEmpty()) {
       return;
     }
+    if (!finalCopy && exchange.stopOrdered()) {
+      // Concerns an earlier order; the result of the order to stop is still to come.
+      return;
+    }
     if (outcome instanceof MoveOutcome.Copied copied) {
       CopiedMemory memory = new CopiedMemory(source.get().info().address(), copied.handle());
       copyCompleted(exchange, move.get(), finalCopy, memory, nowMs);
@@ -175,7 +191,7 @@
     }
     log(exchange, "forwarding.move_failed", outcome.toString());
     if (finalCopy) {
-      finalCopyFailed(exchange, source.get(), move.get(), outcome, nowMs);
+      stopFailed(exchange, source.get(), move.get(), outcome, nowMs);
       return;
     }
     if (move.get().copy().isPresent()) {
@@ -218,40 +234,72 @@
     }
     Optional<GenerationMove> move = exchange.move();
     Optional<Target> source = exchange.target();
-    if (move.isEmpty() || source.isEmpty() || move.get().stage() != GenerationMove.Stage.COPIED) {
+    if (move.isEmpty() || source.isEmpty()) {
       return;
     }
-    GenerationMove current = move.get();
+    switch (move.get().stage()) {
+      case COPIED -> checkCopied(exchange, source.get(), move.get(), nowMs);
+      case STOPPING -> checkStopping(exchange, source.get(), move.get(), nowMs);
+      case COPYING -> {}
+    }
+  }
+
+  private void checkCopied(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
-    if (exchange.timing().sinceLastPartMs(nowMs) >= SILENCE_TIMEOUT_MS) {
-      log(
-          exchange,
-          "forwarding.stopping",
-          "silent for " + exchange.timing().sinceLastPartMs(nowMs) + " ms");
-      exchange.setMove(current.stopping());
-      port.move(order(exchange, source.get(), current.destination(), true));
-    } else if (!current.updating() && nowMs - current.copiedAtMs() >= REFRESH_MS) {
-      exchange.setMove(current.updateOrdered());
-      port.move(order(exchange, source.get(), current.destination(), false));
+    long silentMs = exchange.timing().sinceLastPartMs(nowMs);
+    if (silentMs >= SILENCE_TIMEOUT_MS) {
+      stop(exchange, source, move, "silent for " + silentMs + " ms", nowMs);
+    } else if (!move.updating() && nowMs - move.copiedAtMs() >= REFRESH_MS) {
+      exchange.setMove(move.updateOrdered());
+      port.move(order(exchange, source, move.destination(), false));
     }
   }
 
+  private void checkStopping(Exchange exchange, Target source, GenerationMove move, long nowMs) {
+    if (nowMs >= move.stopByMs()) {
+      abandon(exchange, "the engine did not confirm in time that it stopped", nowMs);
+    } else if (move.stopRetryMs().filter(retryMs -> nowMs >= retryMs).isPresent()) {
+      exchange.setMove(move.stopping(move.stopByMs()));
+      port.move(order(exchange, source, move.destination(), true));
+    }
+  }
+
+  /** Tells an engine to stop a generation, which continues elsewhere once it has stopped. */
+  private void stop(
+      Exchange exchange, Target source, GenerationMove move, String cause, long nowMs) {
+    log(exchange, "forwarding.stopping", cause);
+    coordinator.cancelPlacement(exchange);
+    exchange.setMove(move.stopping(nowMs + STOP_TIMEOUT_MS));
+    exchanges.wakeAt(exchange, nowMs + STOP_TIMEOUT_MS);
+    port.move(order(exchange, source, move.destination(), true));
+  }
+
   /**
    * Handles a stream that ended early or whose connection failed. Returns true if the generation
-   * continues from a copy or from its backup, or if the result of the final copy is still to come.
+   * has a copy or a backup, from which it continues as soon as its engine has stopped it.
    */
   boolean sourceLost(Exchange exchange, long nowMs) {
     if (exchange.stopOrdered()) {
       return true;
     }
-    Optional<GenerationMove> moved = exchange.move().filter(current -> current.copy().isPresent());
-    if (moved.isPresent()) {
-      continueAt(exchange, moved.get().destination(), moved.get().copy().get(), nowMs);
+    Optional<Target> source = exchange.target();
+    Optional<GenerationMove> copied = exchange.move().filter(move -> move.copy().isPresent());
+    if (source.isEmpty()) {
+      return false;
+    }
+    if (copied.isPresent()) {
+      stop(exchange, source.get(), copied.get(), "connection lost", nowMs);
       return true;
     }
     Optional<Target> backup = exchange.backup().filter(pool::staying);
-    backup.ifPresent(engine -> continueAt(exchange, engine, backupOf(exchange, engine), nowMs));
-    return backup.isPresent();
+    if (backup.isEmpty()) {
+      return false;
+    }
+    exchange.cancelMove();
+    GenerationMove move =
+        GenerationMove.toBackup(backup.get(), backupOf(exchange, backup.get()), nowMs);
+    stop(exchange, source.get(), move, "connection lost", nowMs);
+    return true;
   }
 
   private static CopiedMemory backupOf(Exchange exchange, Target engine) {
@@ -269,8 +317,7 @@
       return;
     }
     if (destination.rejectsUntilMs() - nowMs > MAX_CONTINUATION_DELAY_MS) {
-      exchange.cancelMove();
-      responses.targetFailed(exchange, "the engine with the copy rejects requests", nowMs);
+      abandon(exchange, "the engine with the copy rejects requests", nowMs);
       return;
     }
     log(exchange, "forwarding.continuation_delayed", "to " + destination.info().id());
@@ -283,27 +330,44 @@
       continueAt(exchange, delayed.destination(), delayed.memory(), nowMs);
       return;
     }
-    exchange.cancelMove();
-    responses.targetFailed(exchange, "the engine with the copy is gone", nowMs);
+    abandon(exchange, "the engine with the copy is gone", nowMs);
   }
 
   /**
-   * Handles the failure of the final copy. The source, which stopped the generation, may still hold
-   * the memory, or the destination may hold an earlier copy.
+   * Handles a failed order to stop a generation. The source may have stopped it and still hold the
+   * memory, or it may have ended. Otherwise the generation may still run, and the order is
+   * repeated.
    */
-  private void finalCopyFailed(
+  private void stopFailed(
       Exchange exchange, Target source, GenerationMove move, MoveOutcome outcome, long nowMs) {
     if (outcome instanceof MoveOutcome.NoRoom noRoom && noRoom.handle().isPresent()) {
       CopiedMemory memory = new CopiedMemory(source.info().address(), noRoom.handle().get());
       dispatcher.continueFromCopy(exchange, source, memory, nowMs);
       return;
     }
-    if (move.copy().isPresent()) {
-      continueAt(exchange, move.destination(), move.copy().get(), nowMs);
+    boolean ended =
+        outcome instanceof MoveOutcome.SourceEnded || outcome instanceof MoveOutcome.NotRunning;
+    if (!ended) {
+      // Doubles the time since the first order: each order needs a connection of its own.
+      long elapsedMs = nowMs - (move.stopByMs() - STOP_TIMEOUT_MS);
+      long retryMs = nowMs + Math.max(MIN_STOP_RETRY_MS, elapsedMs);
+      exchange.setMove(move.stopFailed(retryMs));
+      exchanges.wakeAt(exchange, Math.min(retryMs, move.stopByMs()));
+      return;
+    }
+    // A generation without events may be queued, and start later.
+    boolean mayStart =
+        outcome instanceof MoveOutcome.NotRunning && exchange.progress() != AttemptProgress.CONTENT;
+    if (move.copy().isEmpty() || mayStart) {
+      abandon(exchange, "move failed: " + outcome, nowMs);
       return;
     }
+    continueAt(exchange, move.destination(), move.copy().get(), nowMs);
+  }
+
+  private void abandon(Exchange exchange, String cause, long nowMs) {
     exchange.cancelMove();
-    responses.targetFailed(exchange, "move failed: " + outcome, nowMs);
+    responses.targetFailed(exchange, cause, nowMs);
   }
 
   private static void log(Exchange exchange, String event, String detail) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/MoveOutcome.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/MoveOutcome.java
@@ -15,6 +15,12 @@
   /** The source does not run the generation, or has not started it yet. */
   record NotRunning() implements MoveOutcome {}
 
-  /** The source sent no valid response. */
+  /** The source refused the connection: its process has ended, and the generation with it. */
+  record SourceEnded(String cause) implements MoveOutcome {}
+
+  /**
+   * The source sent no valid response, or responded that it executes an earlier order. The
+   * generation may still run there.
+   */
   record Failed(String cause) implements MoveOutcome {}
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -197,6 +197,17 @@
     handle(new ForwardingMessage.Failed(7, attempt(), true, "reset"));
   }
 
+  /** Reports the result of an order to the current engine to stop its generation. */
+  void stopEnded(MoveOutcome outcome) {
+    handle(new ForwardingMessage.CopyEnded(7, attempt(), true, outcome));
+  }
+
+  /** Lets the process of the current engine end: it resets its connections and refuses new ones. */
+  void crashEngine() {
+    loseTarget();
+    stopEnded(new MoveOutcome.SourceEnded("refused"));
+  }
+
   String lastEvent() {
     return caller.events.get(caller.events.size() - 1);
   }
--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -1,6 +1,7 @@
 package dev.caroblb.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
@@ -200,6 +201,18 @@
     closeConnection();
   }
 
+  /** Fails the request because no connection could be established. */
+  void connectFailed(Exception cause) {
+    boolean refused = cause instanceof ConnectException;
+    if (!refused) {
+      failed(cause);
+      return;
+    }
+    if (markFinished()) {
+      sink.connectionRefused(String.valueOf(cause));
+    }
+  }
+
   @Override
   public void cancel() {
     failed(new IOException("the exchange was cancelled"));
--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -98,7 +98,7 @@
 
               @Override
               public void failed(Exception cause) {
-                exchange.failed(cause);
+                exchange.connectFailed(cause);
               }
 
               @Override
--- a/http/src/main/java/dev/caroblb/http/ResponseSink.java
+++ b/http/src/main/java/dev/caroblb/http/ResponseSink.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Receives one response. Called on the reactor threads; must not block. The last call is either
- * {@link #end()} or {@link #failed(boolean, String)}.
+ * Receives one response. Called on the reactor threads; must not block. The last call is {@link
+ * #end()}, {@link #failed(boolean, String)} or {@link #connectionRefused(String)}.
  */
 public interface ResponseSink {
   /** Receives the response head; header names are in lower case. */
@@ -29,4 +29,9 @@
    * @param written whether any byte of the request may have been sent
    */
   void failed(boolean written, String cause);
+
+  /** The request failed because no process listens at the address. */
+  default void connectionRefused(String cause) {
+    failed(false, cause);
+  }
 }
