Tell placements of a process from those of its predecessor

Cause: placement requests were numbered from 1 in each process, and the placement coordinator knows instances by name only. It replied to a queued request of the ended process, and the entry matched the reply with a request of the new process. The service of the chosen target was not checked. The numbers of placement replies had the same fault: after a restart of the coordinator, load reports removed placements that they did not include.

Change: tickets and grants differ between processes of an instance (ProcessSequence), the coordinator drops requests that an earlier process queued, and an entry accepts only targets of the selected service.

Other tests used the numbers 1 and 2 as tickets and 1,000 as a grant that covers all; they now use those that were sent, with the same checks.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
@@ -34,11 +34,11 @@
   private static final long SILENCE_TIMEOUT_MS = 2_500;
 
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
+  private final ProcessSequence tickets;
   private final Map<Long, Long> callByTicket = new HashMap<>();
   private List<InstanceId> controlInstances = List.of();
   private int currentIndex;
   private int consecutiveTimeouts;
-  private long lastTicket;
   private long lastGrant;
   private List<TargetLoad> lastReport = List.of();
   private long lastReportMs = Long.MIN_VALUE / 2;
@@ -46,8 +46,9 @@
   private long lastTickMs = Long.MIN_VALUE / 2;
   private long nextMs;
 
-  CoordinatorClient(Outlet<PeerEnvelope<PeerMessage>> peers) {
+  CoordinatorClient(Outlet<PeerEnvelope<PeerMessage>> peers, ProcessSequence tickets) {
     this.peers = peers;
+    this.tickets = tickets;
   }
 
   /**
@@ -80,12 +81,12 @@
       return Optional.empty();
     }
     cancelPlacement(exchange);
-    lastTicket++;
-    callByTicket.put(lastTicket, exchange.call().id());
+    long ticket = tickets.next();
+    callByTicket.put(ticket, exchange.call().id());
     long replyByMs = nowMs + REPLY_TIMEOUT_MS;
     exchange.setPendingPlacement(
-        new PendingPlacement(lastTicket, current(), need.purpose(), replyByMs, false));
-    send(new PeerMessage.PlacementRequest(lastTicket, need));
+        new PendingPlacement(ticket, current(), need.purpose(), replyByMs, false));
+    send(new PeerMessage.PlacementRequest(ticket, need));
     return Optional.of(replyByMs);
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -102,7 +102,7 @@
   void placementReceived(
       Exchange exchange, Optional<TargetId> target, Optional<TargetId> backup, long nowMs) {
     exchange.clearPendingPlacement();
-    Optional<Target> chosen = target.flatMap(id -> pool.usable(id, nowMs));
+    Optional<Target> chosen = target.flatMap(id -> pool.usable(id, exchange.service(), nowMs));
     if (chosen.isEmpty()) {
       placeLocally(exchange, nowMs);
       return;
@@ -111,7 +111,7 @@
         exchange,
         chosen.get(),
         Optional.empty(),
-        backup.flatMap(id -> pool.usable(id, nowMs)),
+        backup.flatMap(id -> pool.usable(id, exchange.service(), nowMs)),
         nowMs);
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -55,8 +55,8 @@
     this.random = random;
     PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
     pool = new TargetPool(random, List.of(remoteLoad, ledger));
-    coordinator = new CoordinatorClient(peers);
-    localCoordinator = new PlacementCoordinator(peers, pool, ledger);
+    coordinator = new CoordinatorClient(peers, new ProcessSequence(random));
+    localCoordinator = new PlacementCoordinator(peers, pool, ledger, new ProcessSequence(random));
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
     finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -134,7 +134,10 @@
     exchange.clearPendingPlacement();
     Optional<Target> source = exchange.target().filter(Target::leaving);
     if (source.isPresent() && exchange.move().isEmpty() && !exchange.targetEnded()) {
-      startCopy(exchange, source.get(), destination.flatMap(id -> pool.usable(id, nowMs)));
+      startCopy(
+          exchange,
+          source.get(),
+          destination.flatMap(id -> pool.usable(id, exchange.service(), nowMs)));
     }
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -10,7 +10,7 @@
   /**
    * Load that the sender has put on targets; the receiver replies with the load of the others.
    *
-   * @param lastGrant number of the last placement reply that the loads include
+   * @param lastGrant number of the last placement reply that the loads include; 0 if none
    * @param loads one element per target with load
    */
   record LoadReport(long lastGrant, List<TargetLoad> loads) implements PeerMessage {
@@ -34,7 +34,8 @@
   /**
    * Requests a target.
    *
-   * @param ticket identifies the placement request; increases with each one of an instance
+   * @param ticket identifies the placement request; increases with each one of a process, and
+   *     differs from those of its earlier processes
    * @param need requirements of the call
    */
   record PlacementRequest(long ticket, PlacementNeed need) implements PeerMessage {}
@@ -46,7 +47,8 @@
    * Final reply to a {@link PlacementRequest}.
    *
    * @param ticket ticket of the placement request
-   * @param grant number of the reply; increases with each reply to an instance
+   * @param grant number of the reply; increases with each one of a process, and differs from those
+   *     of its earlier processes
    * @param target the chosen target; empty if none accepts requests
    * @param backup second engine, which gets a copy of the generation's memory
    */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
@@ -30,17 +30,21 @@
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
   private final TargetPool pool;
   private final PlacementLedger ledger;
+  private final ProcessSequence grants;
   private final PlacementQueue queue;
   private final Map<InstanceId, Long> reportSentMs = new HashMap<>();
   private int servingInstances;
   private long lastLogMs = Long.MIN_VALUE / 2;
-  private long lastGrant;
 
   PlacementCoordinator(
-      Outlet<PeerEnvelope<PeerMessage>> peers, TargetPool pool, PlacementLedger ledger) {
+      Outlet<PeerEnvelope<PeerMessage>> peers,
+      TargetPool pool,
+      PlacementLedger ledger,
+      ProcessSequence grants) {
     this.peers = peers;
     this.pool = pool;
     this.ledger = ledger;
+    this.grants = grants;
     queue = new PlacementQueue(pool);
   }
 
@@ -87,6 +91,7 @@
   /** Chooses a target immediately, or queues the request until an engine has room. */
   void placementRequested(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
     PlacementNeed need = request.need();
+    queue.removeOfEarlierProcess(peer, request.ticket());
     if (need.purpose() == PlacementNeed.Purpose.MOVE) {
       placeMove(peer, request, nowMs);
       return;
@@ -108,9 +113,9 @@
   private void placeMove(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
     Optional<Target> target =
         pool.chooseDestination(request.need(), TargetPool.ALL_MOVE_CANDIDATES, nowMs);
-    lastGrant++;
-    target.ifPresent(chosen -> grant(peer, chosen, 0, request.need().tokens(), 0, nowMs));
-    reply(peer, request.ticket(), target, Optional.empty());
+    long grant = grants.next();
+    target.ifPresent(chosen -> grant(peer, grant, chosen, 0, request.need().tokens(), 0, nowMs));
+    reply(peer, request.ticket(), grant, target, Optional.empty());
   }
 
   /** Removes a queued request that its instance cancelled. */
@@ -130,29 +135,36 @@
     PlacementNeed need = request.need();
     Optional<Target> backup = target.flatMap(chosen -> pool.chooseBackup(need, chosen, nowMs));
     InstanceId peer = request.instance();
-    lastGrant++;
-    target.ifPresent(chosen -> grant(peer, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
-    backup.ifPresent(engine -> grant(peer, engine, 0, need.tokens(), 0, nowMs));
-    reply(peer, request.ticket(), target, backup);
+    long grant = grants.next();
+    target.ifPresent(
+        chosen -> grant(peer, grant, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
+    backup.ifPresent(engine -> grant(peer, grant, engine, 0, need.tokens(), 0, nowMs));
+    reply(peer, request.ticket(), grant, target, backup);
   }
 
   private void grant(
-      InstanceId peer, Target target, long requests, long tokens, long promptTokens, long nowMs) {
+      InstanceId peer,
+      long grant,
+      Target target,
+      long requests,
+      long tokens,
+      long promptTokens,
+      long nowMs) {
     TargetInfo info = target.info();
     ledger.addGrant(
         peer,
-        lastGrant,
+        grant,
         new TargetLoad(info.id(), info.incarnation(), requests, tokens, promptTokens),
         nowMs);
   }
 
   private void reply(
-      InstanceId peer, long ticket, Optional<Target> target, Optional<Target> backup) {
+      InstanceId peer, long ticket, long grant, Optional<Target> target, Optional<Target> backup) {
     send(
         peer,
         new PeerMessage.PlacementReply(
             ticket,
-            lastGrant,
+            grant,
             target.map(chosen -> chosen.info().id()),
             backup.map(engine -> engine.info().id())));
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementLedger.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementLedger.java
@@ -34,7 +34,10 @@
     this.staleMs = staleMs;
   }
 
-  /** Replaces the report of an instance and drops its grants up to the given number. */
+  /**
+   * Replaces the report of an instance and drops its grants up to the given number, which an
+   * earlier process of this instance may have given out.
+   */
   void reported(InstanceId instance, long upToGrant, List<TargetLoad> load, long nowMs) {
     Account account = accounts.computeIfAbsent(instance, id -> new Account());
     account.reported.forEach(this::subtract);
@@ -69,7 +72,7 @@
   private void dropGrants(Account account, long upToGrant, long nowMs) {
     for (Iterator<Grant> all = account.grants.iterator(); all.hasNext(); ) {
       Grant grant = all.next();
-      if (grant.number() <= upToGrant || nowMs - grant.atMs() >= staleMs) {
+      if (ProcessSequence.covers(upToGrant, grant.number()) || nowMs - grant.atMs() >= staleMs) {
         subtract(grant.load());
         all.remove();
       }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementQueue.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementQueue.java
@@ -78,6 +78,14 @@
     queue.removeIf(request -> request.instance().equals(instance) && request.ticket() == ticket);
   }
 
+  /** Removes requests that an earlier process of the instance queued. */
+  void removeOfEarlierProcess(InstanceId instance, long ticket) {
+    queue.removeIf(
+        request ->
+            request.instance().equals(instance)
+                && !ProcessSequence.sameProcess(request.ticket(), ticket));
+  }
+
   /** Removes requests queued before the given time, except those of the given instances. */
   void retainInstances(Collection<InstanceId> instances, long queuedBeforeMs) {
     queue.removeIf(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -180,9 +180,10 @@
     return earliest;
   }
 
-  /** The target with this ID, if it accepts requests. */
-  Optional<Target> usable(TargetId id, long nowMs) {
-    return Optional.ofNullable(targets.get(id)).filter(target -> target.accepts(nowMs));
+  /** The target of a service with this ID, if it accepts requests. */
+  Optional<Target> usable(TargetId id, String service, long nowMs) {
+    return Optional.ofNullable(targets.get(id))
+        .filter(target -> target.info().service().equals(service) && target.accepts(nowMs));
   }
 
   /** Whether a previously chosen target is still known and does not leave. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorClientTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorClientTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +19,8 @@
   private static final InstanceId B = new InstanceId("b");
 
   private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
-  private final CoordinatorClient client = new CoordinatorClient(sent::add);
+  private final CoordinatorClient client =
+      new CoordinatorClient(sent::add, new ProcessSequence(new Random(1)));
 
   private static List<TargetLoad> loads(long requests) {
     return List.of(new TargetLoad(new TargetId("t"), 1, requests, 100 * requests, 0));
@@ -36,10 +38,21 @@
         nowMs);
   }
 
-  private Optional<Long> reply(long ticket, long grant) {
+  /** Ticket of the placement request that was sent as the given one, counted from 1. */
+  private long ticket(int request) {
+    return sent.stream()
+        .map(PeerEnvelope::message)
+        .filter(PeerMessage.PlacementRequest.class::isInstance)
+        .map(message -> ((PeerMessage.PlacementRequest) message).ticket())
+        .skip(request - 1)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private Optional<Long> reply(int request, long grant) {
     return client.replied(
         new PeerMessage.PlacementReply(
-            ticket, grant, Optional.of(new TargetId("t")), Optional.empty()),
+            ticket(request), grant, Optional.of(new TargetId("t")), Optional.empty()),
         1);
   }
 
@@ -73,10 +86,10 @@
       client.setControlInstances(List.of(A));
       Exchange exchange = exchange(1);
       request(exchange, 0);
-      client.queued(1, 1);
+      client.queued(ticket(1), 1);
       exchange.setQueued();
       client.cancelPlacement(exchange);
-      assertEquals(new PeerMessage.PlacementCancelled(1), last().message());
+      assertEquals(new PeerMessage.PlacementCancelled(ticket(1)), last().message());
       assertEquals(Optional.empty(), reply(1, 1));
     }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -88,7 +88,7 @@
       handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 1));
       install(1);
       arriveGeneration("/long/x", outputTokens);
-      fromControl(new PeerMessage.PlacementQueued(1));
+      fromControl(new PeerMessage.PlacementQueued(firstTicket()));
     }
 
     private void fromControl(PeerMessage message) {
@@ -111,7 +111,8 @@
       assertEquals(List.of(), caller.events);
       nowMs += 1_000;
       fromControl(
-          new PeerMessage.PlacementReply(1, 1, Optional.of(new TargetId("t0")), Optional.empty()));
+          new PeerMessage.PlacementReply(
+              firstTicket(), 1, Optional.of(new TargetId("t0")), Optional.empty()));
       assertEquals(List.of("refused DRAINING"), caller.events);
       assertEquals(0, targets.sent.size());
     }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -197,6 +197,16 @@
     handle(new ForwardingMessage.Failed(7, attempt(), true, "reset"));
   }
 
+  /** Ticket of the first placement request that was sent. */
+  long firstTicket() {
+    return toPeers.stream()
+        .map(PeerEnvelope::message)
+        .filter(PeerMessage.PlacementRequest.class::isInstance)
+        .map(message -> ((PeerMessage.PlacementRequest) message).ticket())
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Reports the result of an order to the current engine to stop its generation. */
   void stopEnded(MoveOutcome outcome) {
     handle(new ForwardingMessage.CopyEnded(7, attempt(), true, outcome));
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
@@ -27,7 +27,7 @@
   }
 
   private void grant(Optional<TargetId> target) {
-    receive(new PeerMessage.PlacementReply(1, 1, target, Optional.empty()));
+    receive(new PeerMessage.PlacementReply(firstTicket(), 1, target, Optional.empty()));
   }
 
   private List<PeerMessage> sentMessages() {
@@ -86,7 +86,7 @@
     @Test
     void waitsBeyondTheReplyTimeout() {
       requestPlacement();
-      receive(new PeerMessage.PlacementQueued(1));
+      receive(new PeerMessage.PlacementQueued(firstTicket()));
       advance(100);
       assertEquals(List.of(), targets.sent);
     }
@@ -95,10 +95,10 @@
     @Test
     void isRefusedEarlyAndCancelled() {
       requestPlacement();
-      receive(new PeerMessage.PlacementQueued(1));
+      receive(new PeerMessage.PlacementQueued(firstTicket()));
       advance(2_400);
       assertEquals("refused BACKLOG_FULL", lastEvent());
-      assertTrue(sentMessages().contains(new PeerMessage.PlacementCancelled(1)));
+      assertTrue(sentMessages().contains(new PeerMessage.PlacementCancelled(firstTicket())));
       grant(Optional.of(new TargetId("t2")));
       advance(1_000);
       assertEquals(List.of(), targets.sent);
@@ -109,7 +109,7 @@
     @Test
     void usesTheNextControlInstanceAfterAChange() {
       requestPlacement();
-      receive(new PeerMessage.PlacementQueued(1));
+      receive(new PeerMessage.PlacementQueued(firstTicket()));
       InstanceId other = new InstanceId("control-2");
       handle(new ForwardingMessage.ControlInstancesChanged(List.of(other), 9));
       advance(600);
@@ -124,7 +124,7 @@
     void waitsForTheNextControlInstance() {
       requestPlacement();
       advance(30);
-      receive(new PeerMessage.PlacementQueued(1));
+      receive(new PeerMessage.PlacementQueued(firstTicket()));
       // From here on two timers fire, 30 ms apart.
       advance(30);
       handle(
@@ -138,9 +138,9 @@
     @Test
     void isCancelledWhenTheCallerDisconnects() {
       requestPlacement();
-      receive(new PeerMessage.PlacementQueued(1));
+      receive(new PeerMessage.PlacementQueued(firstTicket()));
       handle(new ForwardingMessage.CallerGone(7));
-      assertTrue(sentMessages().contains(new PeerMessage.PlacementCancelled(1)));
+      assertTrue(sentMessages().contains(new PeerMessage.PlacementCancelled(firstTicket())));
     }
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
@@ -24,7 +24,8 @@
   private final PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
   private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger));
   private final PlacementCoordinator coordinator =
-      new PlacementCoordinator(sent::add, pool, ledger);
+      new PlacementCoordinator(sent::add, pool, ledger, new ProcessSequence(new Random(1)));
+  private long lastGrant;
 
   @BeforeEach
   void addEngines() {
@@ -58,6 +59,9 @@
         entry(instance), new PeerMessage.PlacementRequest(1, need), nowMs);
     PeerEnvelope<PeerMessage> reply = sent.get(sent.size() - 1);
     assertEquals(entry(instance), reply.peer());
+    if (reply.message() instanceof PeerMessage.PlacementReply placed) {
+      lastGrant = placed.grant();
+    }
     return reply.message();
   }
 
@@ -141,7 +145,7 @@
 
     private void endRequest(int instance, long nowMs) {
       coordinator.loadReported(
-          entry(instance), new PeerMessage.LoadReport(1_000, List.of()), nowMs);
+          entry(instance), new PeerMessage.LoadReport(lastGrant, List.of()), nowMs);
     }
 
     /** Guards against filling engines until they preempt requests. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
@@ -169,7 +169,7 @@
       InstanceId control = new InstanceId("control-1");
       handle(new ForwardingMessage.ControlInstancesChanged(List.of(control), 9));
       arriveGeneration("/long/x", 400);
-      reply(control, 1, "t2");
+      reply(control, firstTicket(), "t2");
       rejectFor(3_000);
       PeerMessage.PlacementRequest request =
           (PeerMessage.PlacementRequest) toPeers.get(toPeers.size() - 1).message();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
@@ -105,7 +105,7 @@
         loads.add(new TargetLoad(new TargetId("t" + i), 1, 1, i == 0 ? 0 : tokensAtEach, 0));
       }
       reportedLoad.replace(loads, 0);
-      Target primary = pool.usable(new TargetId("t1"), 0).orElseThrow();
+      Target primary = pool.usable(new TargetId("t1"), "service", 0).orElseThrow();
       return pool.chooseBackup(need, primary, 0).isPresent();
     }
 
