--- a/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
@@ -90,6 +90,10 @@
             ? format(files, folder, wanted)
             : FormatFile.decode(formatFile, files.read(formatFile));
     check(formatFile, wanted, found);
+    if (!format) {
+      // An earlier process may have ended between the rename of the format file and these syncs.
+      syncNames(files, folder);
+    }
     DataFolder data = new DataFolder(folder, found.incarnation(), format, lock);
     for (GroupId group : found.groups()) {
       data.recover(files, group);
@@ -148,9 +152,14 @@
     }
     files.syncFolder(folder);
     files.rename(temporary, file);
+    syncNames(files, folder);
+    return format;
+  }
+
+  /** Makes the names in the folder, and that of the folder itself, durable. */
+  private static void syncNames(FileAccess files, Path folder) throws IOException {
     files.syncFolder(folder);
     files.syncFolder(folder.toAbsolutePath().getParent());
-    return format;
   }
 
   private void recover(FileAccess files, GroupId group) throws JournalException, IOException {
--- a/agreement/src/main/java/dev/caroblb/agreement/journal/GroupRecovery.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/GroupRecovery.java
@@ -11,7 +11,11 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-/** Reads the folder of one group at a start and removes files that a crash left behind. */
+/**
+ * Reads the folder of one group at a start and removes files that a crash left behind. What is read
+ * may not be synced: the previous process may have ended before its sync. It is synced here, since
+ * the replica counts recovered entries and votes as stored.
+ */
 final class GroupRecovery {
   /** Largest segment that {@link GroupLog} can write, with room for the header. */
   private static final long MAX_SEGMENT_BYTES =
@@ -43,11 +47,12 @@
       boolean last = segment.getKey().equals(segments.lastKey());
       byte[] bytes = readSegment(segment.getValue());
       int intact = replay.replay(segment.getValue(), segment.getKey(), bytes, last);
-      if (intact < bytes.length) {
-        truncate(segment.getValue(), intact);
+      if (last) {
+        syncIntact(segment.getValue(), intact, bytes.length);
       }
       activeBytes = intact;
     }
+    files.syncFolder(folder);
     removeLeftovers(names, stored, List.copyOf(segments.headMap(first).values()));
     return replay.result(activeBytes);
   }
@@ -134,9 +139,12 @@
     }
   }
 
-  private void truncate(Path file, long size) throws IOException {
+  /** Truncates the last segment to its intact part and syncs it; earlier ones are synced. */
+  private void syncIntact(Path file, long intact, long size) throws IOException {
     try (WritableFile opened = files.open(file)) {
-      opened.truncate(size);
+      if (intact < size) {
+        opened.truncate(intact);
+      }
       opened.sync();
     }
   }
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedDisk.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedDisk.java
@@ -20,6 +20,7 @@
   private final Map<GroupId, Stored> groups = new HashMap<>();
   private final Deque<JournalMessage> unsynced = new ArrayDeque<>();
   private final String incarnation;
+  private boolean full;
 
   SimulatedDisk(String incarnation) {
     this.incarnation = incarnation;
@@ -35,6 +36,15 @@
     return true;
   }
 
+  /** Makes the disk refuse writes, or gives it space again. */
+  void setFull(boolean isFull) {
+    full = isFull;
+  }
+
+  boolean full() {
+    return full;
+  }
+
   boolean hasUnsynced() {
     return !unsynced.isEmpty();
   }
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
@@ -146,6 +146,11 @@
     if (!running()) {
       return;
     }
+    if (disk.hasUnsynced() && disk.full()) {
+      // The process ends when its disk refuses a write.
+      crash();
+      return;
+    }
     long nowMs = localMs(trueUs);
     if (disk.hasUnsynced() && syncDueMs == Long.MAX_VALUE) {
       syncDueMs = nowMs + syncDelayMs;
--- a/agreement/src/test/java/dev/caroblb/agreement/journal/FaultyFiles.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/journal/FaultyFiles.java
@@ -78,6 +78,7 @@
 
   /** Simulates the end of the process: nothing is lost, and its locks are released. */
   void endProcess() {
+    stepsUntilCrash = Integer.MAX_VALUE;
     locks.clear();
   }
 
--- a/agreement/src/test/java/dev/caroblb/agreement/journal/JournalPropertyTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/journal/JournalPropertyTest.java
@@ -128,6 +128,63 @@
     }
   }
 
+  @Group
+  class AfterTheEndOfAProcess {
+    /**
+     * Guards against a replica that counts entries as stored which its earlier process wrote but
+     * did not sync, and which a loss of power removes.
+     */
+    @Property(seed = "4712", tries = 2_000)
+    void recoveredStateSurvivesALossOfPower(
+        @ForAll long seed, @ForAll @IntRange(max = 150) int steps) {
+      Replica replica = replica(seed);
+      replica.files.crashAfter(steps);
+      replica.open().forEach(data -> replica.write(data, 15));
+      replica.files.endProcess();
+      Map<GroupId, RecoveredGroup> found = new LinkedHashMap<>();
+      DataFolder recovered = replica.opened();
+      GROUPS.forEach(group -> found.put(group, recovered.takeRecovered(group).orElseThrow()));
+      replica.files.crash();
+      DataFolder afterPowerLoss = replica.opened();
+      GROUPS.forEach(
+          group ->
+              assertEquals(found.get(group), afterPowerLoss.takeRecovered(group).orElseThrow()));
+    }
+  }
+
+  @Group
+  class AfterAFullDisk {
+    /** Guards against a folder that cannot be used any more once its disk has space again. */
+    @Property(seed = "4713", tries = 1_000)
+    void canBeUsedAgain(
+        @ForAll long seed,
+        @ForAll @IntRange(max = 3_000) int freeBytes,
+        @ForAll @IntRange(max = 5) int restarts) {
+      Replica replica = replica(seed);
+      replica.files.limitSpace(freeBytes);
+      for (int i = 0; i <= restarts; i++) {
+        Either<JournalError, DataFolder> data = replica.open();
+        if (data.isRight()) {
+          replica.models.forEach((group, model) -> assertAllowed(data.get(), group, model));
+          boolean unused = replica.write(data.get(), 15);
+        } else {
+          assertEquals(JournalError.Kind.ACCESS, data.getLeft().kind(), data.getLeft().message());
+        }
+        replica.files.endProcess();
+      }
+      replica.files.limitSpace(Long.MAX_VALUE);
+      DataFolder data = replica.opened();
+      replica.models.forEach((group, model) -> assertAllowed(data, group, model));
+      assertFalse(replica.write(data, 15), "the journal failed although the disk has space");
+    }
+
+    private void assertAllowed(DataFolder data, GroupId group, GroupModel model) {
+      RecoveredGroup found = data.takeRecovered(group).orElseThrow();
+      assertTrue(model.allowedAfterCrash().contains(found), () -> group + " holds " + found);
+      model.restart(found);
+    }
+  }
+
   @Group
   class WithOneFlippedByte {
     /**
