Limit the memory of all responses of an instance together

What callers saw: when a faulty target sent 24 bodies without end at the same time, or 60 events, the entry ran out of memory and served nobody any more (trial with real processes; the report came from other operators).

Cause: each response was limited, to 4 MiB or 1 MiB, but not all of them together, and the buffer of a body doubled and was copied.

Above it the attempt with the largest response fails, so that small responses go on. Bodies are held once, in blocks.

--- a/core/src/main/java/dev/caroblb/core/Payload.java
+++ b/core/src/main/java/dev/caroblb/core/Payload.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 
 /** Immutable bytes with value equality. */
 public final class Payload {
@@ -19,6 +20,14 @@
     return bytes.length == 0 ? EMPTY : new Payload(bytes.clone());
   }
 
+  /** Copies the remaining bytes of several buffers, in their order. */
+  public static Payload concat(List<ByteBuffer> parts) {
+    byte[] bytes = new byte[parts.stream().mapToInt(ByteBuffer::remaining).sum()];
+    ByteBuffer target = ByteBuffer.wrap(bytes);
+    parts.forEach(part -> target.put(part.duplicate()));
+    return bytes.length == 0 ? EMPTY : new Payload(bytes);
+  }
+
   /** The UTF-8 bytes of a text. */
   public static Payload ofText(String text) {
     return copyOf(text.getBytes(StandardCharsets.UTF_8));
--- a/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
@@ -98,6 +98,7 @@
 
   /** Discards an incomplete event. */
   void dropPartial() {
+    buffer = new byte[INITIAL_BYTES];
     size = 0;
     lineStart = 0;
     pendingId = Optional.empty();
@@ -108,6 +109,11 @@
     return size > 0;
   }
 
+  /** Number of bytes of memory that the buffer uses. */
+  int capacity() {
+    return buffer.length;
+  }
+
   boolean overLimit() {
     return size > MAX_EVENT_BYTES;
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -4,7 +4,6 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Optional;
@@ -33,7 +32,7 @@
   private final long deadlineMs;
   private final Set<TargetId> tried = new HashSet<>();
   private final EventFraming framing = new EventFraming();
-  private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final ResponseBuffer bufferedBody = new ResponseBuffer();
   private final ArrayDeque<Payload> pendingEvents = new ArrayDeque<>();
   private final StreamTiming timing = new StreamTiming();
 
@@ -263,8 +262,6 @@
     prefillTokens = memory.isPresent() ? 0 : promptTokens();
     chosen.started(tokens(), prefillTokens);
     head = Optional.empty();
-    bufferedBody.reset();
-    framing.dropPartial();
     targetEnded = false;
     moveAttempts = 0;
     return new AttemptOrder(
@@ -299,6 +296,8 @@
     backup = Optional.empty();
     continuation = Optional.empty();
     cancelMove();
+    bufferedBody.clear();
+    framing.dropPartial();
     attempt++;
   }
 
@@ -325,13 +324,17 @@
 
   /** Buffers a part of a response that is not a stream; returns false if it grew too large. */
   boolean bufferBody(Payload part) {
-    byte[] bytes = part.toBytes();
-    bufferedBody.write(bytes, 0, bytes.length);
+    bufferedBody.add(part);
     return bufferedBody.size() <= MAX_BUFFERED_BODY_BYTES;
   }
 
   Payload bufferedBody() {
-    return Payload.copyOf(bufferedBody.toByteArray());
+    return bufferedBody.contents();
+  }
+
+  /** Number of bytes of memory that the parts of the response use which are not relayed yet. */
+  long heldBytes() {
+    return (long) bufferedBody.capacity() + framing.capacity() + pendingBytes;
   }
 
   /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
@@ -16,6 +16,8 @@
   private final Map<Long, Exchange> exchanges = new HashMap<>();
   private final PriorityQueue<Timer> timers =
       new PriorityQueue<>(Comparator.comparingLong(Timer::dueMs));
+  private final Map<Exchange, Long> heldBytes = new HashMap<>();
+  private long totalHeldBytes;
   private volatile int size;
 
   void add(Exchange exchange) {
@@ -27,6 +29,25 @@
   void remove(Exchange exchange) {
     exchanges.remove(exchange.call().id());
     size = exchanges.size();
+    recount(exchange);
+  }
+
+  /** Updates the memory that the response of an exchange uses. */
+  void recount(Exchange exchange) {
+    boolean running = exchanges.get(exchange.call().id()) == exchange;
+    long now = running ? exchange.heldBytes() : 0;
+    Long before = now > 0 ? heldBytes.put(exchange, now) : heldBytes.remove(exchange);
+    totalHeldBytes += now - (before == null ? 0 : before);
+  }
+
+  /** Memory in bytes that the responses of all exchanges use. */
+  long heldBytes() {
+    return totalHeldBytes;
+  }
+
+  /** The exchange whose response uses most memory. */
+  Optional<Exchange> largest() {
+    return heldBytes.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
   }
 
   Optional<Exchange> find(long call) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -75,7 +75,16 @@
             finisher,
             drain,
             guard);
-    responses = new ResponseRelay(port, observer, dispatcher, finisher, durations, guard);
+    responses =
+        new ResponseRelay(
+            exchanges,
+            settings.maxResponseBytes(),
+            port,
+            observer,
+            dispatcher,
+            finisher,
+            durations,
+            guard);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses, guard);
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -9,6 +9,8 @@
 final class ResponseRelay {
   private static final System.Logger LOGGER = System.getLogger(ResponseRelay.class.getName());
 
+  private final ExchangeTable exchanges;
+  private final long maxResponseBytes;
   private final TargetPort port;
   private final CallObserver observer;
   private final Dispatcher dispatcher;
@@ -17,12 +19,16 @@
   private final PromptGuard guard;
 
   ResponseRelay(
+      ExchangeTable exchanges,
+      long maxResponseBytes,
       TargetPort port,
       CallObserver observer,
       Dispatcher dispatcher,
       CallFinisher finisher,
       GenerationDurations durations,
       PromptGuard guard) {
+    this.exchanges = exchanges;
+    this.maxResponseBytes = maxResponseBytes;
     this.port = port;
     this.observer = observer;
     this.dispatcher = dispatcher;
@@ -68,6 +74,27 @@
       exchange.setProgress(AttemptProgress.CONTENT);
       port.acknowledge(exchange.call().id(), exchange.attempt());
     }
+    exchanges.recount(exchange);
+    freeMemory(nowMs);
+  }
+
+  /**
+   * Fails the attempts with the largest responses while all responses together use too much memory.
+   * The limit of a single response does not suffice: a faulty target may send one to each of many
+   * requests.
+   */
+  private void freeMemory(long nowMs) {
+    String cause = "responses use more than " + maxResponseBytes + " bytes";
+    while (exchanges.heldBytes() > maxResponseBytes) {
+      Exchange largest = exchanges.largest().orElseThrow();
+      final long before = exchanges.heldBytes();
+      targetFailed(largest, cause, nowMs);
+      exchanges.recount(largest);
+      if (exchanges.heldBytes() >= before) {
+        // A retry keeps the events that its caller has not read.
+        finisher.fail(largest, RefusalReason.CONNECTION_LOST, cause, nowMs);
+      }
+    }
   }
 
   private void relayEvents(Exchange exchange, Payload part, long nowMs) {
@@ -92,7 +119,9 @@
   }
 
   void callerReady(Exchange exchange, long nowMs) {
-    if (!exchange.flush()) {
+    boolean flushed = exchange.flush();
+    exchanges.recount(exchange);
+    if (!flushed) {
       return;
     }
     if (exchange.targetEnded()) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
@@ -52,7 +52,8 @@
       this.control = control;
       handler =
           new ForwardingHandler(
-              new ForwardingSettings(id, new FailureDomain("zone-a"), 1_000, 0.2, 10_000, 320),
+              new ForwardingSettings(
+                  id, new FailureDomain("zone-a"), 1_000, 32 << 20, 0.2, 10_000, 320),
               this,
               message -> {
                 deliver(id, message);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -24,6 +24,7 @@
 /** A forwarding handler with a recording target port and a recording caller. */
 abstract class ForwardingFixture {
   static final FailureDomain ZONE = new FailureDomain("zone-a");
+  static final long MAX_RESPONSE_BYTES = 6 << 20;
   static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
   static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
 
@@ -34,7 +35,8 @@
   final List<TargetRun> leaving = new ArrayList<>();
   final ForwardingHandler handler =
       new ForwardingHandler(
-          new ForwardingSettings(new InstanceId("entry"), ZONE, 10, 0.2, 10_000, 320),
+          new ForwardingSettings(
+              new InstanceId("entry"), ZONE, 10, MAX_RESPONSE_BYTES, 0.2, 10_000, 320),
           targets,
           toPeers::add,
           leaving::add,
