Refuse plain requests that a stopping entry cannot complete

What callers saw: an entry that was stopping sent plain requests to a target up to four latency objectives before its drain limit, although the service needed longer, and cut them with 502 there, also those that may run once.

Cause: the estimate of their duration was a multiple of the objective that the operator states, not what the service was observed to need.

Change: PlainDurations observes the durations for each service; the larger value counts.

Tests: ForwardingDrainTest.plainRequestOfASlowServiceIsRefused failed before the change.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/DrainAdmission.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/DrainAdmission.java
@@ -9,19 +9,15 @@
  * to its end.
  */
 final class DrainAdmission {
-  /**
-   * Upper estimate of the duration of a plain request, in multiples of its latency objective.
-   * Targets miss the objective of single requests under load.
-   */
-  private static final int PLAIN_OBJECTIVES = 4;
-
   private static final long UNKNOWN_DURATION_MS = Long.MAX_VALUE;
 
   private final DurationEstimate generations;
+  private final DurationEstimate plainRequests;
   private Optional<Long> limitAtMs = Optional.empty();
 
-  DrainAdmission(DurationEstimate generations) {
+  DrainAdmission(DurationEstimate generations, DurationEstimate plainRequests) {
     this.generations = generations;
+    this.plainRequests = plainRequests;
   }
 
   /** Sets the time at which requests that still run are aborted. */
@@ -43,7 +39,7 @@
     }
     return exchange.route().repeat() == RepeatRule.STREAM
         ? UNKNOWN_DURATION_MS
-        : PLAIN_OBJECTIVES * exchange.route().objectiveMs();
+        : plainRequests.upperMs(exchange);
   }
 
   /** The time left until the limit as a value of a log line. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -25,7 +25,8 @@
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
   private final GenerationDurations durations = new GenerationDurations();
-  private final DrainAdmission drain = new DrainAdmission(durations);
+  private final PlainDurations plainDurations = new PlainDurations();
+  private final DrainAdmission drain = new DrainAdmission(durations, plainDurations);
   private final TargetPool pool;
   private final RetryBudget budget;
   private final CallFinisher finisher;
@@ -84,6 +85,7 @@
             dispatcher,
             finisher,
             durations,
+            plainDurations,
             guard);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses, guard);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -16,6 +16,7 @@
   private final Dispatcher dispatcher;
   private final CallFinisher finisher;
   private final GenerationDurations durations;
+  private final PlainDurations plainDurations;
   private final PromptGuard guard;
 
   ResponseRelay(
@@ -26,6 +27,7 @@
       Dispatcher dispatcher,
       CallFinisher finisher,
       GenerationDurations durations,
+      PlainDurations plainDurations,
       PromptGuard guard) {
     this.exchanges = exchanges;
     this.maxResponseBytes = maxResponseBytes;
@@ -34,6 +36,7 @@
     this.dispatcher = dispatcher;
     this.finisher = finisher;
     this.durations = durations;
+    this.plainDurations = plainDurations;
     this.guard = guard;
   }
 
@@ -172,6 +175,7 @@
     if (head.success()) {
       guard.answered(exchange, nowMs);
     }
+    plainDurations.completed(exchange, nowMs);
     observer.responded(nowMs - exchange.arrivedMs());
     exchange.call().port().respond(head, exchange.bufferedBody());
     finisher.finish(exchange, "answered", "status " + head.status(), nowMs);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -71,6 +71,22 @@
       assertEquals(1, targets.sent.size());
     }
 
+    /** Guards against plain requests whose service takes longer than their objective suggests. */
+    @Test
+    void plainRequestOfASlowServiceIsRefused() {
+      install(1);
+      for (int i = 0; i < 20; i++) {
+        arrive("/once/x");
+        nowMs += 3_700;
+        respond(200, "slow");
+      }
+      final int sent = targets.sent.size();
+      drain(3_500);
+      arrive("/once/x");
+      assertEquals("refused DRAINING", lastEvent());
+      assertEquals(sent, targets.sent.size());
+    }
+
     /** Guards against plain requests that are accepted too late to get a response. */
     @Test
     void plainRequestIsRefusedShortlyBeforeTheLimit() {
