--- a/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/journal/DataFolder.java
@@ -90,10 +90,10 @@
             ? format(files, folder, wanted)
             : FormatFile.decode(formatFile, files.read(formatFile));
     check(formatFile, wanted, found);
-    if (!format) {
-      // An earlier process may have ended between the rename of the format file and these syncs.
-      syncNames(files, folder);
-    }
+    // Also needed for a folder that is formatted: an earlier process may have ended between the
+    // rename of the format file and these syncs.
+    files.syncFolder(folder);
+    files.syncFolder(folder.toAbsolutePath().getParent());
     DataFolder data = new DataFolder(folder, found.incarnation(), format, lock);
     for (GroupId group : found.groups()) {
       data.recover(files, group);
@@ -127,7 +127,7 @@
 
   /**
    * Formats the folder. The format file is renamed to its final name last, so that an interrupted
-   * formatting is repeated at the next start.
+   * formatting is repeated at the next start. The caller syncs the names.
    */
   private static FormatFile format(FileAccess files, Path folder, FormatFile wanted)
       throws JournalException, IOException {
@@ -152,16 +152,9 @@
     }
     files.syncFolder(folder);
     files.rename(temporary, file);
-    syncNames(files, folder);
     return format;
   }
 
-  /** Makes the names in the folder, and that of the folder itself, durable. */
-  private static void syncNames(FileAccess files, Path folder) throws IOException {
-    files.syncFolder(folder);
-    files.syncFolder(folder.toAbsolutePath().getParent());
-  }
-
   private void recover(FileAccess files, GroupId group) throws JournalException, IOException {
     Path groupFolder = folder.resolve(group.name());
     if (files.size(groupFolder).isEmpty()) {
--- a/agreement/src/test/java/dev/caroblb/agreement/journal/JournalPropertyTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/journal/JournalPropertyTest.java
@@ -95,6 +95,13 @@
     return new Replica(folder, seed);
   }
 
+  /** Checks that a group holds all synced messages, and continues its model from there. */
+  private static void assertAllowed(DataFolder data, GroupId group, GroupModel model) {
+    RecoveredGroup found = data.takeRecovered(group).orElseThrow();
+    assertTrue(model.allowedAfterCrash().contains(found), () -> group + " holds " + found);
+    model.restart(found);
+  }
+
   @Group
   class AfterACrash {
     /** Guards against a restart that loses synced messages or mixes two states. */
@@ -116,13 +123,7 @@
         }
         replica.files.crash();
         DataFolder recovered = replica.opened();
-        replica.models.forEach(
-            (group, model) -> {
-              RecoveredGroup found = recovered.takeRecovered(group).orElseThrow();
-              assertTrue(
-                  model.allowedAfterCrash().contains(found), () -> group + " holds " + found);
-              model.restart(found);
-            });
+        replica.models.forEach((group, model) -> assertAllowed(recovered, group, model));
         recovered.close();
       }
     }
@@ -177,12 +178,6 @@
       replica.models.forEach((group, model) -> assertAllowed(data, group, model));
       assertFalse(replica.write(data, 15), "the journal failed although the disk has space");
     }
-
-    private void assertAllowed(DataFolder data, GroupId group, GroupModel model) {
-      RecoveredGroup found = data.takeRecovered(group).orElseThrow();
-      assertTrue(model.allowedAfterCrash().contains(found), () -> group + " holds " + found);
-      model.restart(found);
-    }
   }
 
   @Group
--- a/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/EventFraming.java
@@ -98,7 +98,9 @@
 
   /** Discards an incomplete event. */
   void dropPartial() {
-    buffer = new byte[INITIAL_BYTES];
+    if (buffer.length > INITIAL_BYTES) {
+      buffer = new byte[INITIAL_BYTES];
+    }
     size = 0;
     lineStart = 0;
     pendingId = Optional.empty();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -24,9 +24,9 @@
   private final Outlet<TargetRun> leaving;
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
-  private final GenerationDurations durations = new GenerationDurations();
+  private final GenerationDurations generationDurations = new GenerationDurations();
   private final PlainDurations plainDurations = new PlainDurations();
-  private final DrainAdmission drain = new DrainAdmission(durations, plainDurations);
+  private final DrainAdmission drain = new DrainAdmission(generationDurations, plainDurations);
   private final TargetPool pool;
   private final RetryBudget budget;
   private final CallFinisher finisher;
@@ -84,7 +84,7 @@
             observer,
             dispatcher,
             finisher,
-            durations,
+            generationDurations,
             plainDurations,
             guard);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses, guard);
@@ -239,7 +239,7 @@
     if (message instanceof ForwardingMessage.TableInstalled installed) {
       table = Optional.of(installed.table());
       pool.setEngineLimits(installed.table().engines());
-      durations.setEngineLimits(installed.table().engines());
+      generationDurations.setEngineLimits(installed.table().engines());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
       guard.heartbeatReceived(available.target(), nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -15,7 +15,7 @@
   private final CallObserver observer;
   private final Dispatcher dispatcher;
   private final CallFinisher finisher;
-  private final GenerationDurations durations;
+  private final GenerationDurations generationDurations;
   private final PlainDurations plainDurations;
   private final PromptGuard guard;
 
@@ -26,7 +26,7 @@
       CallObserver observer,
       Dispatcher dispatcher,
       CallFinisher finisher,
-      GenerationDurations durations,
+      GenerationDurations generationDurations,
       PlainDurations plainDurations,
       PromptGuard guard) {
     this.exchanges = exchanges;
@@ -35,7 +35,7 @@
     this.observer = observer;
     this.dispatcher = dispatcher;
     this.finisher = finisher;
-    this.durations = durations;
+    this.generationDurations = generationDurations;
     this.plainDurations = plainDurations;
     this.guard = guard;
   }
@@ -87,8 +87,8 @@
    * requests.
    */
   private void freeMemory(long nowMs) {
-    String cause = "responses use more than " + maxResponseBytes + " bytes";
     while (exchanges.heldBytes() > maxResponseBytes) {
+      String cause = "responses use more than " + maxResponseBytes + " bytes";
       Exchange largest = exchanges.largest().orElseThrow();
       final long before = exchanges.heldBytes();
       targetFailed(largest, cause, nowMs);
@@ -151,7 +151,7 @@
 
   private void completeStream(Exchange exchange, long nowMs) {
     exchange.target().ifPresent(Target::succeeded);
-    durations.completed(exchange);
+    generationDurations.completed(exchange);
     exchange.call().port().complete();
     finisher.finish(exchange, "completed", "", nowMs);
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorClientTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/CoordinatorClientTest.java
@@ -40,13 +40,7 @@
 
   /** Ticket of the placement request that was sent as the given one, counted from 1. */
   private long ticket(int request) {
-    return sent.stream()
-        .map(PeerEnvelope::message)
-        .filter(PeerMessage.PlacementRequest.class::isInstance)
-        .map(message -> ((PeerMessage.PlacementRequest) message).ticket())
-        .skip(request - 1)
-        .findFirst()
-        .orElseThrow();
+    return ForwardingFixture.tickets(sent).get(request - 1);
   }
 
   private Optional<Long> reply(int request, long grant) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -199,14 +199,18 @@
     handle(new ForwardingMessage.Failed(7, attempt(), true, "reset"));
   }
 
-  /** Ticket of the first placement request that was sent. */
-  long firstTicket() {
-    return toPeers.stream()
+  /** Tickets of the placement requests among sent messages. */
+  static List<Long> tickets(List<PeerEnvelope<PeerMessage>> sent) {
+    return sent.stream()
         .map(PeerEnvelope::message)
         .filter(PeerMessage.PlacementRequest.class::isInstance)
         .map(message -> ((PeerMessage.PlacementRequest) message).ticket())
-        .findFirst()
-        .orElseThrow();
+        .toList();
+  }
+
+  /** Ticket of the first placement request that was sent. */
+  long firstTicket() {
+    return tickets(toPeers).get(0);
   }
 
   /** Reports the result of an order to the current engine to stop its generation. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/RestartedInstanceTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RestartedInstanceTest.java
@@ -57,7 +57,7 @@
       Exchange exchange = exchange(1, Optional.of(new GenerationSize(1, 1, Optional.empty())));
       PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, ZONE, nowMs);
       assertTrue(earlier.requestPlacement(exchange, need, nowMs).isPresent());
-      return ((PeerMessage.PlacementRequest) sent.get(0).message()).ticket();
+      return tickets(sent).get(0);
     }
 
     /** Guards against a request that runs at a service to which its route does not lead. */
