Log what callers got of a stream that ends, and what they have not read

The users' record of streams cut in planned stops (LOST) does not show why their connections were reset. forwarding.ended now says whether nothing, the head or events of a stream were relayed (stream_relayed), how many bytes the caller has not read (unread_bytes) and how long the last attempt took (attempt_ms).

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
@@ -94,6 +94,7 @@
 
   void finish(Exchange exchange, String outcome, String cause, long nowMs) {
     String target = exchange.target().map(t -> t.info().id().name()).orElse("none");
+    long attemptMs = exchange.sends() == 0 ? 0 : nowMs - exchange.sentMs();
     coordinator.cancelPlacement(exchange);
     exchange.endAttempt();
     exchanges.remove(exchange);
@@ -106,6 +107,9 @@
             .with("target", target)
             .with("sendings", exchange.sends())
             .with("first_ms", exchange.firstPartAfterMs())
+            .with("stream_relayed", exchange.streamRelayed())
+            .with("unread_bytes", exchange.unreadBytes())
+            .with("attempt_ms", attemptMs)
             .with("longest_pause_ms", exchange.timing().longestGapMs())
             .with("elapsed_ms", nowMs - exchange.arrivedMs())
             .with("drain_left_ms", drain.logValue(nowMs))
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -332,6 +332,19 @@
     return bufferedBody.contents();
   }
 
+  /** What the caller got of a stream, as a value of a log line. */
+  String streamRelayed() {
+    if (!streaming) {
+      return "nothing";
+    }
+    return timing.begun() ? "events" : "head";
+  }
+
+  /** Bytes of complete events that the caller has not read yet. */
+  int unreadBytes() {
+    return pendingBytes;
+  }
+
   /** Number of bytes of memory that the parts of the response use which are not relayed yet. */
   long heldBytes() {
     return (long) bufferedBody.capacity() + framing.capacity() + pendingBytes;
