--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Admission of requests while the instance stops. */
@@ -71,6 +72,21 @@
       assertEquals(1, targets.sent.size());
     }
 
+    /**
+     * Guards against a short generation that is accepted by an estimate and cut at the limit,
+     * because its engine is slower than usual. Its timeout bounds its duration, the estimate does
+     * not.
+     */
+    @Tag("known-red")
+    @Test
+    void shortGenerationIsRefusedIfItsTimeoutIsAfterTheLimit() {
+      install(1);
+      drain(3_300);
+      arriveGeneration("/short/x", SHORT_GENERATION);
+      assertEquals(List.of("refused DRAINING"), caller.events);
+      assertEquals(0, targets.sent.size());
+    }
+
     /** Guards against plain requests whose service takes longer than their objective suggests. */
     @Test
     void plainRequestOfASlowServiceIsRefused() {
