Relay the head of a stream with its first event

Callers got a reset instead of a response when an engine had sent the head of a stream and nothing else, at the drain limit of a planned stop or at their timeout (LOST): the entry relayed the head at once, and then could only abort the connection.

The head now goes to the caller with the first event. Until then a stream that fails, runs out of time or is ended by a stop gets a complete 502 or 504, and a stream that is sent to another target has the head of the target that sent the first event; one that continues from copied memory keeps that of its first engine. CallerStream holds what a caller gets of a stream, which Exchange did before.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
@@ -62,7 +62,7 @@
     if (exchange.target().isPresent()) {
       port.cancel(exchange.call().id(), exchange.attempt());
     }
-    if (exchange.streaming()) {
+    if (exchange.callerStream().begun()) {
       observer.refused(RefusalReason.TARGET_LOST);
       exchange.call().port().abort();
       finish(exchange, "broken_off", cause, nowMs);
@@ -107,8 +107,8 @@
             .with("target", target)
             .with("sendings", exchange.sends())
             .with("first_ms", exchange.firstPartAfterMs())
-            .with("stream_relayed", exchange.streamRelayed())
-            .with("unread_bytes", exchange.unreadBytes())
+            .with("stream_relayed", exchange.callerStream().begun())
+            .with("unread_bytes", exchange.callerStream().pendingBytes())
             .with("attempt_ms", attemptMs)
             .with("longest_pause_ms", exchange.timing().longestGapMs())
             .with("elapsed_ms", nowMs - exchange.arrivedMs())
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -75,7 +75,7 @@
             .placementNeed(PlacementNeed.Purpose.START, domain, nowMs)
             .excluding(pool.excluded(exchange.service(), nowMs));
     Optional<Long> replyByMs =
-        need.tokens() > 0 && !exchange.streaming()
+        need.tokens() > 0 && !exchange.callerStream().begun()
             ? coordinator.requestPlacement(exchange, need, nowMs)
             : Optional.empty();
     if (replyByMs.isEmpty()) {
@@ -158,7 +158,7 @@
 
   /** Refuses a request whose response has not begun if it cannot end before the drain limit. */
   private boolean refusedByDrain(Exchange exchange, long nowMs) {
-    if (exchange.streaming() || drain.allows(exchange, nowMs)) {
+    if (exchange.callerStream().begun() || drain.allows(exchange, nowMs)) {
       return false;
     }
     finisher.fail(exchange, RefusalReason.DRAINING, "cannot end before the drain limit", nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -4,7 +4,6 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
-import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -14,9 +13,6 @@
   /** A response that is not a stream is buffered until it is complete, up to this size. */
   private static final int MAX_BUFFERED_BODY_BYTES = 4 << 20;
 
-  /** Stream bytes buffered for a slow caller; above this limit the target is not read either. */
-  private static final int MAX_PENDING_BYTES = 1 << 20;
-
   /**
    * Minimum number of expected output tokens for a backup. Shorter generations mostly end within
    * the notice period of a leaving engine.
@@ -33,7 +29,7 @@
   private final Set<TargetId> tried = new HashSet<>();
   private final EventFraming framing = new EventFraming();
   private final ResponseBuffer bufferedBody = new ResponseBuffer();
-  private final ArrayDeque<Payload> pendingEvents = new ArrayDeque<>();
+  private final CallerStream callerStream;
   private final StreamTiming timing = new StreamTiming();
 
   private int attempt;
@@ -50,7 +46,6 @@
   private Optional<GenerationMove> move = Optional.empty();
   private Optional<Target> backup = Optional.empty();
   private Optional<DelayedContinuation> continuation = Optional.empty();
-  private int pendingBytes;
   private boolean streaming;
   private boolean targetEnded;
   private boolean waiting;
@@ -63,6 +58,7 @@
       int priority,
       long arrivedMs) {
     this.call = call;
+    this.callerStream = new CallerStream(call.port());
     this.route = route;
     this.service = service;
     this.workspace = workspace;
@@ -119,10 +115,16 @@
     return head;
   }
 
+  /** Whether the response to the current attempt is a stream. */
   boolean streaming() {
     return streaming;
   }
 
+  /** The response as far as the caller gets it as a stream. */
+  CallerStream callerStream() {
+    return callerStream;
+  }
+
   boolean waiting() {
     return waiting;
   }
@@ -262,6 +264,7 @@
     prefillTokens = memory.isPresent() ? 0 : promptTokens();
     chosen.started(tokens(), prefillTokens);
     head = Optional.empty();
+    streaming = false;
     targetEnded = false;
     moveAttempts = 0;
     return new AttemptOrder(
@@ -271,7 +274,7 @@
         Math.max(1, deadlineMs - nowMs),
         workspace,
         priority,
-        streaming ? framing.lastEventId() : Optional.empty(),
+        callerStream.begun() ? framing.lastEventId() : Optional.empty(),
         memory,
         backup.map(Target::info));
   }
@@ -310,8 +313,10 @@
     head = Optional.of(received);
   }
 
-  void setStreaming() {
+  /** Records that the response to the current attempt is a stream. */
+  void setStreaming(ResponseHead received) {
     streaming = true;
+    callerStream.setHead(received, continuesFromCopy);
   }
 
   /**
@@ -332,44 +337,9 @@
     return bufferedBody.contents();
   }
 
-  /** What the caller got of a stream, as a value of a log line. */
-  String streamRelayed() {
-    if (!streaming) {
-      return "nothing";
-    }
-    return timing.begun() ? "events" : "head";
-  }
-
-  /** Bytes of complete events that the caller has not read yet. */
-  int unreadBytes() {
-    return pendingBytes;
-  }
-
   /** Number of bytes of memory that the parts of the response use which are not relayed yet. */
   long heldBytes() {
-    return (long) bufferedBody.capacity() + framing.capacity() + pendingBytes;
-  }
-
-  /**
-   * Forwards events, or buffers them until the caller reads; returns false if the buffer is full.
-   */
-  boolean forwardEvents(Payload events) {
-    if (events.size() > 0) {
-      pendingEvents.addLast(events);
-      pendingBytes += events.size();
-    }
-    return flush() || pendingBytes <= MAX_PENDING_BYTES;
-  }
-
-  /** Writes buffered events to the caller; returns true if none is left. */
-  boolean flush() {
-    while (!pendingEvents.isEmpty()) {
-      if (!call.port().write(pendingEvents.peekFirst())) {
-        return false;
-      }
-      pendingBytes -= pendingEvents.removeFirst().size();
-    }
-    return true;
+    return (long) bufferedBody.capacity() + framing.capacity() + callerStream.pendingBytes();
   }
 
   void setTargetEnded() {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -50,7 +50,7 @@
       dispatcher.retry(exchange, RetryReason.TARGET_REFUSED, RefusalReason.TARGET_REFUSED, nowMs);
       return;
     }
-    boolean expected = !exchange.streaming() || (head.success() && head.stream());
+    boolean expected = !exchange.callerStream().begun() || (head.success() && head.stream());
     if (!head.sentByTarget() || !expected) {
       targetFailed(exchange, "unusable response with status " + head.status(), nowMs);
       return;
@@ -61,10 +61,9 @@
     }
     exchange.setHead(head);
     exchange.setProgress(AttemptProgress.HEAD);
-    if (head.success() && head.stream() && !exchange.streaming()) {
-      exchange.setStreaming();
+    if (head.success() && head.stream()) {
+      exchange.setStreaming(head);
       exchange.prefillDone();
-      exchange.call().port().begin(head);
     }
   }
 
@@ -116,13 +115,13 @@
           .ifPresentOrElse(
               observer::partGap, () -> observer.responded(nowMs - exchange.arrivedMs()));
     }
-    if (exchange.forwardEvents(events)) {
+    if (exchange.callerStream().forward(events)) {
       port.acknowledge(exchange.call().id(), exchange.attempt());
     }
   }
 
   void callerReady(Exchange exchange, long nowMs) {
-    boolean flushed = exchange.flush();
+    boolean flushed = exchange.callerStream().flush();
     exchanges.recount(exchange);
     if (!flushed) {
       return;
@@ -144,7 +143,7 @@
       return;
     }
     exchange.setTargetEnded();
-    if (exchange.flush()) {
+    if (exchange.callerStream().flush()) {
       completeStream(exchange, nowMs);
     }
   }
@@ -210,7 +209,7 @@
       return;
     }
     RetryReason reason =
-        exchange.streaming() ? RetryReason.STREAM_CONTINUED : RetryReason.TARGET_FAILED;
+        exchange.callerStream().begun() ? RetryReason.STREAM_CONTINUED : RetryReason.TARGET_FAILED;
     dispatcher.retry(exchange, reason, RefusalReason.CONNECTION_LOST, nowMs);
   }
 }
