--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetNotice.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetNotice.java
@@ -8,8 +8,16 @@
  * @param leaving whether the target accepts no further requests
  * @param rejectsForMs time in milliseconds during which the target wants no requests from this
  *     instance
+ * @param requestsPerSecond number of requests per second that the target takes from all instances
+ *     together; empty if it names none
  */
-public record TargetNotice(boolean leaving, Optional<Long> rejectsForMs) {
+public record TargetNotice(
+    boolean leaving, Optional<Long> rejectsForMs, Optional<Double> requestsPerSecond) {
   /** The target says nothing about itself. */
   public static final TargetNotice NONE = new TargetNotice(false, Optional.empty());
+
+  /** The notice of a target that names no number of requests per second. */
+  public TargetNotice(boolean leaving, Optional<Long> rejectsForMs) {
+    this(leaving, rejectsForMs, Optional.empty());
+  }
 }
