--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
@@ -98,6 +98,12 @@
     return Optional.ofNullable(callByTicket.remove(reply.ticket()));
   }
 
+  /** Processes a reply about a permit; returns its call, unless the request was cancelled. */
+  Optional<Long> replied(PeerMessage.PermitReply reply, long nowMs) {
+    messageReceived(nowMs);
+    return Optional.ofNullable(callByTicket.remove(reply.ticket()));
+  }
+
   /** Processes a queued reply; returns its call, unless the placement request was cancelled. */
   Optional<Long> queued(long ticket, long nowMs) {
     messageReceived(nowMs);
@@ -134,6 +140,11 @@
     return nowMs - lastReceivedMs >= SILENCE_TIMEOUT_MS;
   }
 
+  /** The control instance that is in use; empty if none is known. */
+  Optional<InstanceId> inUse() {
+    return controlInstances.isEmpty() ? Optional.empty() : Optional.of(current());
+  }
+
   private InstanceId current() {
     return controlInstances.get(Math.floorMod(currentIndex, controlInstances.size()));
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -69,20 +69,56 @@
     if (refusedByDrain(exchange, nowMs)) {
       return;
     }
+    if (!placedCentrally(exchange)) {
+      placeHere(exchange, nowMs);
+    } else if (!request(exchange, PlacementNeed.Purpose.START, nowMs)) {
+      placeLocally(exchange, nowMs);
+    }
+  }
+
+  /** Asks a control instance for a target; returns false if none is known. */
+  private boolean request(Exchange exchange, PlacementNeed.Purpose purpose, long nowMs) {
     // A control instance does not know which targets failed requests of this instance.
     PlacementNeed need =
         exchange
-            .placementNeed(PlacementNeed.Purpose.START, domain, nowMs)
+            .placementNeed(purpose, domain, nowMs)
             .excluding(pool.excluded(exchange.service(), nowMs));
-    Optional<Long> replyByMs =
-        need.tokens() > 0 && !exchange.callerStream().begun()
-            ? coordinator.requestPlacement(exchange, need, nowMs)
-            : Optional.empty();
-    if (replyByMs.isEmpty()) {
+    Optional<Long> replyByMs = coordinator.requestPlacement(exchange, need, nowMs);
+    replyByMs.ifPresent(ms -> exchanges.wakeAt(exchange, ms));
+    return replyByMs.isPresent();
+  }
+
+  private static boolean placedCentrally(Exchange exchange) {
+    return exchange.tokens() > 0 && !exchange.callerStream().begun();
+  }
+
+  /**
+   * Places a request that this instance places itself. A limited target takes what it can before
+   * others do, with a permit of a control instance.
+   */
+  private void placeHere(Exchange exchange, long nowMs) {
+    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.PERMIT, domain, nowMs);
+    boolean asked =
+        pool.permitExpected(need, nowMs) && request(exchange, PlacementNeed.Purpose.PERMIT, nowMs);
+    if (!asked) {
       placeLocally(exchange, nowMs);
+    }
+  }
+
+  /** Sends a request to the limited target that it has a permit for, or to another one. */
+  void permitReceived(Exchange exchange, PeerMessage.PermitReply reply, long nowMs) {
+    exchange.clearPendingPlacement();
+    Optional<Target> permitted =
+        reply.target().flatMap(id -> pool.usable(id, exchange.service(), nowMs));
+    if (permitted.isPresent()) {
+      send(exchange, permitted.get(), Optional.empty(), nowMs);
       return;
     }
-    exchanges.wakeAt(exchange, replyByMs.get());
+    if (reply.target().isEmpty()) {
+      PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.PERMIT, domain, nowMs);
+      pool.permitDenied(need, nowMs + reply.waitMs(), nowMs);
+    }
+    placeLocally(exchange, nowMs);
   }
 
   /** Records that a control instance has queued the request until an engine has room. */
@@ -129,6 +165,10 @@
       return;
     }
     Optional<PendingPlacement> pending = exchange.pendingPlacement();
+    if (pending.isEmpty() && !placedCentrally(exchange)) {
+      placeHere(exchange, nowMs);
+      return;
+    }
     if (pending.isEmpty()) {
       placeLocally(exchange, nowMs);
       return;
@@ -176,6 +216,7 @@
     PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
     Optional<Target> target = pool.choose(need, nowMs);
     if (target.isPresent()) {
+      pool.takePermit(target.get(), nowMs);
       send(exchange, target.get(), Optional.empty(), nowMs);
       return;
     }
@@ -310,7 +351,7 @@
         exchange.sends() < MAX_SENDS
             && nowMs < exchange.deadlineMs()
             && guard.blocking(exchange.call(), nowMs).isEmpty()
-            && pool.choose(need, nowMs).isPresent();
+            && pool.anyUsable(need, nowMs);
     if (!possible || !budget.tryRetry(exchange.service(), nowMs)) {
       failWithoutTarget(exchange, otherwise, reason.wireName(), nowMs);
       return;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -138,6 +138,11 @@
     return pendingPlacement;
   }
 
+  /** Whether the pending placement request has this ticket. */
+  boolean awaitsReply(long ticket) {
+    return pendingPlacement.filter(pending -> pending.ticket() == ticket).isPresent();
+  }
+
   void setPendingPlacement(PendingPlacement pending) {
     pendingPlacement = Optional.of(pending);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -8,6 +8,8 @@
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
@@ -27,6 +29,8 @@
   private final GenerationDurations generationDurations = new GenerationDurations();
   private final PlainDurations plainDurations = new PlainDurations();
   private final DrainAdmission drain = new DrainAdmission(generationDurations, plainDurations);
+  private final TargetLimits limits = new TargetLimits();
+  private final LimitExchange limitExchange;
   private final TargetPool pool;
   private final RetryBudget budget;
   private final CallFinisher finisher;
@@ -55,9 +59,11 @@
     this.leaving = leaving;
     this.random = random;
     PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
-    pool = new TargetPool(random, List.of(remoteLoad, ledger));
+    limitExchange = new LimitExchange(peers, limits, ledger::instances);
+    pool = new TargetPool(random, List.of(remoteLoad, ledger), limits);
     coordinator = new CoordinatorClient(peers, new ProcessSequence(random));
-    localCoordinator = new PlacementCoordinator(peers, pool, ledger, new ProcessSequence(random));
+    localCoordinator =
+        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
     finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
@@ -159,6 +165,7 @@
       return;
     }
     TargetInfo info = target.get().info();
+    limitExchange.heard(info.run(), notice.requestsPerSecond(), exchange.sentMs(), nowMs);
     if (notice.rejectsForMs().isPresent()) {
       long rejectsForMs = notice.rejectsForMs().get();
       target.get().rejectsUntil(nowMs + rejectsForMs);
@@ -176,7 +183,7 @@
               .with("target", info.id())
               .with("source", "response")
               .toString());
-      boolean unused = leaving.offer(TargetRun.of(info));
+      boolean unused = leaving.offer(info.run());
     }
   }
 
@@ -213,7 +220,20 @@
       coordinator.remoteLoadReported(peer, nowMs);
       budget.setInstances(report.instances());
       pool.setInstances(report.instances());
+      limits.setInstances(report.instances());
+      limits.coordinatorHeard(nowMs);
       remoteLoad.replace(report.loads(), nowMs);
+    } else if (message instanceof PeerMessage.PermitReply reply) {
+      limits.coordinatorHeard(nowMs);
+      coordinator
+          .replied(reply, nowMs)
+          .flatMap(exchanges::find)
+          .filter(exchange -> exchange.awaitsReply(reply.ticket()))
+          .ifPresent(exchange -> dispatcher.permitReceived(exchange, reply, nowMs));
+    } else if (message instanceof PeerMessage.LimitReport report) {
+      limitExchange.reported(peer, report, nowMs);
+    } else if (message instanceof PeerMessage.LimitAnnouncement announcement) {
+      limitExchange.announced(peer, announcement.statements(), nowMs);
     } else if (message instanceof PeerMessage.EvidenceReport report) {
       evidence.reported(peer, report.evidence(), nowMs);
     } else if (message instanceof PeerMessage.EvidenceAnnouncement announcement
@@ -249,6 +269,7 @@
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
+      limitExchange.setControlInstances(changed.controlInstances());
       evidence.setControlInstances(changed.controlInstances());
       localCoordinator.setServingInstances(changed.servingInstances());
     } else if (message instanceof ForwardingMessage.DrainStarted started) {
@@ -344,6 +365,10 @@
     if (nowMs >= coordinator.nextMs()) {
       coordinator.tick(pool.ownLoads(), nowMs);
     }
+    coordinator.inUse().ifPresent(control -> limitExchange.useCoordinator(control, nowMs));
+    if (nowMs >= limitExchange.nextMs()) {
+      limitExchange.tick(nowMs);
+    }
     if (nowMs >= evidence.nextMs()) {
       evidence.tick(nowMs);
     }
@@ -358,6 +383,6 @@
   @Override
   public long nextTickMs() {
     long ownMs = Math.min(exchanges.nextDueMs(), coordinator.nextMs());
-    return Math.min(ownMs, evidence.nextMs());
+    return Math.min(ownMs, Math.min(evidence.nextMs(), limitExchange.nextMs()));
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.limit.LimitStatement;
 import dev.caroblb.forwarding.quarantine.Evidence;
 import java.util.List;
 import java.util.Optional;
@@ -62,6 +63,34 @@
   /** Evidence of all instances that report to the sender. */
   record EvidenceAnnouncement(Evidence evidence) implements PeerMessage {}
 
+  /**
+   * Final reply to a {@link PlacementRequest} for a permit.
+   *
+   * @param ticket ticket of the placement request
+   * @param target the limited target that the request may be sent to; empty if there is no permit
+   * @param waitMs time in milliseconds until a permit is expected; 0 if there is one
+   */
+  record PermitReply(long ticket, Optional<TargetId> target, long waitMs) implements PeerMessage {}
+
+  /**
+   * Request limits that targets named in responses to the sender, for control instances.
+   *
+   * @param statements new statements of targets
+   * @param wantsAll whether the sender asks for all limits that the receiver knows
+   */
+  record LimitReport(List<LimitStatement> statements, boolean wantsAll) implements PeerMessage {
+    public LimitReport {
+      statements = List.copyOf(statements);
+    }
+  }
+
+  /** Request limits that the sender has learned from all instances. */
+  record LimitAnnouncement(List<LimitStatement> statements) implements PeerMessage {
+    public LimitAnnouncement {
+      statements = List.copyOf(statements);
+    }
+  }
+
   /** Cancels a placement request that is queued. */
   record PlacementCancelled(long ticket) implements PeerMessage {}
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
@@ -4,6 +4,7 @@
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,12 @@
    */
   private static final long REPORT_INTERVAL_MS = 1_000;
 
+  /**
+   * Time in milliseconds after which an instance may ask again for a permit for a target of which
+   * this instance does not know the limit yet.
+   */
+  private static final long UNKNOWN_LIMIT_WAIT_MS = 100;
+
   private static final System.Logger LOGGER =
       System.getLogger(PlacementCoordinator.class.getName());
 
@@ -32,18 +39,23 @@
   private final PlacementLedger ledger;
   private final ProcessSequence grants;
   private final PlacementQueue queue;
+  private final TargetLimits limits;
   private final Map<InstanceId, Long> reportSentMs = new HashMap<>();
   private int servingInstances;
+  private long permits;
+  private long denials;
   private long lastLogMs = Long.MIN_VALUE / 2;
 
   PlacementCoordinator(
       Outlet<PeerEnvelope<PeerMessage>> peers,
       TargetPool pool,
       PlacementLedger ledger,
+      TargetLimits limits,
       ProcessSequence grants) {
     this.peers = peers;
     this.pool = pool;
     this.ledger = ledger;
+    this.limits = limits;
     this.grants = grants;
     queue = new PlacementQueue(pool);
   }
@@ -55,6 +67,7 @@
 
   /** Records the load of an instance and periodically reports the load of the others to it. */
   void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
+    limits.coordinate();
     ledger.expire(nowMs);
     ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
     reportSentMs.keySet().retainAll(ledger.instances());
@@ -83,6 +96,8 @@
             .with("requests", ledger.requests())
             .with("tokens", ledger.tokens())
             .with("room", pool.admittedTokens())
+            .with("permits", permits)
+            .with("permits_denied", denials)
             .with("waiting", queue.size())
             .with("in_time", queue.inTime(nowMs))
             .toString());
@@ -96,11 +111,15 @@
       placeMove(peer, request, nowMs);
       return;
     }
+    if (need.purpose() == PlacementNeed.Purpose.PERMIT) {
+      givePermit(peer, request, nowMs);
+      return;
+    }
     PlacementQueue.QueuedRequest queued =
         new PlacementQueue.QueuedRequest(peer, request.ticket(), need, nowMs);
     Optional<Target> fallback = pool.choose(need, nowMs);
     // Waiting is pointless if there is no target, or none that could ever have room.
-    if (fallback.isEmpty() || !pool.fitsIdleEngine(need) || !queue.add(queued)) {
+    if (!pool.anyUsable(need, nowMs) || !pool.fitsIdleEngine(need) || !queue.add(queued)) {
       placeStart(queued, fallback, nowMs);
       return;
     }
@@ -115,9 +134,24 @@
         pool.chooseDestination(request.need(), TargetPool.ALL_MOVE_CANDIDATES, nowMs);
     long grant = grants.next();
     target.ifPresent(chosen -> grant(peer, grant, chosen, 0, request.need().tokens(), 0, nowMs));
+    target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
     reply(peer, request.ticket(), grant, target, Optional.empty());
   }
 
+  private void givePermit(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
+    PlacementNeed need = request.need();
+    Optional<Target> target = pool.chooseLimited(need, nowMs);
+    target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
+    permits += target.isPresent() ? 1 : 0;
+    denials += target.isPresent() ? 0 : 1;
+    long waitMs =
+        target.isPresent() ? 0 : pool.permitWaitMs(need, nowMs).orElse(UNKNOWN_LIMIT_WAIT_MS);
+    send(
+        peer,
+        new PeerMessage.PermitReply(
+            request.ticket(), target.map(chosen -> chosen.info().id()), waitMs));
+  }
+
   /** Removes a queued request that its instance cancelled. */
   void placementCancelled(InstanceId peer, long ticket) {
     queue.remove(peer, ticket);
@@ -138,6 +172,7 @@
     long grant = grants.next();
     target.ifPresent(
         chosen -> grant(peer, grant, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
+    target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
     backup.ifPresent(engine -> grant(peer, grant, engine, 0, need.tokens(), 0, nowMs));
     reply(peer, request.ticket(), grant, target, backup);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementLedger.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementLedger.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.TargetRun;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -80,11 +81,11 @@
   }
 
   private void add(TargetLoad load) {
-    totals.merge(TargetRun.of(load), load, TargetLoad::plus);
+    totals.merge(load.run(), load, TargetLoad::plus);
   }
 
   private void subtract(TargetLoad load) {
-    TargetRun run = TargetRun.of(load);
+    TargetRun run = load.run();
     TargetLoad rest = totals.get(run).plus(load.negated());
     if (rest.isZero()) {
       totals.remove(run);
@@ -118,11 +119,9 @@
     Map<TargetRun, TargetLoad> rest = new HashMap<>(totals);
     Account own = accounts.get(instance);
     if (own != null) {
-      own.reported.forEach(
-          load -> rest.merge(TargetRun.of(load), load.negated(), TargetLoad::plus));
+      own.reported.forEach(load -> rest.merge(load.run(), load.negated(), TargetLoad::plus));
       own.grants.forEach(
-          grant ->
-              rest.merge(TargetRun.of(grant.load()), grant.load().negated(), TargetLoad::plus));
+          grant -> rest.merge(grant.load().run(), grant.load().negated(), TargetLoad::plus));
     }
     List<TargetLoad> others = new ArrayList<>(rest.values());
     others.removeIf(TargetLoad::isZero);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
@@ -33,7 +33,9 @@
     /** The request starts there; it can be queued until there is room. */
     START,
     /** A running generation moves there; it cannot be queued. */
-    MOVE
+    MOVE,
+    /** The request needs a permit for a limited target; it cannot be queued. */
+    PERMIT
   }
 
   /** Returns the same requirements with additional excluded targets. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/RemoteLoad.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/RemoteLoad.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.TargetRun;
 import java.util.Optional;
 
 /** Load that other instances have put on targets, as far as this instance knows. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ReportedLoad.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ReportedLoad.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.TargetRun;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,7 @@
   void replace(List<TargetLoad> reports, long nowMs) {
     Map<TargetRun, TargetLoad> latest = new HashMap<>();
     for (TargetLoad load : reports) {
-      latest.put(TargetRun.of(load), load);
+      latest.put(load.run(), load);
     }
     loads = latest;
     reportedAtMs = nowMs;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetInfo.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetInfo.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 
 /**
  * Description of a target that accepts requests.
@@ -13,4 +14,8 @@
  * @param domain its failure domain
  */
 public record TargetInfo(
-    TargetId id, long incarnation, String service, String address, FailureDomain domain) {}
+    TargetId id, long incarnation, String service, String address, FailureDomain domain) {
+  TargetRun run() {
+    return new TargetRun(id, incarnation);
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetLoad.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetLoad.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 
 /**
  * Load that instances have put on a target.
@@ -13,6 +14,10 @@
  */
 public record TargetLoad(
     TargetId target, long incarnation, long requests, long tokens, long prefillTokens) {
+  TargetRun run() {
+    return new TargetRun(target, incarnation);
+  }
+
   TargetLoad plus(TargetLoad other) {
     return new TargetLoad(
         target,
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -15,12 +16,6 @@
 
 /** The known targets, and the selection of a target of a service. */
 final class TargetPool {
-  /**
-   * Weight of a prompt token whose prefill is pending, relative to a token in memory. Prefill
-   * delays concurrent requests immediately, memory use only when memory is full.
-   */
-  private static final double PREFILL_WEIGHT = 20;
-
   /**
    * Penalty, in tokens of load, for a copy to another failure domain. It takes twice as long, which
    * pays off for a generation of usual size only if the engines nearby are much busier.
@@ -33,29 +28,9 @@
    */
   private static final double MAX_BACKUP_ENGINE_FRACTION = 0.7;
 
-  /**
-   * Fraction of the memory of all engines of a service up to which backups are made. Backups double
-   * the memory of generations, so the load of a single engine shows too late that all fill up.
-   */
-  private static final double MAX_BACKUP_SERVICE_FRACTION = 0.8;
-
-  /**
-   * Fraction of an engine's memory above which its load is weighted more. Expected sizes of running
-   * requests are uncertain, and an engine preempts requests when its memory is full.
-   */
-  private static final double NEARLY_FULL_FRACTION = 0.85;
-
-  private static final double NEARLY_FULL_WEIGHT = 20;
-
   /** Maximum number of targets excluded by a placement request, to keep the message small. */
   private static final int MAX_EXCLUDED = 32;
 
-  /**
-   * Fraction of an engine's memory that expected sizes may add up to before requests are queued.
-   * Not all generations reach their largest size at the same time.
-   */
-  private static final double ADMITTED_FRACTION = 1.0;
-
   /**
    * Number of candidates sampled for a request by all instances together. Load that others added in
    * the last tenths of a second is not known yet, so with many instances the least loaded target
@@ -78,16 +53,18 @@
 
   private final RandomGenerator random;
   private final Map<TargetId, Target> targets = new HashMap<>();
-  private final List<RemoteLoad> remoteLoads;
+  private final TargetLoads loads;
+  private final TargetLimits limits;
   private int instances = 1;
-  private Map<String, EngineLimits> engineLimits = Map.of();
 
   /**
    * @param remoteLoads sources of the load of other instances
+   * @param limits the request limits of targets
    */
-  TargetPool(RandomGenerator random, List<RemoteLoad> remoteLoads) {
+  TargetPool(RandomGenerator random, List<RemoteLoad> remoteLoads, TargetLimits limits) {
     this.random = random;
-    this.remoteLoads = List.copyOf(remoteLoads);
+    this.loads = new TargetLoads(random, remoteLoads);
+    this.limits = limits;
   }
 
   /** Adds a target or a new run of it; a repeated announcement has no effect. */
@@ -96,6 +73,9 @@
     if (known != null && known.info().equals(info)) {
       return;
     }
+    if (known != null) {
+      limits.forget(known.info().run());
+    }
     targets.put(info.id(), new Target(info));
   }
 
@@ -113,6 +93,7 @@
     Target known = targets.get(id);
     if (known != null && known.info().incarnation() == incarnation) {
       targets.remove(id);
+      limits.forget(known.info().run());
     }
   }
 
@@ -139,7 +120,7 @@
 
   /** Sets the limits of the engines of each service. */
   void setEngineLimits(Map<String, EngineLimits> limitsByService) {
-    engineLimits = Map.copyOf(limitsByService);
+    loads.setEngineLimits(limitsByService);
   }
 
   /**
@@ -160,8 +141,8 @@
   }
 
   /**
-   * If all remaining targets of a service reject requests for some time, the earliest time at which
-   * one of them accepts them again.
+   * If all remaining targets of a service reject requests for some time, or have no permit, the
+   * earliest time at which one of them is expected to accept a request again.
    */
   Optional<Long> nextAcceptingMs(PlacementNeed need, long nowMs) {
     Optional<Long> earliest = Optional.empty();
@@ -170,11 +151,16 @@
           target.info().service().equals(need.service())
               && !need.excluded().contains(target.info().id())
               && !target.leaving();
-      if (candidate && target.accepts(nowMs)) {
+      if (!candidate) {
+        continue;
+      }
+      long permitMs = nowMs + limits.waitMs(target.info().run(), nowMs);
+      long acceptingMs = Math.max(target.rejectsUntilMs(), permitMs);
+      if (acceptingMs <= nowMs) {
         return Optional.empty();
       }
-      if (candidate && earliest.filter(ms -> ms <= target.rejectsUntilMs()).isEmpty()) {
-        earliest = Optional.of(target.rejectsUntilMs());
+      if (earliest.filter(ms -> ms <= acceptingMs).isEmpty()) {
+        earliest = Optional.of(acceptingMs);
       }
     }
     return earliest;
@@ -197,7 +183,7 @@
    */
   Optional<Target> choose(PlacementNeed need, long nowMs) {
     int count = Math.max(MIN_CANDIDATES, CANDIDATES_OF_ALL_INSTANCES / instances);
-    List<Target> candidates = sample(count, usable(need.service(), need.excluded(), nowMs));
+    List<Target> candidates = sample(count, permitted(need, nowMs));
     return leastLoaded(candidates, need, need.preferredDomain(), 0, nowMs);
   }
 
@@ -207,8 +193,9 @@
    */
   Optional<Target> chooseWithRoom(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     List<Target> fitting = new ArrayList<>();
-    for (Target target : usable(need.service(), need.excluded(), nowMs)) {
-      if (!reserved.contains(target.info().id()) && freeTokens(target, nowMs) >= need.tokens()) {
+    for (Target target : permitted(need, nowMs)) {
+      if (!reserved.contains(target.info().id())
+          && loads.freeTokens(target, nowMs) >= need.tokens()) {
         fitting.add(target);
       }
     }
@@ -219,8 +206,8 @@
   Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     Optional<Target> best = Optional.empty();
     double most = Double.NEGATIVE_INFINITY;
-    for (Target target : usable(need.service(), need.excluded(), nowMs)) {
-      double free = freeTokens(target, nowMs);
+    for (Target target : permitted(need, nowMs)) {
+      double free = loads.freeTokens(target, nowMs);
       if (!reserved.contains(target.info().id()) && free > most) {
         best = Optional.of(target);
         most = free;
@@ -229,54 +216,20 @@
     return best;
   }
 
-  /** Free memory for a new request, in tokens; 0 if the batch of the engine is full. */
-  private double freeTokens(Target target, long nowMs) {
-    Optional<EngineLimits> limits = limits(target.info().service());
-    if (limits.isEmpty()) {
-      return Double.MAX_VALUE;
-    }
-    TargetLoad load = totalLoad(target, nowMs);
-    return load.requests() >= limits.get().slots()
-        ? 0
-        : ADMITTED_FRACTION * limits.get().memoryTokens() - load.tokens();
-  }
-
   /** Total memory, in tokens, that may be assigned to requests on all available engines. */
   long admittedTokens() {
-    double admitted = 0;
-    for (Target target : targets.values()) {
-      Optional<EngineLimits> limits = limits(target.info().service());
-      if (!target.leaving() && limits.isPresent()) {
-        admitted += ADMITTED_FRACTION * limits.get().memoryTokens();
-      }
-    }
-    return (long) admitted;
-  }
-
-  /** Whether the total load of the engines of a service leaves room for backups. */
-  private boolean roomForBackups(PlacementNeed need, EngineLimits limits, long nowMs) {
-    double used = need.tokens();
-    double memory = 0;
-    for (Target target : targets.values()) {
-      if (target.info().service().equals(need.service()) && !target.leaving()) {
-        used += totalLoad(target, nowMs).tokens();
-        memory += limits.memoryTokens();
-      }
-    }
-    return used <= MAX_BACKUP_SERVICE_FRACTION * memory;
+    return loads.admittedTokens(targets.values());
   }
 
   /** Whether a request fits on an idle engine of its service. */
   boolean fitsIdleEngine(PlacementNeed need) {
-    return limits(need.service())
-        .filter(limits -> ADMITTED_FRACTION * limits.memoryTokens() < need.tokens())
-        .isEmpty();
+    return loads.fitsIdleEngine(need);
   }
 
   /** Chooses the destination of a move; a copy within a failure domain is faster. */
   Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
     return leastLoaded(
-        sample(candidates, usable(need.service(), need.excluded(), nowMs)),
+        sample(candidates, permitted(need, nowMs)),
         need,
         need.preferredDomain(),
         REMOTE_COPY_PENALTY_TOKENS,
@@ -288,14 +241,19 @@
    * generation can continue there if its engine fails.
    */
   Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
-    Optional<EngineLimits> limits = limits(need.service()).filter(EngineLimits::backups);
-    if (limits.isEmpty() || !need.wantsBackup() || !roomForBackups(need, limits.get(), nowMs)) {
+    Optional<EngineLimits> engine = loads.limits(need.service()).filter(EngineLimits::backups);
+    if (engine.isEmpty()
+        || !need.wantsBackup()
+        || !loads.roomForBackups(targets.values(), need, engine.get(), nowMs)) {
       return Optional.empty();
     }
-    long room = (long) (MAX_BACKUP_ENGINE_FRACTION * limits.get().memoryTokens()) - need.tokens();
+    long room = (long) (MAX_BACKUP_ENGINE_FRACTION * engine.get().memoryTokens()) - need.tokens();
     List<Target> candidates = new ArrayList<>();
-    for (Target target : usable(need.service(), Set.of(primary.info().id()), nowMs)) {
-      if (totalLoad(target, nowMs).tokens() <= room) {
+    List<Target> others = accepting(need.service(), Set.of(primary.info().id()), nowMs);
+    for (Target target : unpenalized(others, nowMs)) {
+      // All generations with this backup may continue there at the same time.
+      boolean limited = limits.limited(target.info().run());
+      if (!limited && loads.total(target, nowMs).tokens() <= room) {
         candidates.add(target);
       }
     }
@@ -303,27 +261,74 @@
         candidates, need, primary.info().domain(), REMOTE_COPY_PENALTY_TOKENS, nowMs);
   }
 
-  private Optional<EngineLimits> limits(String service) {
-    return Optional.ofNullable(engineLimits.get(service));
+  /** Whether any target accepts a request, now or when it has a permit. */
+  boolean anyUsable(PlacementNeed need, long nowMs) {
+    return !accepting(need.service(), need.excluded(), nowMs).isEmpty();
+  }
+
+  /** Targets that accept a request and name a request limit. */
+  private List<Target> limited(PlacementNeed need, long nowMs) {
+    List<Target> limited = accepting(need.service(), need.excluded(), nowMs);
+    limited.removeIf(target -> !limits.limited(target.info().run()));
+    return limited;
+  }
+
+  /** Whether a control instance may have a permit for a limited target. */
+  boolean permitExpected(PlacementNeed need, long nowMs) {
+    return limited(need, nowMs).stream()
+        .anyMatch(target -> limits.permitExpected(target.info().run(), nowMs));
+  }
+
+  /** Chooses the least loaded limited target for which this instance has a permit. */
+  Optional<Target> chooseLimited(PlacementNeed need, long nowMs) {
+    List<Target> candidates = limited(need, nowMs);
+    candidates.removeIf(target -> !limits.permits(target.info().run(), nowMs));
+    return leastLoaded(unpenalized(candidates, nowMs), need, need.preferredDomain(), 0, nowMs);
   }
 
-  private List<Target> usable(String service, Set<TargetId> excluded, long nowMs) {
-    List<Target> usable = new ArrayList<>();
-    List<Target> preferred = new ArrayList<>();
+  /** Time in milliseconds until a permit for a limited target is expected; empty if none is. */
+  Optional<Long> permitWaitMs(PlacementNeed need, long nowMs) {
+    return limited(need, nowMs).stream()
+        .map(target -> limits.waitMs(target.info().run(), nowMs))
+        .min(Long::compare);
+  }
+
+  /** Records that a control instance has no permit for the limited targets until a time. */
+  void permitDenied(PlacementNeed need, long untilMs, long nowMs) {
+    limited(need, nowMs).forEach(target -> limits.denied(target.info().run(), untilMs));
+  }
+
+  /** Uses a permit for a request that is sent or assigned to a target, if it names a limit. */
+  void takePermit(Target target, long nowMs) {
+    limits.take(target.info().run(), nowMs);
+  }
+
+  /** Targets that accept a request and for which this instance needs no permit or has one. */
+  private List<Target> permitted(PlacementNeed need, long nowMs) {
+    List<Target> permitted = accepting(need.service(), need.excluded(), nowMs);
+    permitted.removeIf(target -> !limits.permits(target.info().run(), nowMs));
+    return unpenalized(permitted, nowMs);
+  }
+
+  private List<Target> accepting(String service, Set<TargetId> excluded, long nowMs) {
+    List<Target> accepting = new ArrayList<>();
     for (Target target : targets.values()) {
       boolean candidate =
           target.info().service().equals(service)
               && target.accepts(nowMs)
               && !excluded.contains(target.info().id());
-      if (!candidate) {
-        continue;
-      }
-      usable.add(target);
-      if (!target.penalized(nowMs)) {
-        preferred.add(target);
+      if (candidate) {
+        accepting.add(target);
       }
     }
-    return preferred.isEmpty() ? usable : preferred;
+    return accepting;
+  }
+
+  /** The targets without a penalty; all of them if each has one. */
+  private static List<Target> unpenalized(List<Target> from, long nowMs) {
+    List<Target> unpenalized = new ArrayList<>(from);
+    unpenalized.removeIf(target -> target.penalized(nowMs));
+    return unpenalized.isEmpty() ? from : unpenalized;
   }
 
   private List<Target> sample(int count, List<Target> from) {
@@ -342,7 +347,7 @@
     Optional<Target> best = Optional.empty();
     double bestLoad = Double.MAX_VALUE;
     for (Target candidate : candidates) {
-      double load = loadScore(candidate, need.tokens(), nowMs);
+      double load = loads.score(candidate, need.tokens(), nowMs);
       if (!candidate.info().domain().equals(preferredDomain)) {
         load += remotePenaltyTokens + 0.5;
       }
@@ -353,30 +358,4 @@
     }
     return best;
   }
-
-  /** Load of all instances on a target, as far as this instance knows. */
-  private TargetLoad totalLoad(Target target, long nowMs) {
-    TargetLoad load = target.load();
-    TargetRun run = TargetRun.of(target.info());
-    for (RemoteLoad other : remoteLoads) {
-      load = other.at(run, nowMs).map(load::plus).orElse(load);
-    }
-    return load;
-  }
-
-  /**
-   * Weighted load, in tokens for generations and in requests for other services. Fractions below
-   * one break ties.
-   */
-  private double loadScore(Target target, long addedTokens, long nowMs) {
-    TargetLoad load = totalLoad(target, nowMs);
-    long memory =
-        limits(target.info().service()).map(EngineLimits::memoryTokens).orElse(Long.MAX_VALUE);
-    double excess = Math.max(0, load.tokens() + addedTokens - NEARLY_FULL_FRACTION * memory);
-    return load.requests()
-        + load.tokens()
-        + PREFILL_WEIGHT * load.prefillTokens()
-        + NEARLY_FULL_WEIGHT * excess
-        + random.nextDouble() / 2;
-  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/LoadCodec.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/LoadCodec.java
@@ -27,10 +27,16 @@
   private static final int TYPE_PLACEMENT_CANCELLED = 6;
   private static final int TYPE_EVIDENCE_REPORT = 7;
   private static final int TYPE_EVIDENCE_ANNOUNCEMENT = 8;
+  private static final int TYPE_PERMIT_REPLY = 9;
+  private static final int TYPE_LIMIT_REPORT = 10;
+  private static final int TYPE_LIMIT_ANNOUNCEMENT = 11;
   private static final int LOAD_REPORT_FIELDS = 2;
   private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
   private static final int PLACEMENT_REQUEST_FIELDS = 10;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
+  private static final int PERMIT_REPLY_FIELDS = 3;
+  private static final int LIMIT_REPORT_FIELDS = 2;
+  private static final int LIMIT_ANNOUNCEMENT_FIELDS = 1;
   private static final int TICKET_FIELDS = 1;
   private static final int LOAD_FIELDS = 5;
   private static final int MAX_NAME_BYTES = 63;
@@ -39,7 +45,8 @@
   private static final int MAX_TARGETS = 24_000;
 
   private static final List<PlacementNeed.Purpose> PURPOSES =
-      List.of(PlacementNeed.Purpose.START, PlacementNeed.Purpose.MOVE);
+      List.of(
+          PlacementNeed.Purpose.START, PlacementNeed.Purpose.MOVE, PlacementNeed.Purpose.PERMIT);
 
   /** Exceeds the number of targets that one request excludes. */
   private static final int MAX_EXCLUDED = 64;
@@ -84,6 +91,27 @@
       out.packArrayHeader(1 + EvidenceCodec.FIELDS);
       out.packInt(TYPE_EVIDENCE_ANNOUNCEMENT);
       EvidenceCodec.write(out, announcement.evidence());
+    } else {
+      writeLimits(out, message);
+    }
+  }
+
+  private static void writeLimits(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.PermitReply reply) {
+      out.packArrayHeader(1 + PERMIT_REPLY_FIELDS);
+      out.packInt(TYPE_PERMIT_REPLY);
+      out.packLong(reply.ticket());
+      write(out, reply.target());
+      out.packLong(reply.waitMs());
+    } else if (message instanceof PeerMessage.LimitReport report) {
+      out.packArrayHeader(1 + LIMIT_REPORT_FIELDS);
+      out.packInt(TYPE_LIMIT_REPORT);
+      LimitCodec.write(out, report.statements());
+      out.packBoolean(report.wantsAll());
+    } else if (message instanceof PeerMessage.LimitAnnouncement announcement) {
+      out.packArrayHeader(1 + LIMIT_ANNOUNCEMENT_FIELDS);
+      out.packInt(TYPE_LIMIT_ANNOUNCEMENT);
+      LimitCodec.write(out, announcement.statements());
     }
   }
 
@@ -142,6 +170,9 @@
         case TYPE_PLACEMENT_REPLY -> PLACEMENT_REPLY_FIELDS;
         case TYPE_PLACEMENT_QUEUED, TYPE_PLACEMENT_CANCELLED -> TICKET_FIELDS;
         case TYPE_EVIDENCE_REPORT, TYPE_EVIDENCE_ANNOUNCEMENT -> EvidenceCodec.FIELDS;
+        case TYPE_PERMIT_REPLY -> PERMIT_REPLY_FIELDS;
+        case TYPE_LIMIT_REPORT -> LIMIT_REPORT_FIELDS;
+        case TYPE_LIMIT_ANNOUNCEMENT -> LIMIT_ANNOUNCEMENT_FIELDS;
         default -> -1;
       };
     }
@@ -157,6 +188,11 @@
         case TYPE_EVIDENCE_REPORT -> new PeerMessage.EvidenceReport(EvidenceCodec.read(in));
         case TYPE_EVIDENCE_ANNOUNCEMENT ->
             new PeerMessage.EvidenceAnnouncement(EvidenceCodec.read(in));
+        case TYPE_PERMIT_REPLY ->
+            new PeerMessage.PermitReply(
+                in.longValue(), in.optional(LoadCodec::target), in.longValue());
+        case TYPE_LIMIT_REPORT -> new PeerMessage.LimitReport(LimitCodec.read(in), in.flag());
+        case TYPE_LIMIT_ANNOUNCEMENT -> new PeerMessage.LimitAnnouncement(LimitCodec.read(in));
         default ->
             new PeerMessage.PlacementReply(
                 in.longValue(),
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -7,6 +7,7 @@
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import dev.caroblb.routing.CallerLimits;
 import dev.caroblb.routing.EngineLimits;
 import dev.caroblb.routing.RepeatRule;
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -0,0 +1,209 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.codec.LoadCodec;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Entries and control instances that are joined in memory. Subclasses play the targets. Time is
+ * simulated.
+ */
+abstract class InstanceGroup {
+  private static final long STEP_MS = 10;
+  private static final long MESSAGE_DELAY_MS = 3;
+
+  /** Something that happens at a time. */
+  private record Event(long dueMs, long number, Runnable action) {}
+
+  /** An instance with its links to targets. */
+  final class Instance implements TargetPort, CallObserver {
+    private final InstanceId id;
+    private final ForwardingHandler handler;
+    private final boolean control;
+
+    Instance(String name, boolean control) {
+      id = new InstanceId(name);
+      this.control = control;
+      handler =
+          new ForwardingHandler(
+              new ForwardingSettings(
+                  id, new FailureDomain("zone-a"), 1_000, 32 << 20, 0.2, 10_000, 320),
+              this,
+              message -> {
+                deliver(id, message);
+                return true;
+              },
+              run -> true,
+              this,
+              new Random(name.hashCode()));
+    }
+
+    void handle(ForwardingMessage message) {
+      handler.handle(message, nowMs);
+    }
+
+    @Override
+    public void start(AttemptOrder order) {
+      started(this, order);
+    }
+
+    @Override
+    public void cancel(long call, int attempt) {
+      cancelled(this, call, attempt);
+    }
+
+    @Override
+    public void acknowledge(long call, int attempt) {}
+
+    @Override
+    public void move(MoveOrder order) {
+      moveOrdered(this, order);
+    }
+
+    @Override
+    public void refused(RefusalReason reason) {
+      refusals.merge(reason, 1, Integer::sum);
+    }
+
+    @Override
+    public void retried(RetryReason reason) {}
+
+    @Override
+    public void responded(long elapsedMs) {}
+
+    @Override
+    public void partGap(long gapMs) {}
+  }
+
+  private final LoadCodec codec = new LoadCodec();
+  private final Map<InstanceId, Instance> instances = new LinkedHashMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::dueMs).thenComparing(Event::number));
+  private final Set<InstanceId> cutOff = new HashSet<>();
+  final Map<RefusalReason, Integer> refusals = new HashMap<>();
+  final Map<Long, RecordingCaller> callers = new HashMap<>();
+  long nowMs = 1_000;
+  private long nextEvent;
+  private long nextCall;
+
+  InstanceGroup(int controls, int entries) {
+    for (int i = 0; i < controls; i++) {
+      instances.put(new InstanceId("control-" + i), new Instance("control-" + i, true));
+    }
+    for (int i = 0; i < entries; i++) {
+      instances.put(new InstanceId("entry-" + i), new Instance("entry-" + i, false));
+    }
+    instances.values().forEach(this::introduce);
+  }
+
+  /** Handles an attempt that an instance sends to a target. */
+  abstract void started(Instance from, AttemptOrder order);
+
+  void cancelled(Instance from, long call, int attempt) {}
+
+  void moveOrdered(Instance from, MoveOrder order) {}
+
+  /** The targets that an instance without any state learns of. */
+  abstract Map<TargetId, Long> runningTargets();
+
+  /** Replaces an instance by one without any state. */
+  void restart(String name) {
+    Instance before = instances.get(new InstanceId(name));
+    Instance fresh = new Instance(name, before.control);
+    instances.put(fresh.id, fresh);
+    introduce(fresh);
+    runningTargets().forEach((target, incarnation) -> fresh.handle(available(target, incarnation)));
+  }
+
+  private void introduce(Instance instance) {
+    List<InstanceId> controls =
+        instances.values().stream().filter(known -> known.control).map(known -> known.id).toList();
+    instance.handle(new ForwardingMessage.TableInstalled(ForwardingFixture.table()));
+    instance.handle(
+        new ForwardingMessage.ControlInstancesChanged(
+            instance.control ? List.of() : controls, instances.size() - controls.size()));
+  }
+
+  /** Drops all messages between this instance and the others. */
+  void cutOff(String name) {
+    cutOff.add(new InstanceId(name));
+  }
+
+  void rejoin(String name) {
+    cutOff.remove(new InstanceId(name));
+  }
+
+  void in(long delayMs, Runnable action) {
+    events.add(new Event(nowMs + delayMs, nextEvent++, action));
+  }
+
+  private void deliver(InstanceId from, PeerEnvelope<PeerMessage> envelope) {
+    Payload bytes = codec.encode(envelope.message());
+    if (cutOff.contains(from) || cutOff.contains(envelope.peer())) {
+      return;
+    }
+    in(
+        MESSAGE_DELAY_MS,
+        () ->
+            instances
+                .get(envelope.peer())
+                .handle(
+                    new ForwardingMessage.FromPeer(
+                        new PeerEnvelope<>(from, codec.decode(bytes).orElseThrow()))));
+  }
+
+  static ForwardingMessage available(TargetId target, long incarnation) {
+    return new ForwardingMessage.TargetAvailable(
+        new TargetInfo(target, incarnation, "service", "10.0.0.1:80", new FailureDomain("zone-a")));
+  }
+
+  /** Announces a run of a target to all instances. */
+  void announce(TargetId target, long incarnation) {
+    instances.values().forEach(instance -> instance.handle(available(target, incarnation)));
+  }
+
+  /** Number that the next request gets. */
+  long nextCall() {
+    return nextCall++;
+  }
+
+  /** Lets a request arrive at an entry; returns its caller. */
+  RecordingCaller arrive(int entry, ForwardCall call) {
+    RecordingCaller caller = (RecordingCaller) call.port();
+    callers.put(call.id(), caller);
+    instances
+        .get(new InstanceId("entry-" + entry))
+        .handle(new ForwardingMessage.RequestArrived(call));
+    return caller;
+  }
+
+  /** Lets time pass. */
+  void advance(long ms) {
+    long endMs = nowMs + ms;
+    while (nowMs < endMs) {
+      nowMs += STEP_MS;
+      while (!events.isEmpty() && events.peek().dueMs() <= nowMs) {
+        events.poll().action().run();
+      }
+      for (Instance instance : List.copyOf(instances.values())) {
+        if (instance.handler.nextTickMs() <= nowMs) {
+          instance.handler.tick(nowMs);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetGroup.java
@@ -0,0 +1,117 @@
+package dev.caroblb.forwarding;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Instances with targets that name request limits in their responses. */
+final class LimitedTargetGroup extends InstanceGroup {
+  private static final long HEARTBEAT_MS = 1_200;
+  private static final long RESPONSE_MS = 30;
+  private static final long WINDOW_MS = 4_000;
+  private static final double WINDOW_SECONDS = 4;
+
+  /** Time after the first statement of a limit from which it must be kept. */
+  private static final long CONTACT_MS = 3_000;
+
+  private static final double MAX_FACTOR = 1.5;
+  private static final int MAX_EXTRA = 5;
+
+  private final Map<TargetId, Long> running = new TreeMap<>((a, b) -> a.name().compareTo(b.name()));
+  private final Map<TargetId, Double> limits = new HashMap<>();
+  private final Map<TargetId, List<Long>> arrivals = new HashMap<>();
+
+  LimitedTargetGroup(int controls, int entries, int targets) {
+    super(controls, entries);
+    for (int i = 0; i < targets; i++) {
+      running.put(target(i), 1L);
+      arrivals.put(target(i), new ArrayList<>());
+      sendHeartbeats(target(i));
+    }
+  }
+
+  static TargetId target(int index) {
+    return new TargetId("t" + index);
+  }
+
+  private void sendHeartbeats(TargetId target) {
+    announce(target, 1);
+    in(HEARTBEAT_MS, () -> sendHeartbeats(target));
+  }
+
+  @Override
+  Map<TargetId, Long> runningTargets() {
+    return running;
+  }
+
+  /** Lets a target name a limit from now on. */
+  void limit(int target, double perSecond) {
+    limits.put(target(target), perSecond);
+  }
+
+  void endLimit(int target) {
+    limits.remove(target(target));
+  }
+
+  @Override
+  void started(Instance from, AttemptOrder order) {
+    TargetId target = order.target().id();
+    arrivals.get(target).add(nowMs);
+    in(RESPONSE_MS, () -> respond(from, order, Optional.ofNullable(limits.get(target))));
+  }
+
+  private static void respond(Instance to, AttemptOrder order, Optional<Double> limit) {
+    long call = order.call().id();
+    TargetNotice notice = new TargetNotice(false, Optional.empty(), limit);
+    ResponseHead head = new ResponseHead(200, false, true, false, notice, new ResponseFields() {});
+    to.handle(new ForwardingMessage.Head(call, order.attempt(), head));
+    to.handle(new ForwardingMessage.Body(call, order.attempt(), Payload.ofText("x")));
+    to.handle(new ForwardingMessage.Ended(call, order.attempt()));
+  }
+
+  /** Lets a plain request arrive at an entry. */
+  RecordingCaller arrive(int entry) {
+    long number = nextCall();
+    return arrive(
+        entry,
+        new ForwardCall(
+            number,
+            "id-" + number,
+            "host",
+            "/safe/x",
+            Optional.of(2_500L),
+            Optional.of("key"),
+            Optional.empty(),
+            List.of(),
+            new RecordingCaller()));
+  }
+
+  /** Number of requests that a target got since a time. */
+  long received(int target, long fromMs) {
+    return arrivals.get(target(target)).stream().filter(ms -> ms >= fromMs).count();
+  }
+
+  /** The most requests that a target got within four seconds, from the contact time on. */
+  long mostInWindow(int target, long namedMs) {
+    List<Long> times = arrivals.get(target(target));
+    long most = 0;
+    for (long start : times) {
+      if (start >= namedMs + CONTACT_MS) {
+        most =
+            Math.max(
+                most, times.stream().filter(ms -> ms >= start && ms < start + WINDOW_MS).count());
+      }
+    }
+    return most;
+  }
+
+  /** The most requests that a limit allows within four seconds. */
+  static double allowed(double perSecond) {
+    return MAX_FACTOR * WINDOW_SECONDS * perSecond + MAX_EXTRA;
+  }
+}
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
@@ -7,6 +7,8 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -22,9 +24,10 @@
 
   private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
   private final PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
-  private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger));
+  private final TargetLimits limits = new TargetLimits();
+  private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger), limits);
   private final PlacementCoordinator coordinator =
-      new PlacementCoordinator(sent::add, pool, ledger, new ProcessSequence(new Random(1)));
+      new PlacementCoordinator(sent::add, pool, ledger, limits, new ProcessSequence(new Random(1)));
   private long lastGrant;
 
   @BeforeEach
@@ -131,6 +134,61 @@
     }
   }
 
+  @Nested
+  class LimitedEngines {
+    private void limit(int engines, double perSecond) {
+      for (int i = 0; i < engines; i++) {
+        TargetRun run = new TargetRun(new TargetId("t" + i), 1);
+        assertTrue(limits.heard(run, Optional.of(perSecond), 0, 1));
+      }
+    }
+
+    private void report(long nowMs) {
+      coordinator.loadReported(entry(99), new PeerMessage.LoadReport(0, List.of()), nowMs);
+    }
+
+    /** Guards against generations placed on an engine faster than it takes them. */
+    @Test
+    void takeGenerationsAtTheRateThatTheyName() {
+      limit(ENGINES, 2);
+      report(10);
+      for (int i = 0; i < 2 * ENGINES; i++) {
+        assertTrue(
+            request(i, need(1_000, 1, 1_800, false), 10) instanceof PeerMessage.PlacementQueued);
+      }
+      for (long nowMs = 20; nowMs <= 620; nowMs += 50) {
+        report(nowMs);
+      }
+      assertEquals(ENGINES, replied().size());
+    }
+
+    /** Guards against a burst at a limited engine when the engine of many generations fails. */
+    @Test
+    void holdNoBackups() {
+      limit(ENGINES - 1, 2);
+      assertEquals(Optional.empty(), request(1, true).backup());
+    }
+
+    /** Guards against a permit for a target whose limit this control instance does not know. */
+    @Test
+    void receiveNoPermitWhileTheirLimitIsUnknown() {
+      PlacementNeed need =
+          new PlacementNeed(
+              PlacementNeed.Purpose.PERMIT,
+              "service",
+              0,
+              0,
+              Set.of(),
+              ForwardingFixture.ZONE,
+              false,
+              1,
+              150);
+      PeerMessage.PermitReply reply = (PeerMessage.PermitReply) request(1, need, 10);
+      assertEquals(Optional.empty(), reply.target());
+      assertTrue(reply.waitMs() > 0);
+    }
+  }
+
   @Nested
   class WithoutRoom {
     /** Half of an engine with 34,000 tokens. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementLedgerTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PlacementLedgerTest.java
@@ -4,6 +4,7 @@
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/RestartedInstanceTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RestartedInstanceTest.java
@@ -7,6 +7,7 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -78,10 +79,12 @@
 
     private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
     private final PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
-    private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger));
+    private final TargetLimits limits = new TargetLimits();
+    private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger), limits);
     private final ProcessSequence tickets = new ProcessSequence(new Random(1));
     private final PlacementCoordinator coordinator =
-        new PlacementCoordinator(sent::add, pool, ledger, new ProcessSequence(new Random(1)));
+        new PlacementCoordinator(
+            sent::add, pool, ledger, limits, new ProcessSequence(new Random(1)));
 
     private long request(ProcessSequence numbers) {
       long ticket = numbers.next();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
@@ -8,6 +8,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
@@ -6,6 +6,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.forwarding.limit.TargetLimits;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -19,7 +20,8 @@
   private static final FailureDomain HERE = new FailureDomain("zone-a");
 
   private final ReportedLoad reportedLoad = new ReportedLoad();
-  private final TargetPool pool = new TargetPool(new Random(1), List.of(reportedLoad));
+  private final TargetLimits limits = new TargetLimits();
+  private final TargetPool pool = new TargetPool(new Random(1), List.of(reportedLoad), limits);
 
   private void available(int count) {
     for (int i = 0; i < count; i++) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/codec/LoadCodecTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/codec/LoadCodecTest.java
@@ -5,9 +5,11 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import dev.caroblb.forwarding.PeerMessage;
 import dev.caroblb.forwarding.PlacementNeed;
 import dev.caroblb.forwarding.TargetLoad;
+import dev.caroblb.forwarding.limit.LimitStatement;
 import dev.caroblb.forwarding.quarantine.AnsweredPart;
 import dev.caroblb.forwarding.quarantine.CrashReport;
 import dev.caroblb.forwarding.quarantine.Evidence;
@@ -39,6 +41,10 @@
               true,
               7,
               8);
+      List<LimitStatement> limits =
+          List.of(
+              new LimitStatement(new TargetRun(new TargetId("t"), 17), Optional.of(2.5), 18),
+              new LimitStatement(new TargetRun(new TargetId("u"), 19), Optional.empty(), 20));
       Evidence evidence =
           new Evidence(
               List.of(
@@ -54,6 +60,9 @@
                   11, 12, Optional.of(new TargetId("t")), Optional.empty()),
               new PeerMessage.PlacementQueued(13),
               new PeerMessage.PlacementCancelled(14),
+              new PeerMessage.PermitReply(15, Optional.of(new TargetId("t")), 16),
+              new PeerMessage.LimitReport(limits, true),
+              new PeerMessage.LimitAnnouncement(limits),
               new PeerMessage.EvidenceReport(evidence),
               new PeerMessage.EvidenceAnnouncement(evidence))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
--- a/transport/src/main/java/dev/caroblb/transport/codec/BoundedReader.java
+++ b/transport/src/main/java/dev/caroblb/transport/codec/BoundedReader.java
@@ -110,6 +110,10 @@
     return in.unpackLong();
   }
 
+  public double doubleValue() throws IOException {
+    return in.unpackDouble();
+  }
+
   /** Reads an {@code int}. */
   public int intValue() throws IOException {
     return in.unpackInt();
