Send requests again in a planned stop only if their timeout ends before its limit

What is sent again after a possible run is repeatable, so its caller may repeat it at another entry.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -198,7 +198,7 @@
 
   /** Refuses a request whose response has not begun if it cannot end before the drain limit. */
   private boolean refusedByDrain(Exchange exchange, long nowMs) {
-    if (exchange.callerStream().begun() || drain.allows(exchange, nowMs)) {
+    if (exchange.callerStream().begun() || drain.allows(exchange)) {
       return false;
     }
     finisher.fail(exchange, RefusalReason.DRAINING, "cannot end before the drain limit", nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -357,7 +357,7 @@
 
   /** Records a stream part; returns the time since the previous one, empty for the first. */
   Optional<Long> recordPart(long nowMs) {
-    return timing.recordPart(sentMs, nowMs);
+    return timing.recordPart(nowMs);
   }
 
   /** When the parts of a stream arrived. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -26,9 +26,7 @@
   private final Outlet<TargetRun> leaving;
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
-  private final GenerationDurations generationDurations = new GenerationDurations();
-  private final PlainDurations plainDurations = new PlainDurations();
-  private final DrainAdmission drain = new DrainAdmission(generationDurations, plainDurations);
+  private final DrainAdmission drain = new DrainAdmission();
   private final TargetLimits limits = new TargetLimits();
   private final LimitExchange limitExchange;
   private final TargetPool pool;
@@ -84,15 +82,7 @@
             guard);
     responses =
         new ResponseRelay(
-            exchanges,
-            settings.maxResponseBytes(),
-            port,
-            observer,
-            dispatcher,
-            finisher,
-            generationDurations,
-            plainDurations,
-            guard);
+            exchanges, settings.maxResponseBytes(), port, observer, dispatcher, finisher, guard);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses, guard);
   }
 
@@ -259,7 +249,6 @@
     if (message instanceof ForwardingMessage.TableInstalled installed) {
       table = Optional.of(installed.table());
       pool.setEngineLimits(installed.table().engines());
-      generationDurations.setEngineLimits(installed.table().engines());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
       guard.heartbeatReceived(available.target(), nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -15,8 +15,6 @@
   private final CallObserver observer;
   private final Dispatcher dispatcher;
   private final CallFinisher finisher;
-  private final GenerationDurations generationDurations;
-  private final PlainDurations plainDurations;
   private final PromptGuard guard;
 
   ResponseRelay(
@@ -26,8 +24,6 @@
       CallObserver observer,
       Dispatcher dispatcher,
       CallFinisher finisher,
-      GenerationDurations generationDurations,
-      PlainDurations plainDurations,
       PromptGuard guard) {
     this.exchanges = exchanges;
     this.maxResponseBytes = maxResponseBytes;
@@ -35,8 +31,6 @@
     this.observer = observer;
     this.dispatcher = dispatcher;
     this.finisher = finisher;
-    this.generationDurations = generationDurations;
-    this.plainDurations = plainDurations;
     this.guard = guard;
   }
 
@@ -150,7 +144,6 @@
 
   private void completeStream(Exchange exchange, long nowMs) {
     exchange.target().ifPresent(Target::succeeded);
-    generationDurations.completed(exchange);
     exchange.call().port().complete();
     finisher.finish(exchange, "completed", "", nowMs);
   }
@@ -174,7 +167,6 @@
     if (head.success()) {
       guard.answered(exchange, nowMs);
     }
-    plainDurations.completed(exchange, nowMs);
     observer.responded(nowMs - exchange.arrivedMs());
     exchange.call().port().respond(head, exchange.bufferedBody());
     finisher.finish(exchange, "answered", "status " + head.status(), nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/StreamTiming.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/StreamTiming.java
@@ -5,19 +5,13 @@
 /** When the parts of one stream arrived, over all of its attempts. */
 final class StreamTiming {
   private Optional<Long> firstPartMs = Optional.empty();
-  private long firstPartSentMs;
   private long lastPartMs;
   private long longestGapMs;
 
-  /**
-   * Records a part; returns the time in milliseconds since the previous one, empty for the first.
-   *
-   * @param sentMs time at which the attempt that the part belongs to was sent
-   */
-  Optional<Long> recordPart(long sentMs, long nowMs) {
+  /** Records a part; returns the time in milliseconds since the previous one, if there is one. */
+  Optional<Long> recordPart(long nowMs) {
     if (firstPartMs.isEmpty()) {
       firstPartMs = Optional.of(nowMs);
-      firstPartSentMs = sentMs;
       lastPartMs = nowMs;
       return Optional.empty();
     }
@@ -37,16 +31,6 @@
     return firstPartMs.orElse(0L);
   }
 
-  /** Time in milliseconds from the send to the target that responded to the first part. */
-  long firstPartAfterSendMs() {
-    return firstPartMs() - firstPartSentMs;
-  }
-
-  /** Time in milliseconds from the first part to the last one. */
-  long streamedMs() {
-    return lastPartMs - firstPartMs();
-  }
-
   /** Time in milliseconds since the last part. */
   long sinceLastPartMs(long nowMs) {
     return nowMs - lastPartMs;
