Let callers read the last response of a connection slowly

A response with Connection: close, as every response of a stopping entry has, was reset when its caller left the connection without progress for 500 ms: the end of the exchange sets the closing timeout while bytes still wait to be written. 524,288 of 4,000,000 bytes arrived (ClosingConnectionTest, failed before). The timeout is now 5 s; a stopping entry closes all connections at its limit as before. The tests of the listener pass.

--- a/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
+++ b/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
@@ -19,8 +19,12 @@
   /** Exceeds every deadline, since a call may wait for its response without traffic. */
   static final Timeout RESPONSE_TIMEOUT = Timeout.ofHours(25);
 
-  /** Time for the caller to read the last response of a connection and to stop sending. */
-  private static final Timeout CLOSING_TIMEOUT = Timeout.ofMilliseconds(500);
+  /**
+   * Time without progress in which the caller must read on in the last response of a connection, or
+   * stop sending. A caller that reads 128 KiB each 300 ms lets the connection stand still for more
+   * than 500 ms at a time.
+   */
+  private static final Timeout CLOSING_TIMEOUT = Timeout.ofSeconds(5);
 
   private final ListenerObserver observer;
   private final Supplier<RequestLimits> limits;
--- a/http/src/test/java/dev/caroblb/http/ClosingConnectionTest.java
+++ b/http/src/test/java/dev/caroblb/http/ClosingConnectionTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Responses after which the listener closes the connection. */
@@ -85,7 +84,6 @@
     }
 
     /** Guards against a reset while a caller still reads the last response of its connection. */
-    @Tag("known-red")
     @Test
     void getsTheLastResponseOfAConnection() throws Exception {
       fields = CLOSE;
