--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -24,7 +24,6 @@
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.ContactTopology;
 import dev.caroblb.membership.DrainProgress;
-import dev.caroblb.membership.DrainStage;
 import dev.caroblb.membership.InstanceRecord;
 import dev.caroblb.membership.InstanceView;
 import dev.caroblb.membership.LocalInstance;
@@ -77,7 +76,7 @@
   private final CountDownLatch stopStarted = new CountDownLatch(1);
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
   private volatile Optional<RoutingTable> table = Optional.empty();
-  private volatile Optional<DrainStage> drainStage = Optional.empty();
+  private volatile Optional<DrainProgress> drain = Optional.empty();
   private volatile boolean failed;
 
   /** Creates the duties; nothing runs before {@link #start()}. */
@@ -259,7 +258,7 @@
   }
 
   private boolean drainProgressed(DrainProgress progress) {
-    drainStage = Optional.of(progress.stage());
+    drain = Optional.of(progress);
     stopStarted.countDown();
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -324,7 +323,12 @@
   }
 
   public boolean draining() {
-    return drainStage.isPresent();
+    return drain.isPresent();
+  }
+
+  /** Time at which requests that still run are ended; empty if no planned stop has begun. */
+  public Optional<Long> drainLimitAtMs() {
+    return drain.map(DrainProgress::limitAtMs);
   }
 
   public InstanceView view() {
