Hand complete streams over to slow callers at the drain limit

ForwardingDrainTest.streamThatItsTargetCompletedIsHandedOverAtTheLimit got "abort" without the change and passes with it, as does GracefulCloseTest.LastParts for the listener.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallerPort.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallerPort.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.Refusal;
+import java.util.List;
 
 /** Receives the response to one request. No method blocks. */
 public interface CallerPort {
@@ -17,8 +18,8 @@
   /** Appends to the body; returns false, without appending anything, if the buffer is full. */
   boolean write(Payload part);
 
-  /** Ends the body. */
-  void complete();
+  /** Ends the body after further parts, which are taken even if the buffer is full. */
+  void complete(List<Payload> lastParts);
 
   /** Aborts a response that was started, so that the caller cannot take it for complete. */
   void abort();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallerStream.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallerStream.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Payload;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -59,6 +60,14 @@
     return flush() || pendingBytes <= MAX_PENDING_BYTES;
   }
 
+  /** Ends the stream with the events that are still buffered. */
+  void complete() {
+    List<Payload> rest = List.copyOf(pendingEvents);
+    pendingEvents.clear();
+    pendingBytes = 0;
+    port.complete(rest);
+  }
+
   /** Writes buffered events to the caller; returns true if none is left. */
   boolean flush() {
     while (!pendingEvents.isEmpty()) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -265,7 +265,7 @@
               .with("streaming", running.stream().filter(Exchange::streaming).count())
               .toString());
       for (Exchange exchange : running) {
-        finisher.fail(exchange, RefusalReason.STOPPING, "the instance is shutting down", nowMs);
+        responses.endAtDrainLimit(exchange, nowMs);
       }
     }
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -148,10 +148,22 @@
     }
   }
 
+  /**
+   * Ends a request at the drain limit. A stream that its target has completed goes to the caller as
+   * a whole, which may take the time that is left for writing.
+   */
+  void endAtDrainLimit(Exchange exchange, long nowMs) {
+    if (exchange.targetEnded()) {
+      completeStream(exchange, nowMs);
+      return;
+    }
+    finisher.fail(exchange, RefusalReason.STOPPING, "the instance is shutting down", nowMs);
+  }
+
   private void completeStream(Exchange exchange, long nowMs) {
     exchange.target().ifPresent(Target::succeeded);
     generationDurations.completed(exchange);
-    exchange.call().port().complete();
+    exchange.callerStream().complete();
     finisher.finish(exchange, "completed", "", nowMs);
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import java.util.List;
@@ -241,6 +242,24 @@
       assertEquals("abort", lastEvent());
     }
 
+    /** Guards against cutting a stream that its target has completed, for a slow caller. */
+    @Test
+    void streamThatItsTargetCompletedIsHandedOverAtTheLimit() {
+      install(1);
+      arriveGeneration("/long/x", LONG_GENERATION);
+      startStream();
+      caller.full = true;
+      handle(new ForwardingMessage.Body(7, attempt(), Payload.ofText("ta: b\n\n")));
+      handle(new ForwardingMessage.Ended(7, attempt()));
+      drain(3_300);
+      assertEquals("part id: 1|data: a||", lastEvent());
+      handle(new ForwardingMessage.AbortRunning());
+      assertEquals(
+          List.of("begin 200", "part id: 1|data: a||", "part id: 2|data: b||", "complete"),
+          caller.events);
+      assertEquals(0, handler.running());
+    }
+
     /** Guards against the statement that a request did not run which a target may have run. */
     @Test
     void requestThatMayHaveRunIsNotRefusedAsNotRun() {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/RecordingCaller.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/RecordingCaller.java
@@ -32,12 +32,17 @@
     if (full) {
       return false;
     }
-    events.add("part " + part.text().replace("\n", "|"));
+    record(part);
     return true;
   }
 
+  private void record(Payload part) {
+    events.add("part " + part.text().replace("\n", "|"));
+  }
+
   @Override
-  public void complete() {
+  public void complete(List<Payload> lastParts) {
+    lastParts.forEach(this::record);
     events.add("complete");
   }
 
--- a/http/src/main/java/dev/caroblb/http/Reply.java
+++ b/http/src/main/java/dev/caroblb/http/Reply.java
@@ -16,7 +16,12 @@
   boolean write(Payload chunk);
 
   /** Ends the response after the data written so far. */
-  void end();
+  default void end() {
+    end(List.of());
+  }
+
+  /** Ends the response after further parts, which are taken even if the output buffer is full. */
+  void end(List<Payload> lastParts);
 
   /** Sends a complete response with the given header fields. */
   void send(int status, List<HeaderField> fields, Payload body);
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -238,9 +238,13 @@
   }
 
   @Override
-  public void end() {
+  public void end(List<Payload> lastParts) {
     DataStreamChannel current;
     synchronized (this) {
+      for (Payload part : disconnected ? List.<Payload>of() : lastParts) {
+        output.add(part.buffer());
+        outputBytes += part.size();
+      }
       ended = true;
       current = channel;
     }
--- a/http/src/test/java/dev/caroblb/http/GracefulCloseTest.java
+++ b/http/src/test/java/dev/caroblb/http/GracefulCloseTest.java
@@ -1,5 +1,6 @@
 package dev.caroblb.http;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -127,6 +129,27 @@
     }
   }
 
+  @Nested
+  class LastParts {
+    /** Guards against the end of a stream that is dropped because the output buffer is full. */
+    @Test
+    void areWrittenBeyondTheOutputBuffer() throws Exception {
+      try (Socket socket = connect(String.format(GET, "later"))) {
+        Reply reply = awaitReply();
+        reply.startStream(200, "text/event-stream", Map.of());
+        Payload part = Payload.ofText("x".repeat(LARGE_BODY_BYTES));
+        assertTrue(reply.write(part));
+        assertFalse(reply.write(part), "the output buffer is not full");
+        reply.end(List.of(part, Payload.ofText("last")));
+        Future<?> closed = close(GRACE_MS);
+        String response = readAll(socket, 0);
+        assertTrue(response.length() > 2 * LARGE_BODY_BYTES, () -> "bytes: " + response.length());
+        assertTrue(response.endsWith("last\r\n0\r\n\r\n"));
+        closed.get(WAIT_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
   @Nested
   class RequestThatCrossesTheClose {
     /** Guards against a request without a response whose body was complete during the close. */
