Test that a begun stream is continued until the drain limit

A stream whose caller got events is sent to another target during a planned stop although its timeout ends after the limit: refusing it would cut it earlier. The test shows that it resumes after its last event, and that the second target's request is cancelled at the limit. It passes on the present code.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -242,6 +242,22 @@
       assertEquals("abort", lastEvent());
     }
 
+    /** Guards against ending a begun stream early that another target can continue. */
+    @Test
+    void resumableStreamIsContinuedUntilTheLimit() {
+      install(2);
+      arriveGeneration("/short/x", LONG_GENERATION);
+      startStream();
+      drain(3_300);
+      loseTarget();
+      assertEquals(2, targets.sent.size());
+      assertEquals(Optional.of("1"), targets.last().lastEventId());
+      final int second = targets.last().attempt();
+      handle(new ForwardingMessage.AbortRunning());
+      assertEquals("abort", lastEvent());
+      assertTrue(targets.cancelled.contains(second), "the second target still works");
+    }
+
     /** Guards against cutting a stream that its target has completed, for a slow caller. */
     @Test
     void streamThatItsTargetCompletedIsHandedOverAtTheLimit() {
