Start a planned stop even if the ring of the membership duty is full

A termination signal that arrives while the ring of the membership duty is full was lost: the result of the offer was ignored. The instance went on accepting requests until SIGKILL cut them at the end of the grace period. It was not seen in operation; reading the code for stages that are not offered again found it.

The request is now offered again every 20 ms until the duty takes it.

ForwardingInstanceTest fills the ring, requests a stop and then starts the duties. Without the change the instance was not draining after 5 s; with it the stop starts.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -51,6 +51,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -61,6 +62,7 @@
 public final class ForwardingInstance implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(ForwardingInstance.class.getName());
   private static final long DRAIN_POLL_MS = 100;
+  private static final long STOP_RETRY_MS = 20;
 
   private final ForwardingInstanceSettings settings;
   private final DutyRegistry duties;
@@ -286,12 +288,20 @@
    * once.
    */
   public void requestStop() {
-    boolean unused = membership.offer(new MembershipMessage.StopRequested());
+    offerStop();
     if (settings.callersAddress().isEmpty()) {
       stopNow();
     }
   }
 
+  /** Offers the request again while the ring is full: without it the process would be killed. */
+  private void offerStop() {
+    if (!membership.offer(new MembershipMessage.StopRequested())) {
+      CompletableFuture.delayedExecutor(STOP_RETRY_MS, TimeUnit.MILLISECONDS)
+          .execute(this::offerStop);
+    }
+  }
+
   private void stopNow() {
     immediateStop.countDown();
     stopStarted.countDown();
