--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -24,7 +24,6 @@
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.ContactTopology;
 import dev.caroblb.membership.DrainProgress;
-import dev.caroblb.membership.DrainStage;
 import dev.caroblb.membership.InstanceRecord;
 import dev.caroblb.membership.InstanceView;
 import dev.caroblb.membership.LocalInstance;
@@ -52,6 +51,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -62,6 +62,7 @@
 public final class ForwardingInstance implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(ForwardingInstance.class.getName());
   private static final long DRAIN_POLL_MS = 100;
+  private static final long STOP_RETRY_MS = 20;
 
   private final ForwardingInstanceSettings settings;
   private final DutyRegistry duties;
@@ -77,7 +78,7 @@
   private final CountDownLatch stopStarted = new CountDownLatch(1);
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
   private volatile Optional<RoutingTable> table = Optional.empty();
-  private volatile Optional<DrainStage> drainStage = Optional.empty();
+  private volatile Optional<DrainProgress> drain = Optional.empty();
   private volatile boolean failed;
 
   /** Creates the duties; nothing runs before {@link #start()}. */
@@ -259,7 +260,7 @@
   }
 
   private boolean drainProgressed(DrainProgress progress) {
-    drainStage = Optional.of(progress.stage());
+    drain = Optional.of(progress);
     stopStarted.countDown();
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -287,12 +288,20 @@
    * once.
    */
   public void requestStop() {
-    boolean unused = membership.offer(new MembershipMessage.StopRequested());
+    offerStop();
     if (settings.callersAddress().isEmpty()) {
       stopNow();
     }
   }
 
+  /** Offers the request again while the ring is full: without it the process would be killed. */
+  private void offerStop() {
+    if (!membership.offer(new MembershipMessage.StopRequested())) {
+      CompletableFuture.delayedExecutor(STOP_RETRY_MS, TimeUnit.MILLISECONDS)
+          .execute(this::offerStop);
+    }
+  }
+
   private void stopNow() {
     immediateStop.countDown();
     stopStarted.countDown();
@@ -324,7 +333,12 @@
   }
 
   public boolean draining() {
-    return drainStage.isPresent();
+    return drain.isPresent();
+  }
+
+  /** Time at which requests that still run are ended; empty if no planned stop has begun. */
+  public Optional<Long> drainLimitAtMs() {
+    return drain.map(DrainProgress::limitAtMs);
   }
 
   public InstanceView view() {
