Tell a control instance the limits that it does not know

A control instance that had missed the report of a limit answered requests for permits as if there were none to come, so that the limited target got nothing until an entry heard the limit again, which needs a request there. The reply now says that no limited target is known, and the entry reports all limits it knows, once a second at most (LimitedTargetsTest.theFirstOneMissesTheStatements; not run without the change). A response that is not the target's own no longer ends a limit. All tests of forwarding, LimitedTargetTest and the tests of planned stops pass; the check of the sender was added after that run.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -26,6 +26,12 @@
    */
   private static final int MAX_QUEUED_OBJECTIVES = 3;
 
+  /**
+   * Time in milliseconds after which a control instance that does not know a limit yet is asked for
+   * a permit again. It learns the limit meanwhile.
+   */
+  private static final long UNKNOWN_LIMIT_WAIT_MS = 100;
+
   /** Interval in milliseconds between two checks of a queued request. */
   private static final long RECHECK_MS = 500;
 
@@ -116,7 +122,7 @@
     }
     if (reply.target().isEmpty()) {
       PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.PERMIT, domain, nowMs);
-      pool.permitDenied(need, nowMs + reply.waitMs(), nowMs);
+      pool.permitDenied(need, nowMs + reply.waitMs().orElse(UNKNOWN_LIMIT_WAIT_MS), nowMs);
     }
     placeLocally(exchange, nowMs);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -125,6 +125,7 @@
       responses.body(exchange, body.part(), nowMs);
       mover.moveIfLeaving(exchange, table, nowMs);
     } else if (message instanceof ForwardingMessage.Head head) {
+      limitReceived(exchange, head.head(), nowMs);
       noticeReceived(exchange, head.head().notice(), nowMs);
       responses.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
@@ -148,6 +149,18 @@
     }
   }
 
+  /** Applies the request limit that a target names, or names no longer, in a sound response. */
+  private void limitReceived(Exchange exchange, ResponseHead head, long nowMs) {
+    Optional<Target> target = exchange.target().filter(current -> head.sentByTarget());
+    target.ifPresent(
+        current ->
+            limitExchange.heard(
+                current.info().run(),
+                head.notice().requestsPerSecond(),
+                exchange.sentMs(),
+                nowMs));
+  }
+
   /** Applies what a target says about itself before its response is handled. */
   private void noticeReceived(Exchange exchange, TargetNotice notice, long nowMs) {
     Optional<Target> target = exchange.target();
@@ -155,7 +168,6 @@
       return;
     }
     TargetInfo info = target.get().info();
-    limitExchange.heard(info.run(), notice.requestsPerSecond(), exchange.sentMs(), nowMs);
     if (notice.rejectsForMs().isPresent()) {
       long rejectsForMs = notice.rejectsForMs().get();
       target.get().rejectsUntil(nowMs + rejectsForMs);
@@ -215,6 +227,9 @@
       remoteLoad.replace(report.loads(), nowMs);
     } else if (message instanceof PeerMessage.PermitReply reply) {
       limits.coordinatorHeard(nowMs);
+      if (reply.target().isEmpty() && reply.waitMs().isEmpty()) {
+        limitExchange.reportAll(nowMs);
+      }
       coordinator
           .replied(reply, nowMs)
           .flatMap(exchanges::find)
--- a/forwarding/src/main/java/dev/caroblb/forwarding/LimitExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/LimitExchange.java
@@ -67,6 +67,13 @@
     askForAll(nowMs);
   }
 
+  /** Sends all known limits to the control instance in use, which does not know one of them. */
+  void reportAll(long nowMs) {
+    if (coordinator.isPresent() && nowMs >= askAgainMs) {
+      askForAll(nowMs);
+    }
+  }
+
   private void askForAll(long nowMs) {
     askAgainMs = nowMs + REPEAT_MS;
     send(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PeerMessage.java
@@ -68,9 +68,11 @@
    *
    * @param ticket ticket of the placement request
    * @param target the limited target that the request may be sent to; empty if there is no permit
-   * @param waitMs time in milliseconds until a permit is expected; 0 if there is one
+   * @param waitMs time in milliseconds until a permit is expected; empty if the sender knows no
+   *     limited target that may take the request
    */
-  record PermitReply(long ticket, Optional<TargetId> target, long waitMs) implements PeerMessage {}
+  record PermitReply(long ticket, Optional<TargetId> target, Optional<Long> waitMs)
+      implements PeerMessage {}
 
   /**
    * Request limits that targets named in responses to the sender, for control instances.
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
@@ -25,12 +25,6 @@
    */
   private static final long REPORT_INTERVAL_MS = 1_000;
 
-  /**
-   * Time in milliseconds after which an instance may ask again for a permit for a target of which
-   * this instance does not know the limit yet.
-   */
-  private static final long UNKNOWN_LIMIT_WAIT_MS = 100;
-
   private static final System.Logger LOGGER =
       System.getLogger(PlacementCoordinator.class.getName());
 
@@ -144,12 +138,12 @@
     target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
     permits += target.isPresent() ? 1 : 0;
     denials += target.isPresent() ? 0 : 1;
-    long waitMs =
-        target.isPresent() ? 0 : pool.permitWaitMs(need, nowMs).orElse(UNKNOWN_LIMIT_WAIT_MS);
     send(
         peer,
         new PeerMessage.PermitReply(
-            request.ticket(), target.map(chosen -> chosen.info().id()), waitMs));
+            request.ticket(),
+            target.map(chosen -> chosen.info().id()),
+            pool.permitWaitMs(need, nowMs)));
   }
 
   /** Removes a queued request that its instance cancelled. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
@@ -275,8 +275,9 @@
 
   /** Whether a control instance may have a permit for a limited target. */
   boolean permitExpected(PlacementNeed need, long nowMs) {
-    return limited(need, nowMs).stream()
-        .anyMatch(target -> limits.permitExpected(target.info().run(), nowMs));
+    return limits.anyLimited()
+        && limited(need, nowMs).stream()
+            .anyMatch(target -> limits.permitExpected(target.info().run(), nowMs));
   }
 
   /** Chooses the least loaded limited target for which this instance has a permit. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/LoadCodec.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/codec/LoadCodec.java
@@ -102,7 +102,10 @@
       out.packInt(TYPE_PERMIT_REPLY);
       out.packLong(reply.ticket());
       write(out, reply.target());
-      out.packLong(reply.waitMs());
+      out.packArrayHeader(reply.waitMs().isPresent() ? 1 : 0);
+      if (reply.waitMs().isPresent()) {
+        out.packLong(reply.waitMs().get());
+      }
     } else if (message instanceof PeerMessage.LimitReport report) {
       out.packArrayHeader(1 + LIMIT_REPORT_FIELDS);
       out.packInt(TYPE_LIMIT_REPORT);
@@ -190,7 +193,9 @@
             new PeerMessage.EvidenceAnnouncement(EvidenceCodec.read(in));
         case TYPE_PERMIT_REPLY ->
             new PeerMessage.PermitReply(
-                in.longValue(), in.optional(LoadCodec::target), in.longValue());
+                in.longValue(),
+                in.optional(LoadCodec::target),
+                in.optional(BoundedReader::longValue));
         case TYPE_LIMIT_REPORT -> new PeerMessage.LimitReport(LimitCodec.read(in), in.flag());
         case TYPE_LIMIT_ANNOUNCEMENT -> new PeerMessage.LimitAnnouncement(LimitCodec.read(in));
         default ->
--- a/forwarding/src/main/java/dev/caroblb/forwarding/limit/StatedLimits.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/limit/StatedLimits.java
@@ -58,6 +58,11 @@
     return Optional.ofNullable(latest.get(run)).flatMap(Stated::perSecond);
   }
 
+  /** Whether any target names a limit. */
+  boolean anyLimit() {
+    return latest.values().stream().anyMatch(stated -> stated.perSecond().isPresent());
+  }
+
   /** The latest statement of a target. */
   Optional<LimitStatement> statement(TargetRun run, long nowMs) {
     return Optional.ofNullable(latest.get(run))
--- a/forwarding/src/main/java/dev/caroblb/forwarding/limit/TargetLimits.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/limit/TargetLimits.java
@@ -75,6 +75,11 @@
     return stated.statements(nowMs);
   }
 
+  /** Whether any target names a limit. */
+  public boolean anyLimited() {
+    return stated.anyLimit();
+  }
+
   /** Whether a target names a limit. */
   public boolean limited(TargetRun run) {
     return stated.perSecond(run).isPresent();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetsTest.java
@@ -174,6 +174,20 @@
           9);
     }
 
+    /** Guards against limited targets that get nothing when a control instance missed a limit. */
+    @Test
+    void theFirstOneMissesTheStatements() {
+      LimitedTargetGroup group = group(9);
+      group.limit(0, LIMIT);
+      group.cutOff("control-0");
+      run(group, 9, 200);
+      group.rejoin("control-0");
+      run(group, 9, 4_000);
+      long fromMs = group.nowMs;
+      run(group, 9, 8_000);
+      assertTrue(group.received(0, fromMs) >= 0.8 * LIMIT * 8, group.received(0, fromMs) + "");
+    }
+
     /** Guards against a restarted entry that uses a limited target as if it named no limit. */
     @Test
     void entriesRestart() {
