--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -155,10 +155,7 @@
     target.ifPresent(
         current ->
             limitExchange.heard(
-                current.info().run(),
-                head.notice().requestsPerSecond(),
-                exchange.sentMs(),
-                nowMs));
+                current.info().run(), head.notice().requestsPerSecond(), exchange.sentMs(), nowMs));
   }
 
   /** Applies what a target says about itself before its response is handled. */
