--- a/forwarding/src/main/java/dev/caroblb/forwarding/LimitExchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/LimitExchange.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetRun;
@@ -23,6 +24,8 @@
  * be lost.
  */
 final class LimitExchange {
+  private static final System.Logger LOGGER = System.getLogger(LimitExchange.class.getName());
+
   /** Minimum interval in milliseconds between two messages to the same instances. */
   private static final long MIN_INTERVAL_MS = 100;
 
@@ -88,6 +91,9 @@
     boolean repeat =
         perSecond.isPresent()
             && nowMs - reportedMs.getOrDefault(run, Long.MIN_VALUE / 2) >= REPEAT_MS;
+    if (changed) {
+      log(run, "response", nowMs);
+    }
     if (changed || repeat) {
       reportedMs.put(run, nowMs);
       pending.add(run);
@@ -113,12 +119,27 @@
   /** Adds statements of another instance. A control instance announces the changes. */
   private void received(List<LimitStatement> statements, long nowMs) {
     for (LimitStatement statement : statements) {
-      if (limits.received(statement, nowMs) && controlInstances.isEmpty()) {
+      if (!limits.received(statement, nowMs)) {
+        continue;
+      }
+      log(statement.run(), "peer", nowMs);
+      if (controlInstances.isEmpty()) {
         pending.add(statement.run());
       }
     }
   }
 
+  private void log(TargetRun run, String source, long nowMs) {
+    Optional<Double> perSecond = limits.statement(run, nowMs).flatMap(LimitStatement::perSecond);
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of("target.limit")
+            .with("target", run.target())
+            .with("per_second", perSecond.map(String::valueOf).orElse("none"))
+            .with("source", source)
+            .toString());
+  }
+
   long nextMs() {
     long changesMs = pending.isEmpty() ? Long.MAX_VALUE : lastSentMs + MIN_INTERVAL_MS;
     return awaitsAll ? Math.min(changesMs, askAgainMs) : changesMs;
