Log the leader and the members that a control replica knows

Callers could not read the configuration after control machines were replaced, and no log line told whether the control group had lost its quorum or readers did not find its leader. Each replica now logs changes of both, and the leader logs which replica it brings up to date. Lines only on changes.

--- a/agreement/src/main/java/dev/caroblb/agreement/ConsensusGroup.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/ConsensusGroup.java
@@ -27,6 +27,7 @@
   private final Leadership leadership;
   private final LeaseAnnouncer leaseAnnouncer;
   private final IdleSnapshots idleSnapshots;
+  private final GroupStateLogger stateLogger;
   private Role role = Role.FOLLOWER;
   private Optional<InstanceId> leader = Optional.empty();
   private long lastLeaderSentMs;
@@ -47,6 +48,7 @@
     leadership = new Leadership(context, log, journal, applier, reports, lease);
     leaseAnnouncer = new LeaseAnnouncer(context.leases());
     idleSnapshots = new IdleSnapshots(applier, context.machine().snapshotsWhenIdle(), nowMs);
+    stateLogger = new GroupStateLogger(context.group());
     nextProbeMs = nowMs;
   }
 
@@ -150,8 +152,9 @@
     applier.abandonProposals();
   }
 
-  /** Offers the lease if it changed. Returns false if the outlet refuses it. */
+  /** Logs and offers what has changed. Returns false if the outlet refuses a changed lease. */
   boolean announce() {
+    stateLogger.update(leader, log.members().newest(), voteState.term());
     boolean leads = role == Role.LEADER;
     return leaseAnnouncer.announce(
         new LeaderLease(
--- a/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
@@ -1,6 +1,7 @@
 package dev.caroblb.agreement;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.LogLine;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
@@ -14,6 +15,8 @@
  * that are unresponsive for long, or removes them.
  */
 final class MembershipChange {
+  private static final System.Logger LOGGER = System.getLogger(MembershipChange.class.getName());
+
   private final AgreementSettings settings;
   private final ReplicatedLog log;
   private final SlotReports reports;
@@ -55,11 +58,20 @@
         continue;
       }
       if (learner.isEmpty() || learner.get().instance().equals(slot)) {
+        logLearner(reported.get());
         learner = reported;
       }
     }
   }
 
+  private void logLearner(Member chosen) {
+    if (learner.filter(chosen::equals).isEmpty()) {
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogLine.of("agreement.learner").with("instance", chosen.instance()).toString());
+    }
+  }
+
   /**
    * Returns the next member list to propose, if a change is due. The caller must have committed an
    * entry of its own term; otherwise an earlier change might still be in progress.
