--- a/agreement/src/test/java/dev/caroblb/agreement/ReplicaReplacementTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaReplacementTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Replicas that join at addresses that are not in the settings of the others. */
@@ -98,6 +99,62 @@
     }
   }
 
+  @Nested
+  @Tag("known-red")
+  class WhenTheLeaderIsNotAContactOfTheSuccessor {
+    /** Lets two replicas join the initial ones, and one of the two lead. */
+    private SimulatedCluster ledByAJoinedReplica(long seed) {
+      SimulatedCluster cluster = settled(seed);
+      cluster.join(INITIAL_REPLICAS);
+      cluster.join(INITIAL_REPLICAS);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "not all are members");
+      while (INITIAL_REPLICAS.contains(leaderIndex(cluster))) {
+        int former = leaderIndex(cluster);
+        cluster.crash(former);
+        assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()));
+        cluster.start(former);
+        assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)));
+      }
+      return cluster;
+    }
+
+    private int leaderIndex(SimulatedCluster cluster) {
+      return cluster.replicas().indexOf(cluster.leader(GROUP).orElseThrow());
+    }
+
+    /** Guards against a successor that only the followers know and that is never added. */
+    @Test
+    void theSuccessorIsAdded() {
+      SimulatedCluster cluster = ledByAJoinedReplica(31);
+      cluster.crash(0);
+      cluster.run(1_000);
+      int successor = cluster.join(INITIAL_REPLICAS);
+      cluster.run(CATCH_UP_MS);
+      assertTrue(member(cluster, successor), "not added in time");
+      assertFalse(member(cluster, 0), "not removed in time");
+    }
+
+    /** Guards against a group without a quorum after losses that it should tolerate. */
+    @Test
+    void theGroupSurvivesTheLossOfTwoDisksAfterTwoReplacements() {
+      SimulatedCluster cluster = ledByAJoinedReplica(32);
+      for (int replaced : List.of(0, 1)) {
+        cluster.crash(replaced);
+        cluster.run(1_000);
+        cluster.join(INITIAL_REPLICAS);
+        cluster.run(CATCH_UP_MS);
+      }
+      propose(cluster, "last");
+      List<Integer> lost = List.of(2, leaderIndex(cluster));
+      List<Integer> running = List.of(2, 3, 4, 5, 6);
+      lost.forEach(index -> cluster.replica(index).loseDisk());
+      running.forEach(cluster::crash);
+      running.forEach(cluster::start);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()), "no leader");
+      propose(cluster, "after");
+    }
+  }
+
   @Nested
   class WhenOnlyBlankReplicasRun {
     /** Guards against a second group bootstrapped by replicas that are new or lost their disks. */
