Remove silent members whenever the group has more than it needs

A silent member was removed only while the number of members was even. When successors joined before two machines had been silent for 2 s, the group had seven members of which five ran: it bore one further loss instead of two.

The group now removes silent members while it has more than twice the tolerated losses plus one (fault-tolerance of the settings; at least the number of contacts). It no longer shrinks below that either: four members with one silent became three before, where only two copies of a commit exist.

ReplicaReplacementTest: successorsThatJoinedFirstReplaceTwoMembers failed before ("after is not acknowledged").

--- a/agreement/src/main/java/dev/caroblb/agreement/AgreementSettings.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/AgreementSettings.java
@@ -16,6 +16,7 @@
   private final List<InstanceId> initialReplicas;
   private final boolean mayBootstrap;
   private final boolean acceptsNewReplicas;
+  private final int minMembers;
   private final List<InstanceId> slots;
 
   private AgreementSettings(
@@ -23,12 +24,14 @@
       List<InstanceId> slots,
       List<InstanceId> initialReplicas,
       boolean mayBootstrap,
-      boolean acceptsNewReplicas) {
+      boolean acceptsNewReplicas,
+      int minMembers) {
     this.self = self;
     this.slots = new ArrayList<>(slots);
     this.initialReplicas = List.copyOf(initialReplicas);
     this.mayBootstrap = mayBootstrap;
     this.acceptsNewReplicas = acceptsNewReplicas;
+    this.minMembers = minMembers;
     if (!slots.contains(self.instance())) {
       throw new IllegalArgumentException(
           "instance "
@@ -44,7 +47,7 @@
    * @param slots all instances with a data folder, including this one
    */
   public AgreementSettings(Member self, List<InstanceId> slots) {
-    this(self, slots, slots, true, false);
+    this(self, slots, slots, true, false, slots.size());
   }
 
   /**
@@ -54,14 +57,16 @@
    * @param contacts replicas known from the start; they bootstrap the groups if all are blank
    * @param firstStart whether the whole system starts for the first time, so that groups may be
    *     bootstrapped; otherwise a blank replica waits until it is added to the existing groups
+   * @param toleratedLosses replicas that may be lost at the same time
    */
   public static AgreementSettings withDynamicReplicas(
-      Member self, List<InstanceId> contacts, boolean firstStart) {
+      Member self, List<InstanceId> contacts, boolean firstStart, int toleratedLosses) {
     List<InstanceId> slots = new ArrayList<>(contacts);
     if (!slots.contains(self.instance())) {
       slots.add(self.instance());
     }
-    return new AgreementSettings(self, slots, contacts, firstStart, true);
+    int minMembers = Math.max(contacts.size(), 2 * toleratedLosses + 1);
+    return new AgreementSettings(self, slots, contacts, firstStart, true, minMembers);
   }
 
   Member self() {
@@ -74,7 +79,7 @@
 
   /** Minimum number of members that remain when an unresponsive member is removed. */
   int minMembers() {
-    return initialReplicas.size();
+    return minMembers;
   }
 
   /**
--- a/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
+++ b/agreement/src/main/java/dev/caroblb/agreement/MembershipChange.java
@@ -96,14 +96,15 @@
       changed.add(learner.get());
       return Optional.of(changed);
     }
-    boolean hasExtraMember = members.size() > settings.minMembers() && members.size() % 2 == 0;
+    boolean hasExtraMember = members.size() > settings.minMembers();
     return hasExtraMember ? unresponsive.map(member -> without(members, member)) : Optional.empty();
   }
 
   /**
    * Returns a member that has not responded for a long time. It is removed when a new replica can
-   * take its place, or when the number of members is even and above the minimum: one member less
-   * then tolerates as many failures. If it responds again, it is added again.
+   * take its place, or when the number of members is above the minimum: machines that are gone for
+   * good would otherwise raise the majority that the running ones have to reach. If it responds
+   * again, it is added again.
    */
   private Optional<Member> unresponsiveMember(
       List<Member> members, Replication replication, long nowMs) {
--- a/agreement/src/test/java/dev/caroblb/agreement/ReplicaReplacementTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaReplacementTest.java
@@ -83,6 +83,23 @@
       assertEquals(3, members(cluster).orElseThrow().size());
     }
 
+    /** Guards against dead members that use up the losses which the group should tolerate. */
+    @Test
+    void successorsThatJoinedFirstReplaceTwoMembers() {
+      SimulatedCluster cluster = SimulatedCluster.withDynamicReplicas(3, 2, 25);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "did not settle");
+      List<Integer> replaced =
+          List.of(cluster.join(INITIAL_REPLICAS), cluster.join(INITIAL_REPLICAS));
+      List<Integer> successors =
+          List.of(cluster.join(INITIAL_REPLICAS), cluster.join(INITIAL_REPLICAS));
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.settled(GROUP)), "not all are members");
+      replaced.forEach(cluster::crash);
+      cluster.run(CATCH_UP_MS);
+      successors.forEach(cluster::crash);
+      assertTrue(cluster.runUntil(LIMIT_MS, () -> cluster.leader(GROUP).isPresent()), "no leader");
+      propose(cluster, "after");
+    }
+
     /** Guards against a replica that was only disconnected and is never added again. */
     @Test
     void aReconnectedMachineIsAddedAgain() {
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedCluster.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -28,6 +29,7 @@
   private static final long STEP_US = 1_000;
 
   private final Random random;
+  private final OptionalInt toleratedLosses;
   private final Map<GroupId, List<String>> histories = new HashMap<>();
   private final List<SimulatedReplica> replicas = new ArrayList<>();
   private final PriorityQueue<InFlightMessage> inFlight = new PriorityQueue<>();
@@ -43,16 +45,22 @@
   private int maxDelayMs = 2;
 
   SimulatedCluster(int size, long seed, GroupId... groups) {
-    this(size, seed, false, groups);
+    this(size, seed, OptionalInt.empty(), groups);
   }
 
   /** Creates a cluster in which replicas that are not in the settings can join. */
   static SimulatedCluster withDynamicReplicas(int size, long seed) {
-    return new SimulatedCluster(size, seed, true);
+    return withDynamicReplicas(size, 1, seed);
   }
 
-  private SimulatedCluster(int size, long seed, boolean acceptsNewReplicas, GroupId... groups) {
+  /** Creates such a cluster, of which the given number of replicas may be lost at once. */
+  static SimulatedCluster withDynamicReplicas(int size, int toleratedLosses, long seed) {
+    return new SimulatedCluster(size, seed, OptionalInt.of(toleratedLosses));
+  }
+
+  private SimulatedCluster(int size, long seed, OptionalInt toleratedLosses, GroupId... groups) {
     random = new Random(seed);
+    this.toleratedLosses = toleratedLosses;
     for (GroupId group : groups.length == 0 ? new GroupId[] {GROUP} : groups) {
       histories.put(group, new ArrayList<>());
     }
@@ -61,22 +69,19 @@
       slots.add(new InstanceId("replica-" + i));
     }
     for (int i = 0; i < size; i++) {
-      add(slots.get(i), slots, acceptsNewReplicas, true);
+      add(slots.get(i), slots, true);
     }
     replicas.forEach(replica -> replica.start(trueUs));
   }
 
-  private void add(
-      InstanceId instance, List<InstanceId> slots, boolean acceptsNewReplicas, boolean firstStart) {
+  private void add(InstanceId instance, List<InstanceId> slots, boolean firstStart) {
     int from = replicas.size();
     // Rates differ by less than 1 percent, as ConsensusConstants.CLOCK_RATE_ERROR_PERCENT requires.
     double rate = 0.9951 + 0.0098 * random.nextDouble();
     SimulatedReplica replica =
         new SimulatedReplica(
             instance, slots, rate, random, message -> send(from, message), histories);
-    if (acceptsNewReplicas) {
-      replica.acceptNewReplicas(firstStart);
-    }
+    toleratedLosses.ifPresent(tolerated -> replica.acceptNewReplicas(firstStart, tolerated));
     replicas.add(replica);
   }
 
@@ -86,7 +91,7 @@
   int join(List<Integer> contacts) {
     List<InstanceId> known = new ArrayList<>();
     contacts.forEach(index -> known.add(replicas.get(index).instance()));
-    add(new InstanceId("replica-" + replicas.size()), known, true, false);
+    add(new InstanceId("replica-" + replicas.size()), known, false);
     replicas.get(replicas.size() - 1).start(trueUs);
     return replicas.size() - 1;
   }
--- a/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/SimulatedReplica.java
@@ -30,6 +30,7 @@
   private final long offsetUs;
   private boolean acceptsNewReplicas;
   private boolean firstStart;
+  private int toleratedLosses;
   private SimulatedDisk disk;
   private Optional<AgreementHandler> handler = Optional.empty();
   private long syncDelayMs = 1;
@@ -112,14 +113,15 @@
 
   private AgreementSettings settings() {
     return acceptsNewReplicas
-        ? AgreementSettings.withDynamicReplicas(member(), slots, firstStart)
+        ? AgreementSettings.withDynamicReplicas(member(), slots, firstStart, toleratedLosses)
         : new AgreementSettings(member(), slots);
   }
 
   /** Makes the next start use settings that list only some replicas. */
-  void acceptNewReplicas(boolean isFirstStart) {
+  void acceptNewReplicas(boolean isFirstStart, int tolerated) {
     acceptsNewReplicas = true;
     firstStart = isFirstStart;
+    toleratedLosses = tolerated;
   }
 
   void crash() {
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -49,6 +49,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -115,7 +116,8 @@
             settings.cluster(),
             settings.dataFolder().orElseThrow(),
             settings.seeds(),
-            Optional.of(settings.firstStart())),
+            settings.firstStart(),
+            OptionalInt.of(settings.toleratedLosses())),
         Map.of(GroupId.CONTROL, routingStateMachine),
         duties,
         transport,
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
@@ -20,6 +20,7 @@
  * @param directory addresses of other instances
  * @param seeds control instances named in the settings, through which it discovers the others
  * @param firstStart whether the whole system starts for the first time, with empty disks
+ * @param toleratedLosses control instances that may be lost at the same time
  * @param dataFolder data folder of its control replica; empty if it has none
  * @param callersAddress address for callers; empty if it serves none
  * @param drainLimitMs maximum duration of a planned stop in milliseconds
@@ -34,6 +35,7 @@
     PeerDirectory directory,
     List<InstanceId> seeds,
     boolean firstStart,
+    int toleratedLosses,
     Optional<Path> dataFolder,
     Optional<String> callersAddress,
     long drainLimitMs,
--- a/daemon/src/main/java/dev/caroblb/daemon/ReplicaSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ReplicaSettings.java
@@ -5,7 +5,7 @@
 import dev.caroblb.core.InstanceId;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * Settings of the control replica of this instance.
@@ -14,7 +14,8 @@
  * @param cluster name of the system; a data folder of another system is rejected
  * @param folder data folder
  * @param replicas all control replicas, or only those known at the start
- * @param firstStart whether the whole system starts for the first time; empty when {@code replicas}
+ * @param firstStart whether the whole system starts for the first time
+ * @param toleratedLosses replicas that may be lost at the same time; empty when {@code replicas}
  *     lists all control replicas
  */
 record ReplicaSettings(
@@ -22,14 +23,17 @@
     String cluster,
     Path folder,
     List<InstanceId> replicas,
-    Optional<Boolean> firstStart) {
+    boolean firstStart,
+    OptionalInt toleratedLosses) {
   ReplicaSettings {
     replicas = List.copyOf(replicas);
   }
 
   AgreementSettings agreementSettings(Member self) {
-    return firstStart
-        .map(first -> AgreementSettings.withDynamicReplicas(self, replicas, first))
-        .orElseGet(() -> new AgreementSettings(self, replicas));
+    if (toleratedLosses.isEmpty()) {
+      return new AgreementSettings(self, replicas);
+    }
+    return AgreementSettings.withDynamicReplicas(
+        self, replicas, firstStart, toleratedLosses.getAsInt());
   }
 }
--- a/daemon/src/main/java/dev/caroblb/daemon/SharedStateDuties.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/SharedStateDuties.java
@@ -39,6 +39,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Creates the duties that share state between instances: agreement, configuration, idempotency. */
 final class SharedStateDuties implements AutoCloseable {
@@ -85,7 +86,8 @@
                 settings.cluster(),
                 settings.dataFolder().orElseThrow(),
                 replicas(),
-                Optional.empty()),
+                true,
+                OptionalInt.empty()),
             stateMachines(),
             duties,
             transport,
--- a/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
+++ b/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
@@ -68,6 +68,7 @@
                 PeerDirectory.fixed(Map.of()),
                 List.of(),
                 true,
+                1,
                 Optional.empty(),
                 Optional.of("127.0.0.1:1"),
                 DRAIN_LIMIT_MS,
