Find causes of different crashes separately

Two parts of prompts that had each crashed as many engines, in different crashes, were taken for one cause that cannot be told apart, and only requests with both parts were held back: neither stopped crashing engines. Parts count as one cause now only if they are suspects of the same crash.

PromptQuarantineTest$Threshold.findsTwoCausesOfDifferentCrashes failed before (neither blocked).

--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashAttribution.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashAttribution.java
@@ -39,7 +39,7 @@
     List<CrashCause> causes = new ArrayList<>();
     while (!open.isEmpty()) {
       Map<PromptPart, Count> counts = count(open);
-      List<PromptPart> found = mostCrashes(counts);
+      List<PromptPart> found = mostCrashes(counts, open);
       if (found.isEmpty()) {
         break;
       }
@@ -69,10 +69,11 @@
   }
 
   /**
-   * The parts with most crashes among those with enough of them. A part on which no engine ever
+   * A part with most crashes among those with enough of them, and the parts with as many that are
+   * suspects of the same crashes, since these cannot be told apart. A part on which no engine ever
    * generated comes first: one that was answered before is more likely a part that many share.
    */
-  private List<PromptPart> mostCrashes(Map<PromptPart, Count> counts) {
+  private List<PromptPart> mostCrashes(Map<PromptPart, Count> counts, List<EngineCrash> open) {
     List<PromptPart> candidates = new ArrayList<>();
     for (Map.Entry<PromptPart, Count> entry : counts.entrySet()) {
       if (entry.getValue().crashes() >= MIN_CRASHES) {
@@ -83,6 +84,13 @@
         candidates.stream().filter(part -> !log.everAnswered(part)).toList();
     List<PromptPart> preferred = neverAnswered.isEmpty() ? candidates : neverAnswered;
     int most = preferred.stream().mapToInt(part -> counts.get(part).crashes()).max().orElse(0);
-    return preferred.stream().filter(part -> counts.get(part).crashes() == most).toList();
+    List<PromptPart> equal =
+        preferred.stream().filter(part -> counts.get(part).crashes() == most).toList();
+    return equal.stream().filter(part -> shareCrash(part, equal.get(0), open)).toList();
+  }
+
+  private boolean shareCrash(PromptPart part, PromptPart other, List<EngineCrash> open) {
+    return open.stream()
+        .anyMatch(crash -> log.suspected(part, crash) && log.suspected(other, crash));
   }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -71,6 +71,17 @@
       assertFalse(blocked("a", "b"));
     }
 
+    /** Guards against two causes with as many crashes that are held back only together. */
+    @Test
+    void findsTwoCausesOfDifferentCrashes() {
+      for (int i = 0; i < 3; i++) {
+        crash("x");
+        crash("y");
+      }
+      assertTrue(blocked("x"));
+      assertTrue(blocked("y"));
+    }
+
     /** Guards against quarantining a rare part for crashes that another part explains. */
     @Test
     void sparesPartsWhoseCrashesAreExplained() {
