Hold back requests that crash one target after another

Cause: crashes were attributed to parts that prompts share, and a request as a whole was none. Its fingerprint (workspace key, host, method, path with query, body) now counts as one more such part, so that all instances share the evidence and refuse the request after three crashes, as not run. Fingerprints are announced at once only if they recur, and answers are kept for suspects only.

PromptQuarantineTest$Fingerprints is new.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -14,7 +14,8 @@
  * @param timeoutMs timeout in milliseconds requested by the caller
  * @param key API key of the caller's workspace
  * @param generationSize size of the prompt and of the output, for a generation
- * @param sharedPromptParts parts of the prompt that other requests may share, in order
+ * @param sharedPromptParts parts of the prompt that other requests may share, in order; then the
+ *     fingerprint of the request, which it shares with its repetitions
  * @param port receives the response
  */
 public record ForwardCall(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
@@ -64,7 +64,7 @@
   private static Refusal refusal(Quarantine blocking) {
     return Refusal.of(
             RefusalReason.PROMPT_QUARANTINED,
-            "the prompt has a part that crashes engines: "
+            "the request or a part of its prompt crashes targets: "
                 + PromptPart.toLogValue(blocking.parts()))
         .retryAfter(blocking.leftMs());
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/CrashLog.java
@@ -132,6 +132,15 @@
     return new ArrayList<>(crashes.values());
   }
 
+  /** Number of crashes of which a part is or was a suspect. */
+  int crashesWith(PromptPart part) {
+    int count = 0;
+    for (EngineCrash crash : crashes.values()) {
+      count += crash.hasSuspect(part) ? 1 : 0;
+    }
+    return count;
+  }
+
   /** All parts that are or were suspects of a crash. */
   Set<PromptPart> suspects() {
     Set<PromptPart> suspects = new HashSet<>();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptPart.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptPart.java
@@ -4,7 +4,8 @@
 import java.util.stream.Collectors;
 
 /**
- * A part of a prompt that several requests may share.
+ * What several requests may share and what may crash their targets: a part of their prompts, or all
+ * of their contents ({@link RequestFingerprint}).
  *
  * @param id identifies the contents of the part; equal for all requests that share it
  */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/PromptQuarantine.java
@@ -39,7 +39,8 @@
 
   /**
    * Records that an engine broke off a request before any content of its response. Returns whether
-   * this is new evidence.
+   * this is new evidence that other instances need soon. The first crash with a fingerprint is not:
+   * most such requests were only in progress at the target, and are answered elsewhere.
    */
   public boolean crashed(
       TargetId target, long incarnation, List<PromptPart> parts, long sentMs, long nowMs) {
@@ -58,7 +59,11 @@
               .with("parts", PromptPart.toLogValue(parts)));
       decide();
     }
-    return changed;
+    return changed && parts.stream().anyMatch(this::recurs);
+  }
+
+  private boolean recurs(PromptPart part) {
+    return !RequestFingerprint.isFingerprint(part) || all.crashesWith(part) > 1;
   }
 
   /**
@@ -76,11 +81,15 @@
 
   /**
    * Records that an engine generated on the parts of a prompt. Returns whether this is new
-   * evidence.
+   * evidence. Of fingerprints only suspects are recorded: there are as many as requests, and they
+   * would displace the parts of prompts.
    */
   public boolean answered(List<PromptPart> parts, long nowMs) {
     boolean changed = false;
     for (PromptPart part : parts) {
+      if (RequestFingerprint.isFingerprint(part) && all.crashesWith(part) == 0) {
+        continue;
+      }
       own.answered(part, nowMs);
       changed |= all.answered(part, nowMs);
     }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/quarantine/PromptQuarantineTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -161,6 +163,58 @@
     }
   }
 
+  @Nested
+  class Fingerprints {
+    private final PromptPart request =
+        RequestFingerprint.of("key", "host", "GET", "/path", Payload.empty());
+
+    private boolean crash() {
+      nowMs += 400;
+      return quarantine.crashed(
+          new TargetId("t" + engines++), 1, List.of(request), nowMs - 300, nowMs);
+    }
+
+    /** Guards against messages for each request that was only in progress at a crash. */
+    @Test
+    void areReportedSoonOnlyIfTheyRecur() {
+      assertFalse(crash());
+      assertTrue(crash());
+      assertTrue(crash());
+      assertTrue(quarantine.blocking(List.of(request), nowMs).isPresent());
+    }
+
+    /** Guards against answers to many requests that displace those to parts of prompts. */
+    @Test
+    void areNotRememberedWithoutACrash() {
+      PromptQuarantineTest.this.crash("a");
+      answer("a");
+      for (int i = 0; i < 5_000; i++) {
+        quarantine.answered(
+            List.of(RequestFingerprint.of("key", "host", "GET", "/" + i, Payload.empty())), nowMs);
+      }
+      PromptQuarantineTest.this.crash("a");
+      PromptQuarantineTest.this.crash("a");
+      assertFalse(blocked("a"));
+    }
+
+    /** Guards against requests that are taken for repetitions of another one. */
+    @Test
+    void differWithTheContents() {
+      Payload body = Payload.ofText("body");
+      Set<PromptPart> different =
+          Set.of(
+              request,
+              RequestFingerprint.of("other", "host", "GET", "/path", Payload.empty()),
+              RequestFingerprint.of("key", "other", "GET", "/path", Payload.empty()),
+              RequestFingerprint.of("key", "host", "POST", "/path", Payload.empty()),
+              RequestFingerprint.of("key", "host", "GET", "/path?a", Payload.empty()),
+              RequestFingerprint.of("key", "host", "GET", "/path", body),
+              RequestFingerprint.of("", "keyhost", "GET", "/path", body));
+      assertEquals(7, different.size());
+      assertEquals(request, RequestFingerprint.of("key", "host", "GET", "/path", Payload.empty()));
+    }
+  }
+
   @Nested
   class Heartbeats {
     private void heartbeatOfAllEngines() {
