--- a/agreement/src/test/java/dev/caroblb/agreement/ReplicaChurnTest.java
+++ b/agreement/src/test/java/dev/caroblb/agreement/ReplicaChurnTest.java
@@ -31,7 +31,7 @@
   /** Time after a loss of power within which the group must work again. */
   private static final long RECOVER_MS = 15_000;
 
-  /** Replicas that fail in one way during a round. */
+  /** The way in which a replica is lost during a round. */
   private enum Loss {
     RESTART,
     DISK_LOST,
