--- /dev/null
+++ b/daemon/src/main/java/dev/caroblb/daemon/CallMetricsObserver.java
@@ -0,0 +1,35 @@
+package dev.caroblb.daemon;
+
+import dev.caroblb.core.RefusalReason;
+import dev.caroblb.core.RetryReason;
+import dev.caroblb.forwarding.CallObserver;
+import dev.caroblb.metrics.InstanceMetrics;
+
+/** Counts what happens to forwarded requests. */
+final class CallMetricsObserver implements CallObserver {
+  private final InstanceMetrics metrics;
+
+  CallMetricsObserver(InstanceMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void refused(RefusalReason reason) {
+    metrics.countRefusal(reason);
+  }
+
+  @Override
+  public void retried(RetryReason reason) {
+    metrics.countRetry(reason);
+  }
+
+  @Override
+  public void responded(long elapsedMs) {
+    metrics.recordTimeToFirstToken(elapsedMs);
+  }
+
+  @Override
+  public void partGap(long gapMs) {
+    metrics.recordTokenGap(gapMs);
+  }
+}
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -11,17 +11,12 @@
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.ProposalOutcome;
 import dev.caroblb.core.Proposer;
-import dev.caroblb.core.RefusalReason;
-import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.CallObserver;
 import dev.caroblb.forwarding.ForwardingHandler;
 import dev.caroblb.forwarding.ForwardingMessage;
-import dev.caroblb.forwarding.TargetInfo;
+import dev.caroblb.forwarding.ForwardingOutlets;
 import dev.caroblb.forwarding.TargetPort;
-import dev.caroblb.forwarding.codec.LoadCodec;
 import dev.caroblb.membership.AllTargets;
-import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.ContactTopology;
 import dev.caroblb.membership.DrainProgress;
 import dev.caroblb.membership.InstanceRecord;
@@ -30,9 +25,9 @@
 import dev.caroblb.membership.MembershipHandler;
 import dev.caroblb.membership.MembershipMessage;
 import dev.caroblb.membership.MembershipOutlets;
-import dev.caroblb.membership.TargetChange;
 import dev.caroblb.membership.codec.MembershipCodec;
 import dev.caroblb.metrics.InstanceMetrics;
+import dev.caroblb.pacing.codec.PacingCodec;
 import dev.caroblb.routing.RoutingFormat;
 import dev.caroblb.routing.RoutingHandler;
 import dev.caroblb.routing.RoutingMessage;
@@ -41,6 +36,9 @@
 import dev.caroblb.routing.codec.GroupCommandProposer;
 import dev.caroblb.routing.codec.PeerMessageCodec;
 import dev.caroblb.routing.codec.RoutingStateMachine;
+import dev.caroblb.scheduling.SchedulingHandler;
+import dev.caroblb.scheduling.SchedulingMessage;
+import dev.caroblb.scheduling.codec.SchedulingCodec;
 import dev.caroblb.transport.Channel;
 import dev.caroblb.transport.Hello;
 import dev.caroblb.transport.PeerTransport;
@@ -71,6 +69,7 @@
   private final InstanceMetrics metrics = new InstanceMetrics();
   private final LateBoundOutlet<RoutingMessage> routing = new LateBoundOutlet<>();
   private final LateBoundOutlet<ForwardingMessage> forwarding = new LateBoundOutlet<>();
+  private final Optional<LateBoundOutlet<SchedulingMessage>> scheduling;
   private final LateBoundOutlet<MembershipMessage> membership = new LateBoundOutlet<>();
   private final RoutingStateMachine routingStateMachine = new RoutingStateMachine(routing);
   private final Optional<ControlReplica> replica;
@@ -102,6 +101,8 @@
             settings.peersAddress(),
             settings.directory(),
             clock);
+    scheduling =
+        settings.hasControlReplica() ? Optional.of(new LateBoundOutlet<>()) : Optional.empty();
     replica = settings.hasControlReplica() ? Optional.of(openReplica()) : Optional.empty();
     createRouting(format);
     forwardingHandler = createForwarding(targets);
@@ -163,26 +164,50 @@
   private boolean tableInstalled(RoutingTable installed) {
     table = Optional.of(installed);
     membership.offer(new MembershipMessage.ConfigurationInstalled(installed.number()));
-    return forwarding.offer(new ForwardingMessage.TableInstalled(installed));
+    boolean scheduled =
+        scheduling.isEmpty()
+            || scheduling.get().offer(new SchedulingMessage.TableInstalled(installed));
+    return scheduled && forwarding.offer(new ForwardingMessage.TableInstalled(installed));
   }
 
   private ForwardingHandler createForwarding(TargetPort targets) {
-    PeerChannel<dev.caroblb.forwarding.PeerMessage> peers =
-        new PeerChannel<>(transport, Channel.FORWARDING, new LoadCodec());
+    PeerChannel<dev.caroblb.forwarding.PeerMessage> evidence =
+        new PeerChannel<>(
+            transport, Channel.FORWARDING, new dev.caroblb.forwarding.codec.PeerMessageCodec());
+    PeerChannel<dev.caroblb.scheduling.PeerMessage> schedulers =
+        new PeerChannel<>(transport, Channel.SCHEDULING, new SchedulingCodec());
+    PeerChannel<dev.caroblb.pacing.PeerMessage> limits =
+        new PeerChannel<>(transport, Channel.PACING, new PacingCodec());
     ForwardingHandler handler =
         new ForwardingHandler(
             settings.forwarding(),
             targets,
-            peers,
-            this::targetLeaves,
-            new CallMetricsObserver(),
+            new ForwardingOutlets(schedulers, limits, evidence, this::targetLeaves),
+            new CallMetricsObserver(metrics),
             new Random());
     Duty<ForwardingMessage> duty = duties.create("forwarding", handler);
     forwarding.bind(duty);
-    peers.setReceiver(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
+    evidence.setReceiver(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
+    if (scheduling.isPresent()) {
+      createScheduling(scheduling.get(), schedulers, limits);
+    } else {
+      schedulers.setReceiver(message -> duty.offer(new ForwardingMessage.FromScheduler(message)));
+      limits.setReceiver(message -> duty.offer(new ForwardingMessage.LimitsFromPeer(message)));
+    }
     return handler;
   }
 
+  private void createScheduling(
+      LateBoundOutlet<SchedulingMessage> outlet,
+      PeerChannel<dev.caroblb.scheduling.PeerMessage> peers,
+      PeerChannel<dev.caroblb.pacing.PeerMessage> limits) {
+    Duty<SchedulingMessage> duty =
+        duties.create("scheduling", new SchedulingHandler(peers, limits, new Random()));
+    outlet.bind(duty);
+    peers.setReceiver(message -> duty.offer(new SchedulingMessage.FromPeer(message)));
+    limits.setReceiver(message -> duty.offer(new SchedulingMessage.LimitsFromPeer(message)));
+  }
+
   private void createMembership(long incarnation) {
     PeerChannel<dev.caroblb.membership.PeerMessage> peers =
         new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
@@ -198,7 +223,10 @@
             settings.drainLimitMs(),
             new AllTargets(),
             new MembershipOutlets(
-                peers, this::targetChanged, this::viewChanged, this::drainProgressed));
+                peers,
+                new TargetChangeBridge(forwarding, scheduling),
+                this::viewChanged,
+                this::drainProgressed));
     Duty<MembershipMessage> duty = duties.create("membership", handler);
     membership.bind(duty);
     peers.setReceiver(message -> duty.offer(new MembershipMessage.FromPeer(message)));
@@ -208,37 +236,6 @@
     return membership.offer(new MembershipMessage.LeavingObserved(run.target(), run.incarnation()));
   }
 
-  private boolean targetChanged(TargetChange change) {
-    if (change instanceof TargetChange.Leaving leaving) {
-      return forwarding.offer(
-          new ForwardingMessage.TargetLeaving(leaving.target(), leaving.incarnation()));
-    }
-    if (change instanceof TargetChange.Gone gone) {
-      return forwarding.offer(new ForwardingMessage.TargetGone(gone.target(), gone.incarnation()));
-    }
-    if (change instanceof TargetChange.Reported reported) {
-      return targetAvailable(reported.latest().announcement());
-    }
-    if (change instanceof TargetChange.Restarted restarted) {
-      return targetAvailable(restarted.latest().announcement());
-    }
-    return targetAvailable(((TargetChange.Available) change).latest().announcement());
-  }
-
-  private boolean targetAvailable(Announcement announcement) {
-    if (announcement.serves().isEmpty()) {
-      return true;
-    }
-    return forwarding.offer(
-        new ForwardingMessage.TargetAvailable(
-            new TargetInfo(
-                announcement.target(),
-                announcement.incarnation(),
-                announcement.serves().get(0),
-                announcement.address(),
-                announcement.domain())));
-  }
-
   /** Routing tables are exchanged with the same instances as the tables of targets. */
   private boolean viewChanged(InstanceView latest) {
     view = latest;
@@ -255,9 +252,12 @@
             .toList();
     long servingInstances =
         latest.instances().stream().filter(known -> !known.address().isEmpty()).count();
+    scheduling.ifPresent(
+        outlet ->
+            outlet.offer(new SchedulingMessage.ServingInstancesChanged((int) servingInstances)));
     forwarding.offer(
         new ForwardingMessage.ControlInstancesChanged(
-            settings.hasControlReplica() ? List.of() : controlInstances, (int) servingInstances));
+            settings.hasControlReplica() ? List.of() : controlInstances));
     return routing.offer(new RoutingMessage.PeersChanged(peers));
   }
 
@@ -373,26 +373,4 @@
     replica.ifPresent(ControlReplica::close);
     transport.close();
   }
-
-  private final class CallMetricsObserver implements CallObserver {
-    @Override
-    public void refused(RefusalReason reason) {
-      metrics.countRefusal(reason);
-    }
-
-    @Override
-    public void retried(RetryReason reason) {
-      metrics.countRetry(reason);
-    }
-
-    @Override
-    public void responded(long elapsedMs) {
-      metrics.recordTimeToFirstToken(elapsedMs);
-    }
-
-    @Override
-    public void partGap(long gapMs) {
-      metrics.recordTokenGap(gapMs);
-    }
-  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/AttemptOrder.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/AttemptOrder.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.targets.TargetInfo;
 import java.util.Optional;
 
 /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/DelayedContinuation.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/DelayedContinuation.java
@@ -1,5 +1,7 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.targets.Target;
+
 /**
  * A generation that continues from a copy as soon as the engine with the copy accepts requests.
  *
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -8,6 +8,10 @@
 import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.quarantine.PromptPart;
 import dev.caroblb.routing.Route;
+import dev.caroblb.scheduling.PeerMessage;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetPool;
 import java.util.Optional;
 
 /** Sends requests to targets: initially, as retries, and to continue from copied memory. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -4,6 +4,8 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.Target;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -4,16 +4,26 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
-import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.limit.TargetLimits;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
+import dev.caroblb.pacing.LimitExchange;
+import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Workspace;
+import dev.caroblb.scheduling.PeerMessage.PermitReply;
+import dev.caroblb.scheduling.PeerMessage.PlacementQueued;
+import dev.caroblb.scheduling.PeerMessage.PlacementReply;
+import dev.caroblb.scheduling.PeerMessage.RemoteLoadReport;
+import dev.caroblb.scheduling.ProcessSequence;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.ReportedLoad;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetInfo;
+import dev.caroblb.targets.TargetPool;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -37,36 +47,28 @@
   private final GenerationMover mover;
   private final ReportedLoad remoteLoad = new ReportedLoad();
   private final CoordinatorClient coordinator;
-  private final PlacementCoordinator localCoordinator;
   private final EvidenceExchange evidence;
   private final PromptGuard guard;
   private Optional<RoutingTable> table = Optional.empty();
   private volatile boolean refuseNew;
 
-  /**
-   * @param leaving receives the targets that said in a response that they leave
-   */
   public ForwardingHandler(
       ForwardingSettings settings,
       TargetPort port,
-      Outlet<PeerEnvelope<PeerMessage>> peers,
-      Outlet<TargetRun> leaving,
+      ForwardingOutlets outlets,
       CallObserver observer,
       RandomGenerator random) {
     this.settings = settings;
-    this.leaving = leaving;
+    leaving = outlets.leaving();
     this.random = random;
-    PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
-    limitExchange = new LimitExchange(peers, limits, ledger::instances);
-    pool = new TargetPool(random, List.of(remoteLoad, ledger), limits);
-    coordinator = new CoordinatorClient(peers, new ProcessSequence(random));
-    localCoordinator =
-        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
+    limitExchange = new LimitExchange(outlets.pacing(), limits, List::of);
+    pool = new TargetPool(random, List.of(remoteLoad), limits);
+    coordinator = new CoordinatorClient(outlets.scheduling(), new ProcessSequence(random));
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
     finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
     PromptQuarantine quarantine = new PromptQuarantine();
-    evidence = new EvidenceExchange(peers, quarantine);
+    evidence = new EvidenceExchange(outlets.evidence(), quarantine);
     guard = new PromptGuard(quarantine, evidence);
     dispatcher =
         new Dispatcher(
@@ -103,10 +105,13 @@
       exchanges.find(ready.call()).ifPresent(exchange -> responses.callerReady(exchange, nowMs));
     } else if (message instanceof ForwardingMessage.FromPeer fromPeer) {
       fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
+    } else if (message instanceof ForwardingMessage.FromScheduler fromScheduler) {
+      fromScheduler(fromScheduler.received().peer(), fromScheduler.received().message(), nowMs);
+    } else if (message instanceof ForwardingMessage.LimitsFromPeer fromPeer) {
+      limitsFromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else {
       stateChanged(message, nowMs);
       dispatcher.placeWaiting(nowMs);
-      localCoordinator.placeQueued(nowMs);
     }
   }
 
@@ -115,6 +120,8 @@
    */
   private static boolean changesLoad(ForwardingMessage message) {
     return !(message instanceof ForwardingMessage.FromPeer
+        || message instanceof ForwardingMessage.FromScheduler
+        || message instanceof ForwardingMessage.LimitsFromPeer
         || message instanceof ForwardingMessage.Body
         || message instanceof ForwardingMessage.CallerReady
         || message instanceof ForwardingMessage.TargetAvailable);
@@ -199,23 +206,33 @@
   }
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
-    if (message instanceof PeerMessage.LoadReport report) {
-      localCoordinator.loadReported(peer, report, nowMs);
-    } else if (message instanceof PeerMessage.PlacementRequest request) {
-      localCoordinator.placementRequested(peer, request, nowMs);
-    } else if (message instanceof PeerMessage.PlacementCancelled cancelled) {
-      localCoordinator.placementCancelled(peer, cancelled.ticket());
-    } else if (message instanceof PeerMessage.PlacementQueued queued) {
+    if (message instanceof PeerMessage.EvidenceReport report) {
+      evidence.reported(peer, report.evidence(), nowMs);
+    } else if (message instanceof PeerMessage.EvidenceAnnouncement announcement
+        && evidence.received(announcement.evidence(), nowMs)) {
+      dispatcher.endQuarantined(nowMs);
+    }
+  }
+
+  private void limitsFromPeer(InstanceId peer, dev.caroblb.pacing.PeerMessage message, long nowMs) {
+    if (message instanceof dev.caroblb.pacing.PeerMessage.LimitAnnouncement announcement) {
+      limitExchange.announced(peer, announcement.statements(), nowMs);
+    }
+  }
+
+  private void fromScheduler(
+      InstanceId peer, dev.caroblb.scheduling.PeerMessage message, long nowMs) {
+    if (message instanceof PlacementQueued queued) {
       coordinator
           .queued(queued.ticket(), nowMs)
           .flatMap(exchanges::find)
           .ifPresent(exchange -> dispatcher.queued(exchange, nowMs));
-    } else if (message instanceof PeerMessage.PlacementReply reply) {
+    } else if (message instanceof PlacementReply reply) {
       coordinator
           .replied(reply, nowMs)
           .flatMap(exchanges::find)
           .ifPresent(exchange -> placementReplied(exchange, reply, nowMs));
-    } else if (message instanceof PeerMessage.RemoteLoadReport report) {
+    } else if (message instanceof RemoteLoadReport report) {
       coordinator.remoteLoadReported(peer, nowMs);
       budget.setInstances(report.instances());
       pool.setInstances(report.instances());
@@ -223,7 +240,7 @@
       limits.expire(nowMs);
       limits.coordinatorHeard(nowMs);
       remoteLoad.replace(report.loads(), nowMs);
-    } else if (message instanceof PeerMessage.PermitReply reply) {
+    } else if (message instanceof PermitReply reply) {
       limits.coordinatorHeard(nowMs);
       if (reply.target().isEmpty() && reply.waitMs().isEmpty()) {
         limitExchange.reportAll(nowMs);
@@ -233,19 +250,10 @@
           .flatMap(exchanges::find)
           .filter(exchange -> exchange.awaitsReply(reply.ticket()))
           .ifPresent(exchange -> dispatcher.permitReceived(exchange, reply, nowMs));
-    } else if (message instanceof PeerMessage.LimitReport report) {
-      limitExchange.reported(peer, report, nowMs);
-    } else if (message instanceof PeerMessage.LimitAnnouncement announcement) {
-      limitExchange.announced(peer, announcement.statements(), nowMs);
-    } else if (message instanceof PeerMessage.EvidenceReport report) {
-      evidence.reported(peer, report.evidence(), nowMs);
-    } else if (message instanceof PeerMessage.EvidenceAnnouncement announcement
-        && evidence.received(announcement.evidence(), nowMs)) {
-      dispatcher.endQuarantined(nowMs);
     }
   }
 
-  private void placementReplied(Exchange exchange, PeerMessage.PlacementReply reply, long nowMs) {
+  private void placementReplied(Exchange exchange, PlacementReply reply, long nowMs) {
     Optional<PendingPlacement> pending =
         exchange.pendingPlacement().filter(request -> request.ticket() == reply.ticket());
     if (pending.isEmpty()) {
@@ -273,7 +281,6 @@
       coordinator.setControlInstances(changed.controlInstances());
       limitExchange.setControlInstances(changed.controlInstances());
       evidence.setControlInstances(changed.controlInstances());
-      localCoordinator.setServingInstances(changed.servingInstances());
     } else if (message instanceof ForwardingMessage.DrainStarted started) {
       drain.setLimit(started.limitAtMs());
       dispatcher.drainStarted(nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.RoutingTable;
+import dev.caroblb.targets.TargetInfo;
 import java.util.List;
 
 /** Input of the forwarding handler. */
@@ -45,18 +46,24 @@
    * The set of live instances changed.
    *
    * @param controlInstances control instances other than this one
-   * @param servingInstances number of instances that serve callers; known to control instances only
    */
-  record ControlInstancesChanged(List<InstanceId> controlInstances, int servingInstances)
-      implements ForwardingMessage {
+  record ControlInstancesChanged(List<InstanceId> controlInstances) implements ForwardingMessage {
     public ControlInstancesChanged {
       controlInstances = List.copyOf(controlInstances);
     }
   }
 
-  /** A message from another instance. */
+  /** A message from another instance about requests that crash their targets. */
   record FromPeer(PeerEnvelope<PeerMessage> received) implements ForwardingMessage {}
 
+  /** A message from the scheduling handler of a control instance. */
+  record FromScheduler(PeerEnvelope<dev.caroblb.scheduling.PeerMessage> received)
+      implements ForwardingMessage {}
+
+  /** A message from a control instance about the request limits of targets. */
+  record LimitsFromPeer(PeerEnvelope<dev.caroblb.pacing.PeerMessage> received)
+      implements ForwardingMessage {}
+
   /** Another routing table became active. */
   record TableInstalled(RoutingTable table) implements ForwardingMessage {}
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMove.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMove.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.targets.Target;
 import java.util.Optional;
 
 /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -5,6 +5,9 @@
 import dev.caroblb.routing.EngineLimits;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Service;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetPool;
 import java.util.Optional;
 
 /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PendingPlacement.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PendingPlacement.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.targets.PlacementNeed;
 
 /**
  * A placement request without a final reply.
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/PromptGuard.java
@@ -5,6 +5,8 @@
 import dev.caroblb.forwarding.quarantine.PromptPart;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.forwarding.quarantine.Quarantine;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetInfo;
 import java.util.Optional;
 
 /** Derives evidence of crashed engines from exchanges, and holds back quarantined prompts. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -4,6 +4,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
+import dev.caroblb.targets.Target;
 
 /** Relays responses of targets to callers and decides whether to retry after failures. */
 final class ResponseRelay {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingDrainTest.java
@@ -9,6 +9,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.scheduling.PeerMessage;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -101,14 +102,14 @@
   @Nested
   class WaitingRequest {
     private void queueAtControlInstance(long outputTokens) {
-      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 1));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL)));
       install(1);
       arriveGeneration("/long/x", outputTokens);
       fromControl(new PeerMessage.PlacementQueued(firstTicket()));
     }
 
     private void fromControl(PeerMessage message) {
-      handle(new ForwardingMessage.FromPeer(new PeerEnvelope<>(CONTROL, message)));
+      handle(new ForwardingMessage.FromScheduler(new PeerEnvelope<>(CONTROL, message)));
     }
 
     /** Guards against a queued generation that waits although it can no longer end in time. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -16,6 +16,8 @@
 import dev.caroblb.routing.Service;
 import dev.caroblb.routing.WeightedService;
 import dev.caroblb.routing.Workspace;
+import dev.caroblb.scheduling.PeerMessage;
+import dev.caroblb.targets.TargetInfo;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,14 +35,15 @@
   final RecordingCaller caller = new RecordingCaller();
   final List<RetryReason> retries = new ArrayList<>();
   final List<PeerEnvelope<PeerMessage>> toPeers = new ArrayList<>();
+  final List<PeerEnvelope<dev.caroblb.pacing.PeerMessage>> toPacing = new ArrayList<>();
+  final List<PeerEnvelope<dev.caroblb.forwarding.PeerMessage>> toEvidence = new ArrayList<>();
   final List<TargetRun> leaving = new ArrayList<>();
   final ForwardingHandler handler =
       new ForwardingHandler(
           new ForwardingSettings(
               new InstanceId("entry"), ZONE, 10, MAX_RESPONSE_BYTES, 0.2, 10_000, 320),
           targets,
-          toPeers::add,
-          leaving::add,
+          new ForwardingOutlets(toPeers::add, toPacing::add, toEvidence::add, leaving::add),
           new RecordingObserver(),
           new Random(1));
   long nowMs = 1_000;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
@@ -6,6 +6,8 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.scheduling.PeerMessage;
+import dev.caroblb.targets.PlacementNeed;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -18,12 +20,12 @@
 
   private void requestPlacement() {
     install(3);
-    handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 9));
+    handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL)));
     arriveGeneration("/long/x", 400);
   }
 
   private void receive(PeerMessage message) {
-    handle(new ForwardingMessage.FromPeer(new PeerEnvelope<>(CONTROL, message)));
+    handle(new ForwardingMessage.FromScheduler(new PeerEnvelope<>(CONTROL, message)));
   }
 
   private void grant(Optional<TargetId> target) {
@@ -111,7 +113,7 @@
       requestPlacement();
       receive(new PeerMessage.PlacementQueued(firstTicket()));
       InstanceId other = new InstanceId("control-2");
-      handle(new ForwardingMessage.ControlInstancesChanged(List.of(other), 9));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(other)));
       advance(600);
       PeerEnvelope<PeerMessage> request = lastPlacementRequest();
       assertEquals(other, request.peer());
@@ -127,8 +129,7 @@
       receive(new PeerMessage.PlacementQueued(firstTicket()));
       // From here on two timers fire, 30 ms apart.
       advance(30);
-      handle(
-          new ForwardingMessage.ControlInstancesChanged(List.of(new InstanceId("control-2")), 9));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(new InstanceId("control-2"))));
       advance(470);
       advance(30);
       assertEquals(List.of(), targets.sent);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -1,13 +1,20 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.DutyHandler;
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.MessageCodec;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetId;
-import dev.caroblb.forwarding.codec.LoadCodec;
+import dev.caroblb.forwarding.codec.PeerMessageCodec;
+import dev.caroblb.pacing.codec.PacingCodec;
+import dev.caroblb.scheduling.SchedulingHandler;
+import dev.caroblb.scheduling.SchedulingMessage;
+import dev.caroblb.scheduling.codec.SchedulingCodec;
+import dev.caroblb.targets.TargetInfo;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +24,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 /**
  * Entries and control instances that are joined in memory. Subclasses play the targets. Time is
@@ -33,6 +41,7 @@
   final class Instance implements TargetPort, CallObserver {
     private final InstanceId id;
     private final ForwardingHandler handler;
+    private final SchedulingHandler scheduling;
     private final boolean control;
 
     Instance(String name, boolean control) {
@@ -43,13 +52,43 @@
               new ForwardingSettings(
                   id, new FailureDomain("zone-a"), 1_000, 32 << 20, 0.2, 10_000, 320),
               this,
-              message -> {
-                deliver(id, message);
-                return true;
-              },
-              run -> true,
+              new ForwardingOutlets(
+                  message -> deliver(id, message, schedulingCodec, Instance::fromScheduling),
+                  message -> deliver(id, message, pacingCodec, Instance::limitsFromPeer),
+                  message -> deliver(id, message, evidenceCodec, Instance::fromPeer),
+                  run -> true),
               this,
               new Random(name.hashCode()));
+      scheduling =
+          new SchedulingHandler(
+              message -> deliver(id, message, schedulingCodec, Instance::fromScheduling),
+              message -> deliver(id, message, pacingCodec, Instance::limitsFromPeer),
+              new Random(name.hashCode()));
+    }
+
+    private void fromScheduling(PeerEnvelope<dev.caroblb.scheduling.PeerMessage> message) {
+      if (control) {
+        scheduling.handle(new SchedulingMessage.FromPeer(message), nowMs);
+      } else {
+        handler.handle(new ForwardingMessage.FromScheduler(message), nowMs);
+      }
+    }
+
+    private void limitsFromPeer(PeerEnvelope<dev.caroblb.pacing.PeerMessage> message) {
+      if (control) {
+        scheduling.handle(new SchedulingMessage.LimitsFromPeer(message), nowMs);
+      } else {
+        handler.handle(new ForwardingMessage.LimitsFromPeer(message), nowMs);
+      }
+    }
+
+    private void fromPeer(PeerEnvelope<PeerMessage> message) {
+      handler.handle(new ForwardingMessage.FromPeer(message), nowMs);
+    }
+
+    private void available(TargetInfo target) {
+      scheduling.handle(new SchedulingMessage.TargetAvailable(target), nowMs);
+      handler.handle(new ForwardingMessage.TargetAvailable(target), nowMs);
     }
 
     void handle(ForwardingMessage message) {
@@ -89,7 +128,9 @@
     public void partGap(long gapMs) {}
   }
 
-  private final LoadCodec codec = new LoadCodec();
+  private final SchedulingCodec schedulingCodec = new SchedulingCodec();
+  private final PacingCodec pacingCodec = new PacingCodec();
+  private final PeerMessageCodec evidenceCodec = new PeerMessageCodec();
   private final Map<InstanceId, Instance> instances = new LinkedHashMap<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::dueMs).thenComparing(Event::number));
@@ -127,16 +168,19 @@
     Instance fresh = new Instance(name, before.control);
     instances.put(fresh.id, fresh);
     introduce(fresh);
-    runningTargets().forEach((target, incarnation) -> fresh.handle(available(target, incarnation)));
+    runningTargets().forEach((target, incarnation) -> fresh.available(info(target, incarnation)));
   }
 
   private void introduce(Instance instance) {
     List<InstanceId> controls =
         instances.values().stream().filter(known -> known.control).map(known -> known.id).toList();
     instance.handle(new ForwardingMessage.TableInstalled(ForwardingFixture.table()));
+    instance.scheduling.handle(
+        new SchedulingMessage.TableInstalled(ForwardingFixture.table()), nowMs);
+    instance.scheduling.handle(
+        new SchedulingMessage.ServingInstancesChanged(instances.size() - controls.size()), nowMs);
     instance.handle(
-        new ForwardingMessage.ControlInstancesChanged(
-            instance.control ? List.of() : controls, instances.size() - controls.size()));
+        new ForwardingMessage.ControlInstancesChanged(instance.control ? List.of() : controls));
   }
 
   /** Drops all messages between this instance and the others. */
@@ -157,33 +201,35 @@
     events.add(new Event(nowMs + delayMs, nextEvent++, action));
   }
 
-  private void deliver(InstanceId from, PeerEnvelope<PeerMessage> envelope) {
+  private <M> boolean deliver(
+      InstanceId from,
+      PeerEnvelope<M> envelope,
+      MessageCodec<M> codec,
+      BiConsumer<Instance, PeerEnvelope<M>> receive) {
     Payload bytes = codec.encode(envelope.message());
     boolean cut =
         cutOff.contains(from)
             || cutOff.contains(envelope.peer())
             || cutLinks.contains(Set.of(from, envelope.peer()));
-    if (cut) {
-      return;
+    if (!cut) {
+      in(
+          MESSAGE_DELAY_MS,
+          () ->
+              receive.accept(
+                  instances.get(envelope.peer()),
+                  new PeerEnvelope<>(from, codec.decode(bytes).orElseThrow())));
     }
-    in(
-        MESSAGE_DELAY_MS,
-        () ->
-            instances
-                .get(envelope.peer())
-                .handle(
-                    new ForwardingMessage.FromPeer(
-                        new PeerEnvelope<>(from, codec.decode(bytes).orElseThrow()))));
+    return true;
   }
 
-  static ForwardingMessage available(TargetId target, long incarnation) {
-    return new ForwardingMessage.TargetAvailable(
-        new TargetInfo(target, incarnation, "service", "10.0.0.1:80", new FailureDomain("zone-a")));
+  static TargetInfo info(TargetId target, long incarnation) {
+    return new TargetInfo(
+        target, incarnation, "service", "10.0.0.1:80", new FailureDomain("zone-a"));
   }
 
   /** Announces a run of a target to all instances. */
   void announce(TargetId target, long incarnation) {
-    instances.values().forEach(instance -> instance.handle(available(target, incarnation)));
+    instances.values().forEach(instance -> instance.available(info(target, incarnation)));
   }
 
   /** Number that the next request gets. */
@@ -210,10 +256,15 @@
         events.poll().action().run();
       }
       for (Instance instance : List.copyOf(instances.values())) {
-        if (instance.handler.nextTickMs() <= nowMs) {
-          instance.handler.tick(nowMs);
-        }
+        tickIfDue(instance.handler);
+        tickIfDue(instance.scheduling);
       }
     }
   }
+
+  private void tickIfDue(DutyHandler<?> handler) {
+    if (handler.nextTickMs() <= nowMs) {
+      handler.tick(nowMs);
+    }
+  }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PermitReplyTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/PermitReplyTest.java
@@ -7,7 +7,10 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.limit.LimitStatement;
+import dev.caroblb.pacing.LimitStatement;
+import dev.caroblb.pacing.PeerMessage.LimitAnnouncement;
+import dev.caroblb.pacing.PeerMessage.LimitReport;
+import dev.caroblb.scheduling.PeerMessage;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,18 +23,22 @@
   private static final TargetId LIMITED = new TargetId("t0");
 
   private void receive(PeerMessage message) {
-    handle(new ForwardingMessage.FromPeer(new PeerEnvelope<>(CONTROL, message)));
+    handle(new ForwardingMessage.FromScheduler(new PeerEnvelope<>(CONTROL, message)));
+  }
+
+  private void receiveLimits(dev.caroblb.pacing.PeerMessage message) {
+    handle(new ForwardingMessage.LimitsFromPeer(new PeerEnvelope<>(CONTROL, message)));
   }
 
   private void limit(double perSecond) {
-    receive(
-        new PeerMessage.LimitAnnouncement(
+    receiveLimits(
+        new LimitAnnouncement(
             List.of(new LimitStatement(new TargetRun(LIMITED, 1), Optional.of(perSecond), 0))));
   }
 
   private void installLimited(int targets) {
     install(targets);
-    handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 9));
+    handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL)));
     receive(new PeerMessage.RemoteLoadReport(9, List.of()));
     limit(5);
   }
@@ -80,10 +87,10 @@
 
   @Nested
   class ReportOfLimits {
-    private List<PeerMessage.LimitReport> reports() {
-      List<PeerMessage.LimitReport> reports = new ArrayList<>();
-      for (PeerEnvelope<PeerMessage> sent : toPeers) {
-        if (sent.message() instanceof PeerMessage.LimitReport report) {
+    private List<LimitReport> reports() {
+      List<LimitReport> reports = new ArrayList<>();
+      for (PeerEnvelope<dev.caroblb.pacing.PeerMessage> sent : toPacing) {
+        if (sent.message() instanceof LimitReport report) {
           reports.add(report);
         }
       }
@@ -98,7 +105,7 @@
       limit(1_000);
       for (int i = 0; i < 2; i++) {
         advance(2_000);
-        toPeers.clear();
+        toPacing.clear();
         arrive("/safe/x");
         if (targets.sent.size() == i) {
           receive(
@@ -124,10 +131,10 @@
         TargetRun run = new TargetRun(new TargetId("n" + i), 1);
         statements.add(new LimitStatement(run, Optional.of(5.0), 0));
       }
-      receive(new PeerMessage.LimitAnnouncement(statements));
-      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL), 9));
+      receiveLimits(new LimitAnnouncement(statements));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL)));
       advance(10);
-      assertEquals(1, reports().stream().filter(PeerMessage.LimitReport::wantsAll).count());
+      assertEquals(1, reports().stream().filter(LimitReport::wantsAll).count());
     }
   }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ResponseMemoryTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ResponseMemoryTest.java
@@ -126,7 +126,7 @@
     void ofSlowCallersAreLimitedTogether() {
       slowCallers = true;
       arriveAll("/short/x");
-      handle(new ForwardingMessage.ControlInstancesChanged(List.of(new InstanceId("control")), 9));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(new InstanceId("control"))));
       Payload events = Payload.ofText(FIRST_EVENT.repeat(BLOCK.size() / FIRST_EVENT.length()));
       for (long call = FIRST_CALL; call < FIRST_CALL + REQUESTS; call++) {
         handle(new ForwardingMessage.Head(call, attempt(call), head(200, true)));
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TargetNoticeTest.java
@@ -9,6 +9,7 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
+import dev.caroblb.scheduling.PeerMessage;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -168,7 +169,7 @@
     void excludesTheTargetFromPlacement() {
       install(3);
       InstanceId control = new InstanceId("control-1");
-      handle(new ForwardingMessage.ControlInstancesChanged(List.of(control), 9));
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(control)));
       arriveGeneration("/long/x", 400);
       reply(control, firstTicket(), "t2");
       rejectFor(3_000);
@@ -182,7 +183,7 @@
 
     private void reply(InstanceId control, long ticket, String target) {
       handle(
-          new ForwardingMessage.FromPeer(
+          new ForwardingMessage.FromScheduler(
               new PeerEnvelope<>(
                   control,
                   new PeerMessage.PlacementReply(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/LimitExchange.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/LimitExchange.java
@@ -1,12 +1,10 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.pacing;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.limit.LimitStatement;
-import dev.caroblb.forwarding.limit.TargetLimits;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -23,7 +21,7 @@
  * everything to an instance that is new. An entry repeats what it hears again, since messages may
  * be lost.
  */
-final class LimitExchange {
+public final class LimitExchange {
   private static final System.Logger LOGGER = System.getLogger(LimitExchange.class.getName());
 
   /** Minimum interval in milliseconds between two messages to the same instances. */
@@ -46,7 +44,7 @@
   /**
    * @param reporters the entries to which a control instance announces limits
    */
-  LimitExchange(
+  public LimitExchange(
       Outlet<PeerEnvelope<PeerMessage>> peers,
       TargetLimits limits,
       Supplier<Collection<InstanceId>> reporters) {
@@ -56,12 +54,12 @@
   }
 
   /** Sets the control instances to report to; none at a control instance. */
-  void setControlInstances(List<InstanceId> instances) {
+  public void setControlInstances(List<InstanceId> instances) {
     controlInstances = instances;
   }
 
   /** Sends all known limits to the control instance that is used from now on, and asks for its. */
-  void useCoordinator(InstanceId instance, long nowMs) {
+  public void useCoordinator(InstanceId instance, long nowMs) {
     if (coordinator.equals(Optional.of(instance))) {
       return;
     }
@@ -71,7 +69,7 @@
   }
 
   /** Sends all known limits to the control instance in use, which does not know one of them. */
-  void reportAll(long nowMs) {
+  public void reportAll(long nowMs) {
     if (coordinator.isPresent() && nowMs >= askAgainMs) {
       askForAll(nowMs);
     }
@@ -84,7 +82,7 @@
   }
 
   /** Records what a target said about its limit in a response to this instance. */
-  void heard(TargetRun run, Optional<Double> perSecond, long sentMs, long nowMs) {
+  public void heard(TargetRun run, Optional<Double> perSecond, long sentMs, long nowMs) {
     boolean changed = limits.heard(run, perSecond, sentMs, nowMs);
     boolean repeat =
         limits.statement(run, nowMs).isPresent()
@@ -99,7 +97,7 @@
   }
 
   /** Adds the statements of an entry, which may ask for those of this control instance. */
-  void reported(InstanceId entry, PeerMessage.LimitReport report, long nowMs) {
+  public void reported(InstanceId entry, PeerMessage.LimitReport report, long nowMs) {
     received(report.statements(), nowMs);
     if (report.wantsAll()) {
       send(List.of(entry), LimitExchange::announcement, limits.statements(nowMs));
@@ -107,7 +105,7 @@
   }
 
   /** Adds the statements that a control instance announced. */
-  void announced(InstanceId control, List<LimitStatement> statements, long nowMs) {
+  public void announced(InstanceId control, List<LimitStatement> statements, long nowMs) {
     if (coordinator.equals(Optional.of(control))) {
       awaitsAll = false;
     }
@@ -138,12 +136,12 @@
             .toString());
   }
 
-  long nextMs() {
+  public long nextMs() {
     long changesMs = pending.isEmpty() ? Long.MAX_VALUE : lastSentMs + MIN_INTERVAL_MS;
     return awaitsAll ? Math.min(changesMs, askAgainMs) : changesMs;
   }
 
-  void tick(long nowMs) {
+  public void tick(long nowMs) {
     if (awaitsAll && nowMs >= askAgainMs) {
       askForAll(nowMs);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/limit/RequestBucket.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/RequestBucket.java
@@ -1,7 +1,7 @@
-package dev.caroblb.forwarding.limit;
+package dev.caroblb.pacing;
 
 /** Token bucket: permits accrue at a rate and are used by requests. */
-final class RequestBucket {
+public final class RequestBucket {
   private static final double MS_PER_SECOND = 1_000;
 
   /** Time in seconds for which unused permits accrue, if that is more than one permit. */
@@ -11,24 +11,24 @@
   private long updatedMs;
 
   /** Creates an empty bucket, in which permits accrue from a time on. */
-  RequestBucket(long fromMs) {
+  public RequestBucket(long fromMs) {
     updatedMs = fromMs;
   }
 
   /** Whether a permit is available. */
-  boolean available(double perSecond, long nowMs) {
+  public boolean available(double perSecond, long nowMs) {
     accrue(perSecond, nowMs);
     return permits >= 1;
   }
 
   /** Uses a permit, also one that is not available yet. */
-  void take(double perSecond, long nowMs) {
+  public void take(double perSecond, long nowMs) {
     accrue(perSecond, nowMs);
     permits--;
   }
 
   /** Time in milliseconds until a permit is available. */
-  long waitMs(double perSecond, long nowMs) {
+  public long waitMs(double perSecond, long nowMs) {
     accrue(perSecond, nowMs);
     if (permits >= 1) {
       return 0;
@@ -37,7 +37,7 @@
   }
 
   /** Removes the permits that have accrued; further ones accrue from a time on. */
-  void empty(long fromMs) {
+  public void empty(long fromMs) {
     permits = Math.min(0, permits);
     updatedMs = fromMs;
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/limit/StatedLimits.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/StatedLimits.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding.limit;
+package dev.caroblb.pacing;
 
 import dev.caroblb.core.TargetRun;
 import java.util.ArrayList;
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /** The latest statement of each target that names a request limit, or has named one. */
-final class StatedLimits {
+public final class StatedLimits {
   /**
    * Time in milliseconds for which the end of a limit is kept. Until then an earlier statement that
    * arrives late does not bring the limit back.
@@ -30,7 +30,7 @@
    *
    * @param atMs time of the statement
    */
-  boolean named(TargetRun run, double perSecond, long atMs) {
+  public boolean named(TargetRun run, double perSecond, long atMs) {
     return stated(run, Optional.of(perSecond), atMs);
   }
 
@@ -40,12 +40,12 @@
    * @param sentMs time at which the request was sent. The response may have left the target at any
    *     time since then, so it does not end a limit that was named later.
    */
-  boolean notNamed(TargetRun run, long sentMs) {
+  public boolean notNamed(TargetRun run, long sentMs) {
     return latest.containsKey(run) && stated(run, Optional.empty(), sentMs);
   }
 
   /** Adds a statement that another instance passed on; returns whether it changed the limit. */
-  boolean received(LimitStatement statement, long nowMs) {
+  public boolean received(LimitStatement statement, long nowMs) {
     return statement.valid()
         && stated(statement.run(), statement.perSecond(), nowMs - statement.ageMs());
   }
@@ -60,23 +60,23 @@
   }
 
   /** The limit of a target in requests per second; empty if it names none. */
-  Optional<Double> perSecond(TargetRun run) {
+  public Optional<Double> perSecond(TargetRun run) {
     return Optional.ofNullable(latest.get(run)).flatMap(Stated::perSecond);
   }
 
   /** Whether any target names a limit. */
-  boolean anyLimit() {
+  public boolean anyLimit() {
     return latest.values().stream().anyMatch(stated -> stated.perSecond().isPresent());
   }
 
   /** The latest statement of a target. */
-  Optional<LimitStatement> statement(TargetRun run, long nowMs) {
+  public Optional<LimitStatement> statement(TargetRun run, long nowMs) {
     return Optional.ofNullable(latest.get(run))
         .map(stated -> new LimitStatement(run, stated.perSecond(), ageMs(stated, nowMs)));
   }
 
   /** The latest statements of all targets. */
-  List<LimitStatement> statements(long nowMs) {
+  public List<LimitStatement> statements(long nowMs) {
     List<LimitStatement> statements = new ArrayList<>();
     latest.forEach(
         (run, stated) ->
@@ -89,12 +89,12 @@
   }
 
   /** Forgets a run of a target that has ended. */
-  void forget(TargetRun run) {
+  public void forget(TargetRun run) {
     latest.remove(run);
   }
 
   /** Forgets limits that ended or were named last some time ago. */
-  void expire(long nowMs) {
+  public void expire(long nowMs) {
     latest
         .values()
         .removeIf(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/limit/TargetLimits.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/TargetLimits.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding.limit;
+package dev.caroblb.pacing;
 
 import dev.caroblb.core.TargetRun;
 import java.util.HashMap;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/LimitCodec.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/codec/LimitCodec.java
@@ -1,8 +1,8 @@
-package dev.caroblb.forwarding.codec;
+package dev.caroblb.pacing.codec;
 
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.limit.LimitStatement;
+import dev.caroblb.pacing.LimitStatement;
 import dev.caroblb.transport.codec.BoundedReader;
 import java.io.IOException;
 import java.util.List;
@@ -10,13 +10,13 @@
 import org.msgpack.core.MessagePacker;
 
 /** Encodes what targets say about their request limits. */
-final class LimitCodec {
+public final class LimitCodec {
   private static final int STATEMENT_FIELDS = 4;
   private static final int MAX_TARGET_BYTES = 63;
 
   private LimitCodec() {}
 
-  static void write(MessagePacker out, List<LimitStatement> statements) throws IOException {
+  public static void write(MessagePacker out, List<LimitStatement> statements) throws IOException {
     out.packArrayHeader(statements.size());
     for (LimitStatement statement : statements) {
       out.packArrayHeader(STATEMENT_FIELDS);
@@ -34,7 +34,7 @@
     }
   }
 
-  static List<LimitStatement> read(BoundedReader in) throws IOException {
+  public static List<LimitStatement> read(BoundedReader in) throws IOException {
     return in.list(
         LimitStatement.MAX_STATEMENTS,
         list -> list.structure(STATEMENT_FIELDS, LimitCodec::statement));
--- /dev/null
+++ b/pacing/src/main/java/dev/caroblb/pacing/package-info.java
@@ -0,0 +1,2 @@
+/** Rate at which targets may get requests from all instances together. */
+package dev.caroblb.pacing;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/limit/TargetLimitsTest.java
+++ b/pacing/src/test/java/dev/caroblb/pacing/TargetLimitsTest.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding.limit;
+package dev.caroblb.pacing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- /dev/null
+++ b/pacing/src/test/java/dev/caroblb/pacing/codec/PacingCodecTest.java
@@ -0,0 +1,45 @@
+package dev.caroblb.pacing.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
+import dev.caroblb.pacing.LimitStatement;
+import dev.caroblb.pacing.PeerMessage;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PacingCodecTest {
+  private final PacingCodec codec = new PacingCodec();
+
+  @Nested
+  class RoundTrip {
+    /** Guards against fields lost or swapped in encoding or decoding. */
+    @Test
+    void keepsEveryField() {
+      List<LimitStatement> limits =
+          List.of(
+              new LimitStatement(new TargetRun(new TargetId("t"), 17), Optional.of(2.5), 18),
+              new LimitStatement(new TargetRun(new TargetId("u"), 19), Optional.empty(), 20));
+      for (PeerMessage message :
+          List.of(
+              new PeerMessage.LimitReport(limits, true),
+              new PeerMessage.LimitAnnouncement(limits))) {
+        assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
+      }
+    }
+  }
+
+  @Nested
+  class Malformed {
+    /** Guards against a malformed message that makes the handler fail. */
+    @Test
+    void isNoMessage() {
+      assertEquals(Optional.empty(), codec.decode(Payload.ofText("no message")));
+      assertEquals(Optional.empty(), codec.decode(Payload.empty()));
+    }
+  }
+}
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -1,10 +1,16 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
-import dev.caroblb.forwarding.limit.TargetLimits;
+import dev.caroblb.pacing.TargetLimits;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetInfo;
+import dev.caroblb.targets.TargetLoad;
+import dev.caroblb.targets.TargetPool;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -15,10 +21,7 @@
  * fills memory more evenly than instances that decide on load data some tenths of a second old. Its
  * state is rebuilt from the reports of the instances, so any control instance can take over.
  */
-final class PlacementCoordinator {
-  /** Age in milliseconds from which reported load is ignored. */
-  static final long STALE_MS = 2_500;
-
+public final class PlacementCoordinator {
   /**
    * Interval in milliseconds between two remote load reports to an instance, which uses them to
    * choose targets itself when no control instance replies.
@@ -40,7 +43,7 @@
   private long denials;
   private long lastLogMs = Long.MIN_VALUE / 2;
 
-  PlacementCoordinator(
+  public PlacementCoordinator(
       Outlet<PeerEnvelope<PeerMessage>> peers,
       TargetPool pool,
       PlacementLedger ledger,
@@ -55,17 +58,17 @@
   }
 
   /** Sets the number of instances known to serve callers. */
-  void setServingInstances(int instances) {
+  public void setServingInstances(int instances) {
     servingInstances = instances;
   }
 
   /** Records the load of an instance and periodically reports the load of the others to it. */
-  void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
+  public void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
     ledger.expire(nowMs);
     ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
     limits.setShare(ledger.instances().size(), servingInstances);
     reportSentMs.keySet().retainAll(ledger.instances());
-    queue.retainInstances(ledger.instances(), nowMs - STALE_MS);
+    queue.retainInstances(ledger.instances(), nowMs - RemoteLoad.MAX_AGE_MS);
     placeQueued(nowMs);
     Long last = reportSentMs.get(peer);
     if (last != null && nowMs - last < REPORT_INTERVAL_MS) {
@@ -99,7 +102,8 @@
   }
 
   /** Chooses a target immediately, or queues the request until an engine has room. */
-  void placementRequested(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
+  public void placementRequested(
+      InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
     PlacementNeed need = request.need();
     queue.removeOfEarlierProcess(peer, request.ticket());
     if (need.purpose() == PlacementNeed.Purpose.MOVE) {
@@ -148,12 +152,12 @@
   }
 
   /** Removes a queued request that its instance cancelled. */
-  void placementCancelled(InstanceId peer, long ticket) {
+  public void placementCancelled(InstanceId peer, long ticket) {
     queue.remove(peer, ticket);
   }
 
   /** Assigns targets to queued requests, because engines may have room again. */
-  void placeQueued(long nowMs) {
+  public void placeQueued(long nowMs) {
     if (!queue.isEmpty()) {
       queue.place((request, target) -> placeStart(request, Optional.of(target), nowMs), nowMs);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementLedger.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementLedger.java
@@ -1,7 +1,9 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.TargetRun;
+import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.TargetLoad;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -14,7 +16,7 @@
  * it was granted since then. A report names the last grant that it includes, so that no load is
  * counted twice or left out while messages are in transit.
  */
-final class PlacementLedger implements RemoteLoad {
+public final class PlacementLedger implements RemoteLoad {
   private record Grant(long number, TargetLoad load, long atMs) {}
 
   private static final class Account {
@@ -31,7 +33,7 @@
    * @param staleMs time in milliseconds after which a report, or a grant that no report includes,
    *     no longer counts
    */
-  PlacementLedger(long staleMs) {
+  public PlacementLedger(long staleMs) {
     this.staleMs = staleMs;
   }
 
@@ -39,7 +41,7 @@
    * Replaces the report of an instance and drops its grants up to the given number, which an
    * earlier process of this instance may have given out.
    */
-  void reported(InstanceId instance, long upToGrant, List<TargetLoad> load, long nowMs) {
+  public void reported(InstanceId instance, long upToGrant, List<TargetLoad> load, long nowMs) {
     Account account = accounts.computeIfAbsent(instance, id -> new Account());
     account.reported.forEach(this::subtract);
     load.forEach(this::add);
@@ -49,7 +51,7 @@
   }
 
   /** Adds load that was granted to an instance and that it has not reported yet. */
-  void addGrant(InstanceId instance, long number, TargetLoad load, long nowMs) {
+  public void addGrant(InstanceId instance, long number, TargetLoad load, long nowMs) {
     Account account = accounts.computeIfAbsent(instance, id -> new Account());
     if (account.reportedAtMs == 0) {
       account.reportedAtMs = nowMs;
@@ -59,7 +61,7 @@
   }
 
   /** Removes stale grants, and instances without grants whose last report is stale. */
-  void expire(long nowMs) {
+  public void expire(long nowMs) {
     for (Iterator<Account> all = accounts.values().iterator(); all.hasNext(); ) {
       Account account = all.next();
       dropGrants(account, 0, nowMs);
@@ -100,22 +102,22 @@
   }
 
   /** Number of requests at all targets. */
-  long requests() {
+  public long requests() {
     return totals.values().stream().mapToLong(TargetLoad::requests).sum();
   }
 
   /** Tokens that requests are expected to hold in memory at all targets. */
-  long tokens() {
+  public long tokens() {
     return totals.values().stream().mapToLong(TargetLoad::tokens).sum();
   }
 
   /** The instances that reported load or were granted placements. */
-  List<InstanceId> instances() {
+  public List<InstanceId> instances() {
     return List.copyOf(accounts.keySet());
   }
 
   /** Load of all instances except one, sorted by target name. */
-  List<TargetLoad> totalsWithout(InstanceId instance) {
+  public List<TargetLoad> totalsWithout(InstanceId instance) {
     Map<TargetRun, TargetLoad> rest = new HashMap<>(totals);
     Account own = accounts.get(instance);
     if (own != null) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -1,7 +1,10 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.Target;
+import dev.caroblb.targets.TargetPool;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -16,7 +19,7 @@
  * come first, ordered by priority and then by arrival. Under overload, plain first-come,
  * first-served order would make all of them late.
  */
-final class PlacementQueue {
+public final class PlacementQueue {
   /** Maximum number of queued requests; further ones are placed without waiting. */
   private static final int MAX_QUEUED = 4_096;
 
@@ -33,53 +36,54 @@
   private static final int MAX_RESERVED_ENGINES = 4;
 
   /** A queued request. */
-  record QueuedRequest(InstanceId instance, long ticket, PlacementNeed need, long queuedAtMs) {
+  public record QueuedRequest(
+      InstanceId instance, long ticket, PlacementNeed need, long queuedAtMs) {
     private boolean inTime(long nowMs) {
       return nowMs - queuedAtMs + FIRST_EVENT_DELAY_MS <= need.objectiveMs();
     }
   }
 
   /** Receives the requests that got a target. */
-  interface Placed {
+  public interface Placed {
     void placed(QueuedRequest request, Target target);
   }
 
   private final TargetPool pool;
   private final List<QueuedRequest> queue = new ArrayList<>();
 
-  PlacementQueue(TargetPool pool) {
+  public PlacementQueue(TargetPool pool) {
     this.pool = pool;
   }
 
-  int size() {
+  public int size() {
     return queue.size();
   }
 
   /** Number of requests that can still meet their objective. */
-  long inTime(long nowMs) {
+  public long inTime(long nowMs) {
     return queue.stream().filter(request -> request.inTime(nowMs)).count();
   }
 
-  boolean isEmpty() {
+  public boolean isEmpty() {
     return queue.isEmpty();
   }
 
   /** Adds a request; returns false if the queue is full. */
-  boolean add(QueuedRequest request) {
+  public boolean add(QueuedRequest request) {
     return queue.size() < MAX_QUEUED && queue.add(request);
   }
 
-  boolean contains(QueuedRequest request) {
+  public boolean contains(QueuedRequest request) {
     return queue.contains(request);
   }
 
   /** Removes a request that its instance cancelled. */
-  void remove(InstanceId instance, long ticket) {
+  public void remove(InstanceId instance, long ticket) {
     queue.removeIf(request -> request.instance().equals(instance) && request.ticket() == ticket);
   }
 
   /** Removes requests that an earlier process of the instance queued. */
-  void removeOfEarlierProcess(InstanceId instance, long ticket) {
+  public void removeOfEarlierProcess(InstanceId instance, long ticket) {
     queue.removeIf(
         request ->
             request.instance().equals(instance)
@@ -87,14 +91,14 @@
   }
 
   /** Removes requests queued before the given time, except those of the given instances. */
-  void retainInstances(Collection<InstanceId> instances, long queuedBeforeMs) {
+  public void retainInstances(Collection<InstanceId> instances, long queuedBeforeMs) {
     queue.removeIf(
         request ->
             request.queuedAtMs() < queuedBeforeMs && !instances.contains(request.instance()));
   }
 
   /** Assigns targets to the requests for which there is room now. */
-  void place(Placed placed, long nowMs) {
+  public void place(Placed placed, long nowMs) {
     queue.sort(
         Comparator.comparing((QueuedRequest request) -> !request.inTime(nowMs))
             .thenComparing(request -> request.need().priority())
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ProcessSequence.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ProcessSequence.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import java.util.random.RandomGenerator;
 
@@ -7,26 +7,26 @@
  * identify an instance by name only and may still hold a number that an earlier process gave them.
  * The upper bits of each number identify the process.
  */
-final class ProcessSequence {
+public final class ProcessSequence {
   private static final int COUNT_BITS = 32;
 
   private long last;
 
-  ProcessSequence(RandomGenerator random) {
+  public ProcessSequence(RandomGenerator random) {
     last = (long) random.nextInt(1, Integer.MAX_VALUE) << COUNT_BITS;
   }
 
   /** Increases the number and returns it. */
-  long next() {
+  public long next() {
     return ++last;
   }
 
-  static boolean sameProcess(long number, long other) {
+  public static boolean sameProcess(long number, long other) {
     return number >>> COUNT_BITS == other >>> COUNT_BITS;
   }
 
   /** Whether a number was given out by the same process as another one, and not after it. */
-  static boolean covers(long latest, long number) {
+  public static boolean covers(long latest, long number) {
     return sameProcess(latest, number) && number <= latest;
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/codec/LoadCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -1,12 +1,12 @@
-package dev.caroblb.forwarding.codec;
+package dev.caroblb.scheduling.codec;
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.MessageCodec;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
-import dev.caroblb.forwarding.PeerMessage;
-import dev.caroblb.forwarding.PlacementNeed;
-import dev.caroblb.forwarding.TargetLoad;
+import dev.caroblb.scheduling.PeerMessage;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.TargetLoad;
 import dev.caroblb.transport.codec.BoundedReader;
 import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
@@ -18,25 +18,19 @@
 /**
  * Encodes each message as an array {@code [type, field, ...]}; later versions may append fields.
  */
-public final class LoadCodec implements MessageCodec<PeerMessage> {
+public final class SchedulingCodec implements MessageCodec<PeerMessage> {
   private static final int TYPE_LOAD_REPORT = 1;
   private static final int TYPE_REMOTE_LOAD_REPORT = 2;
   private static final int TYPE_PLACEMENT_REQUEST = 3;
   private static final int TYPE_PLACEMENT_REPLY = 4;
   private static final int TYPE_PLACEMENT_QUEUED = 5;
   private static final int TYPE_PLACEMENT_CANCELLED = 6;
-  private static final int TYPE_EVIDENCE_REPORT = 7;
-  private static final int TYPE_EVIDENCE_ANNOUNCEMENT = 8;
-  private static final int TYPE_PERMIT_REPLY = 9;
-  private static final int TYPE_LIMIT_REPORT = 10;
-  private static final int TYPE_LIMIT_ANNOUNCEMENT = 11;
+  private static final int TYPE_PERMIT_REPLY = 7;
   private static final int LOAD_REPORT_FIELDS = 2;
   private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
   private static final int PLACEMENT_REQUEST_FIELDS = 10;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
-  private static final int LIMIT_REPORT_FIELDS = 2;
-  private static final int LIMIT_ANNOUNCEMENT_FIELDS = 1;
   private static final int TICKET_FIELDS = 1;
   private static final int LOAD_FIELDS = 5;
   private static final int MAX_NAME_BYTES = 63;
@@ -83,21 +77,7 @@
       writeTicket(out, TYPE_PLACEMENT_QUEUED, queued.ticket());
     } else if (message instanceof PeerMessage.PlacementCancelled cancelled) {
       writeTicket(out, TYPE_PLACEMENT_CANCELLED, cancelled.ticket());
-    } else if (message instanceof PeerMessage.EvidenceReport report) {
-      out.packArrayHeader(1 + EvidenceCodec.FIELDS);
-      out.packInt(TYPE_EVIDENCE_REPORT);
-      EvidenceCodec.write(out, report.evidence());
-    } else if (message instanceof PeerMessage.EvidenceAnnouncement announcement) {
-      out.packArrayHeader(1 + EvidenceCodec.FIELDS);
-      out.packInt(TYPE_EVIDENCE_ANNOUNCEMENT);
-      EvidenceCodec.write(out, announcement.evidence());
-    } else {
-      writeLimits(out, message);
-    }
-  }
-
-  private static void writeLimits(MessagePacker out, PeerMessage message) throws IOException {
-    if (message instanceof PeerMessage.PermitReply reply) {
+    } else if (message instanceof PeerMessage.PermitReply reply) {
       out.packArrayHeader(1 + PERMIT_REPLY_FIELDS);
       out.packInt(TYPE_PERMIT_REPLY);
       out.packLong(reply.ticket());
@@ -106,15 +86,6 @@
       if (reply.waitMs().isPresent()) {
         out.packLong(reply.waitMs().get());
       }
-    } else if (message instanceof PeerMessage.LimitReport report) {
-      out.packArrayHeader(1 + LIMIT_REPORT_FIELDS);
-      out.packInt(TYPE_LIMIT_REPORT);
-      LimitCodec.write(out, report.statements());
-      out.packBoolean(report.wantsAll());
-    } else if (message instanceof PeerMessage.LimitAnnouncement announcement) {
-      out.packArrayHeader(1 + LIMIT_ANNOUNCEMENT_FIELDS);
-      out.packInt(TYPE_LIMIT_ANNOUNCEMENT);
-      LimitCodec.write(out, announcement.statements());
     }
   }
 
@@ -172,10 +143,7 @@
         case TYPE_PLACEMENT_REQUEST -> PLACEMENT_REQUEST_FIELDS;
         case TYPE_PLACEMENT_REPLY -> PLACEMENT_REPLY_FIELDS;
         case TYPE_PLACEMENT_QUEUED, TYPE_PLACEMENT_CANCELLED -> TICKET_FIELDS;
-        case TYPE_EVIDENCE_REPORT, TYPE_EVIDENCE_ANNOUNCEMENT -> EvidenceCodec.FIELDS;
         case TYPE_PERMIT_REPLY -> PERMIT_REPLY_FIELDS;
-        case TYPE_LIMIT_REPORT -> LIMIT_REPORT_FIELDS;
-        case TYPE_LIMIT_ANNOUNCEMENT -> LIMIT_ANNOUNCEMENT_FIELDS;
         default -> -1;
       };
     }
@@ -188,22 +156,17 @@
         case TYPE_PLACEMENT_REQUEST -> new PeerMessage.PlacementRequest(in.longValue(), need(in));
         case TYPE_PLACEMENT_QUEUED -> new PeerMessage.PlacementQueued(in.longValue());
         case TYPE_PLACEMENT_CANCELLED -> new PeerMessage.PlacementCancelled(in.longValue());
-        case TYPE_EVIDENCE_REPORT -> new PeerMessage.EvidenceReport(EvidenceCodec.read(in));
-        case TYPE_EVIDENCE_ANNOUNCEMENT ->
-            new PeerMessage.EvidenceAnnouncement(EvidenceCodec.read(in));
         case TYPE_PERMIT_REPLY ->
             new PeerMessage.PermitReply(
                 in.longValue(),
-                in.optional(LoadCodec::target),
+                in.optional(SchedulingCodec::target),
                 in.optional(BoundedReader::longValue));
-        case TYPE_LIMIT_REPORT -> new PeerMessage.LimitReport(LimitCodec.read(in), in.flag());
-        case TYPE_LIMIT_ANNOUNCEMENT -> new PeerMessage.LimitAnnouncement(LimitCodec.read(in));
         default ->
             new PeerMessage.PlacementReply(
                 in.longValue(),
                 in.longValue(),
-                in.optional(LoadCodec::target),
-                in.optional(LoadCodec::target));
+                in.optional(SchedulingCodec::target),
+                in.optional(SchedulingCodec::target));
       };
     }
   }
@@ -214,7 +177,7 @@
         in.text(MAX_NAME_BYTES),
         in.longValue(),
         in.longValue(),
-        Set.copyOf(in.list(MAX_EXCLUDED, LoadCodec::target)),
+        Set.copyOf(in.list(MAX_EXCLUDED, SchedulingCodec::target)),
         new FailureDomain(in.text(MAX_NAME_BYTES)),
         in.flag(),
         in.intValue(),
@@ -226,7 +189,7 @@
   }
 
   private static List<TargetLoad> loads(BoundedReader in) throws IOException {
-    return in.list(MAX_TARGETS, list -> list.structure(LOAD_FIELDS, LoadCodec::load));
+    return in.list(MAX_TARGETS, list -> list.structure(LOAD_FIELDS, SchedulingCodec::load));
   }
 
   private static TargetLoad load(BoundedReader in) throws IOException {
--- /dev/null
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Encoding of the messages with which instances request targets. */
+package dev.caroblb.scheduling.codec;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementCoordinatorTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementCoordinatorTest.java
@@ -1,17 +1,25 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.limit.TargetLimits;
+import dev.caroblb.pacing.TargetLimits;
+import dev.caroblb.routing.EngineLimits;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.TargetInfo;
+import dev.caroblb.targets.TargetLoad;
+import dev.caroblb.targets.TargetPool;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -21,9 +29,12 @@
 
 class PlacementCoordinatorTest {
   private static final int ENGINES = 10;
+  private static final FailureDomain ZONE = new FailureDomain("zone-a");
+  private static final Map<String, EngineLimits> ENGINE_LIMITS =
+      Map.of("service", new EngineLimits(24, 34_000, true, true, 4));
 
   private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
-  private final PlacementLedger ledger = new PlacementLedger(PlacementCoordinator.STALE_MS);
+  private final PlacementLedger ledger = new PlacementLedger(RemoteLoad.MAX_AGE_MS);
   private final TargetLimits limits = new TargetLimits();
   private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger), limits);
   private final PlacementCoordinator coordinator =
@@ -32,11 +43,10 @@
 
   @BeforeEach
   void addEngines() {
-    pool.setEngineLimits(ForwardingFixture.table().engines());
+    pool.setEngineLimits(ENGINE_LIMITS);
     for (int i = 0; i < ENGINES; i++) {
       pool.available(
-          new TargetInfo(
-              new TargetId("t" + i), 1, "service", "10.0.0." + i + ":80", ForwardingFixture.ZONE));
+          new TargetInfo(new TargetId("t" + i), 1, "service", "10.0.0." + i + ":80", ZONE));
     }
   }
 
@@ -47,7 +57,7 @@
         tokens,
         3_000,
         Set.of(),
-        ForwardingFixture.ZONE,
+        ZONE,
         backup,
         priority,
         objectiveMs);
@@ -104,7 +114,7 @@
               4_000,
               3_000,
               Set.of(new TargetId("t0")),
-              ForwardingFixture.ZONE,
+              ZONE,
               false,
               1,
               1_800);
@@ -174,15 +184,7 @@
     void receiveNoPermitWhileTheirLimitIsUnknown() {
       PlacementNeed need =
           new PlacementNeed(
-              PlacementNeed.Purpose.PERMIT,
-              "service",
-              0,
-              0,
-              Set.of(),
-              ForwardingFixture.ZONE,
-              false,
-              1,
-              150);
+              PlacementNeed.Purpose.PERMIT, "service", 0, 0, Set.of(), ZONE, false, 1, 150);
       PeerMessage.PermitReply reply = (PeerMessage.PermitReply) request(1, need, 10);
       assertEquals(Optional.empty(), reply.target());
       assertEquals(Optional.empty(), reply.waitMs());
--- a/forwarding/src/test/java/dev/caroblb/forwarding/PlacementLedgerTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementLedgerTest.java
@@ -1,10 +1,11 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
+import dev.caroblb.targets.TargetLoad;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/codec/LoadCodecTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
@@ -1,28 +1,21 @@
-package dev.caroblb.forwarding.codec;
+package dev.caroblb.scheduling.codec;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
-import dev.caroblb.core.TargetRun;
-import dev.caroblb.forwarding.PeerMessage;
-import dev.caroblb.forwarding.PlacementNeed;
-import dev.caroblb.forwarding.TargetLoad;
-import dev.caroblb.forwarding.limit.LimitStatement;
-import dev.caroblb.forwarding.quarantine.AnsweredPart;
-import dev.caroblb.forwarding.quarantine.CrashReport;
-import dev.caroblb.forwarding.quarantine.Evidence;
-import dev.caroblb.forwarding.quarantine.PromptPart;
-import dev.caroblb.forwarding.quarantine.SuspectPart;
+import dev.caroblb.scheduling.PeerMessage;
+import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.TargetLoad;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class LoadCodecTest {
-  private final LoadCodec codec = new LoadCodec();
+class SchedulingCodecTest {
+  private final SchedulingCodec codec = new SchedulingCodec();
 
   @Nested
   class RoundTrip {
@@ -41,16 +34,6 @@
               true,
               7,
               8);
-      List<LimitStatement> limits =
-          List.of(
-              new LimitStatement(new TargetRun(new TargetId("t"), 17), Optional.of(2.5), 18),
-              new LimitStatement(new TargetRun(new TargetId("u"), 19), Optional.empty(), 20));
-      Evidence evidence =
-          new Evidence(
-              List.of(
-                  new CrashReport(
-                      new TargetId("t"), 1, 2, List.of(new SuspectPart(new PromptPart("a"), 3)))),
-              List.of(new AnsweredPart(new PromptPart("b"), 4)));
       for (PeerMessage message :
           List.of(
               new PeerMessage.LoadReport(8, loads),
@@ -61,11 +44,7 @@
               new PeerMessage.PlacementQueued(13),
               new PeerMessage.PlacementCancelled(14),
               new PeerMessage.PermitReply(15, Optional.of(new TargetId("t")), Optional.empty()),
-              new PeerMessage.PermitReply(16, Optional.empty(), Optional.of(17L)),
-              new PeerMessage.LimitReport(limits, true),
-              new PeerMessage.LimitAnnouncement(limits),
-              new PeerMessage.EvidenceReport(evidence),
-              new PeerMessage.EvidenceAnnouncement(evidence))) {
+              new PeerMessage.PermitReply(16, Optional.empty(), Optional.of(17L)))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
@@ -39,7 +39,7 @@
   }
 
   /** Returns the same requirements with additional excluded targets. */
-  PlacementNeed excluding(Set<TargetId> more) {
+  public PlacementNeed excluding(Set<TargetId> more) {
     Set<TargetId> all = new HashSet<>(excluded);
     all.addAll(more);
     return new PlacementNeed(
@@ -55,7 +55,7 @@
   }
 
   /** Returns the same requirements without excluded targets. */
-  PlacementNeed withoutExclusions() {
+  public PlacementNeed withoutExclusions() {
     return new PlacementNeed(
         purpose,
         service,
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ReportedLoad.java
+++ b/targets/src/main/java/dev/caroblb/targets/ReportedLoad.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.TargetRun;
 import java.util.HashMap;
@@ -7,11 +7,11 @@
 import java.util.Optional;
 
 /** Total load of all other instances, from the last report of a control instance. */
-final class ReportedLoad implements RemoteLoad {
+public final class ReportedLoad implements RemoteLoad {
   private Map<TargetRun, TargetLoad> loads = Map.of();
   private long reportedAtMs;
 
-  void replace(List<TargetLoad> reports, long nowMs) {
+  public void replace(List<TargetLoad> reports, long nowMs) {
     Map<TargetRun, TargetLoad> latest = new HashMap<>();
     for (TargetLoad load : reports) {
       latest.put(load.run(), load);
@@ -22,7 +22,7 @@
 
   @Override
   public Optional<TargetLoad> at(TargetRun run, long nowMs) {
-    return nowMs - reportedAtMs >= PlacementCoordinator.STALE_MS
+    return nowMs - reportedAtMs >= MAX_AGE_MS
         ? Optional.empty()
         : Optional.ofNullable(loads.get(run));
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Target.java
+++ b/targets/src/main/java/dev/caroblb/targets/Target.java
@@ -1,7 +1,7 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 /** State of a target as seen by this instance, with the load that this instance has put on it. */
-final class Target {
+public final class Target {
   /**
    * Initial penalty in milliseconds after a failure. A penalized target gets no requests while
    * another target is available.
@@ -20,88 +20,88 @@
   private long penaltyMs = MIN_PENALTY_MS;
   private long rejectsUntilMs = Long.MIN_VALUE;
 
-  Target(TargetInfo info) {
+  public Target(TargetInfo info) {
     this.info = info;
   }
 
-  TargetInfo info() {
+  public TargetInfo info() {
     return info;
   }
 
-  boolean leaving() {
+  public boolean leaving() {
     return leaving;
   }
 
-  long leavingSinceMs() {
+  public long leavingSinceMs() {
     return leavingSinceMs;
   }
 
-  void markLeaving(long nowMs) {
+  public void markLeaving(long nowMs) {
     leaving = true;
     leavingSinceMs = nowMs;
   }
 
-  int running() {
+  public int running() {
     return running;
   }
 
   /** Whether generations of this instance run here or have reserved memory. */
-  boolean hasTokens() {
+  public boolean hasTokens() {
     return tokens > 0;
   }
 
   /** Load that this instance has put on the target. */
-  TargetLoad load() {
+  public TargetLoad load() {
     return new TargetLoad(info.id(), info.incarnation(), running, tokens, prefillTokens);
   }
 
-  void started(long expectedTokens, long promptTokens) {
+  public void started(long expectedTokens, long promptTokens) {
     running++;
     tokens += expectedTokens;
     prefillTokens += promptTokens;
   }
 
   /** Removes the prompt tokens of a request whose prefill is done. */
-  void prefillDone(long promptTokens) {
+  public void prefillDone(long promptTokens) {
     prefillTokens -= promptTokens;
   }
 
   /** Reserves memory for the copy of a generation; a negative number releases it. */
-  void reserve(long expectedTokens) {
+  public void reserve(long expectedTokens) {
     tokens += expectedTokens;
   }
 
-  void ended(long expectedTokens) {
+  public void ended(long expectedTokens) {
     running--;
     tokens -= expectedTokens;
   }
 
   /** Records a failure caused by the target and doubles the next penalty. */
-  void failed(long nowMs) {
+  public void failed(long nowMs) {
     penaltyUntilMs = nowMs + penaltyMs;
     penaltyMs = Math.min(2 * penaltyMs, MAX_PENALTY_MS);
   }
 
-  void succeeded() {
+  public void succeeded() {
     penaltyMs = MIN_PENALTY_MS;
     penaltyUntilMs = Long.MIN_VALUE;
   }
 
   /** Records that the target wants no requests from this instance until a time. */
-  void rejectsUntil(long untilMs) {
+  public void rejectsUntil(long untilMs) {
     rejectsUntilMs = Math.max(rejectsUntilMs, untilMs);
   }
 
-  long rejectsUntilMs() {
+  public long rejectsUntilMs() {
     return rejectsUntilMs;
   }
 
   /** Whether the target accepts requests, as far as it has said. */
-  boolean accepts(long nowMs) {
+  public boolean accepts(long nowMs) {
     return !leaving && nowMs >= rejectsUntilMs;
   }
 
-  boolean penalized(long nowMs) {
+  public boolean penalized(long nowMs) {
     return nowMs < penaltyUntilMs;
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetInfo.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetInfo.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
@@ -15,7 +15,7 @@
  */
 public record TargetInfo(
     TargetId id, long incarnation, String service, String address, FailureDomain domain) {
-  TargetRun run() {
+  public TargetRun run() {
     return new TargetRun(id, incarnation);
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetLoad.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoad.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
@@ -14,11 +14,11 @@
  */
 public record TargetLoad(
     TargetId target, long incarnation, long requests, long tokens, long prefillTokens) {
-  TargetRun run() {
+  public TargetRun run() {
     return new TargetRun(target, incarnation);
   }
 
-  TargetLoad plus(TargetLoad other) {
+  public TargetLoad plus(TargetLoad other) {
     return new TargetLoad(
         target,
         incarnation,
@@ -28,11 +28,11 @@
   }
 
   /** Returns the negated load, for subtraction from a sum. */
-  TargetLoad negated() {
+  public TargetLoad negated() {
     return new TargetLoad(target, incarnation, -requests, -tokens, -prefillTokens);
   }
 
-  boolean isZero() {
+  public boolean isZero() {
     return requests == 0 && tokens == 0 && prefillTokens == 0;
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.routing.EngineLimits;
@@ -9,7 +9,7 @@
 import java.util.random.RandomGenerator;
 
 /** The load of targets, from all instances as far as this one knows, and the room that is left. */
-final class TargetLoads {
+public final class TargetLoads {
   /**
    * Weight of a prompt token whose prefill is pending, relative to a token in memory. Prefill
    * delays concurrent requests immediately, memory use only when memory is full.
@@ -44,22 +44,22 @@
    * @param random breaks ties
    * @param remoteLoads sources of the load of other instances
    */
-  TargetLoads(RandomGenerator random, List<RemoteLoad> remoteLoads) {
+  public TargetLoads(RandomGenerator random, List<RemoteLoad> remoteLoads) {
     this.random = random;
     this.remoteLoads = List.copyOf(remoteLoads);
   }
 
   /** Sets the limits of the engines of each service. */
-  void setEngineLimits(Map<String, EngineLimits> limitsByService) {
+  public void setEngineLimits(Map<String, EngineLimits> limitsByService) {
     engineLimits = Map.copyOf(limitsByService);
   }
 
-  Optional<EngineLimits> limits(String service) {
+  public Optional<EngineLimits> limits(String service) {
     return Optional.ofNullable(engineLimits.get(service));
   }
 
   /** Load of all instances on a target, as far as this instance knows. */
-  TargetLoad total(Target target, long nowMs) {
+  public TargetLoad total(Target target, long nowMs) {
     TargetLoad load = target.load();
     TargetRun run = target.info().run();
     for (RemoteLoad other : remoteLoads) {
@@ -72,7 +72,7 @@
    * Weighted load, in tokens for generations and in requests for other services. Fractions below
    * one break ties.
    */
-  double score(Target target, long addedTokens, long nowMs) {
+  public double score(Target target, long addedTokens, long nowMs) {
     TargetLoad load = total(target, nowMs);
     long memory =
         limits(target.info().service()).map(EngineLimits::memoryTokens).orElse(Long.MAX_VALUE);
@@ -85,7 +85,7 @@
   }
 
   /** Free memory for a new request, in tokens; 0 if the batch of the engine is full. */
-  double freeTokens(Target target, long nowMs) {
+  public double freeTokens(Target target, long nowMs) {
     Optional<EngineLimits> limits = limits(target.info().service());
     if (limits.isEmpty()) {
       return Double.MAX_VALUE;
@@ -97,7 +97,7 @@
   }
 
   /** Total memory, in tokens, that may be assigned to requests on all available engines. */
-  long admittedTokens(Collection<Target> targets) {
+  public long admittedTokens(Collection<Target> targets) {
     double admitted = 0;
     for (Target target : targets) {
       Optional<EngineLimits> limits = limits(target.info().service());
@@ -109,7 +109,7 @@
   }
 
   /** Whether the total load of the engines of a service leaves room for backups. */
-  boolean roomForBackups(
+  public boolean roomForBackups(
       Collection<Target> targets, PlacementNeed need, EngineLimits limits, long nowMs) {
     double used = need.tokens();
     double memory = 0;
@@ -123,7 +123,7 @@
   }
 
   /** Whether a request fits on an idle engine of its service. */
-  boolean fitsIdleEngine(PlacementNeed need) {
+  public boolean fitsIdleEngine(PlacementNeed need) {
     return limits(need.service())
         .filter(limits -> ADMITTED_FRACTION * limits.memoryTokens() < need.tokens())
         .isEmpty();
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -1,8 +1,8 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
-import dev.caroblb.forwarding.limit.TargetLimits;
+import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -15,7 +15,7 @@
 import java.util.random.RandomGenerator;
 
 /** The known targets, and the selection of a target of a service. */
-final class TargetPool {
+public final class TargetPool {
   /**
    * Penalty, in tokens of load, for a copy to another failure domain. It takes twice as long, which
    * pays off for a generation of usual size only if the engines nearby are much busier.
@@ -46,10 +46,10 @@
    * engine are moved at the same time by instances that do not know of each other's moves; the
    * least loaded engine would get them all.
    */
-  static final int OWN_MOVE_CANDIDATES = 2;
+  public static final int OWN_MOVE_CANDIDATES = 2;
 
   /** Number of candidates for a move that a control instance places, which knows all moves. */
-  static final int ALL_MOVE_CANDIDATES = Integer.MAX_VALUE;
+  public static final int ALL_MOVE_CANDIDATES = Integer.MAX_VALUE;
 
   private final RandomGenerator random;
   private final Map<TargetId, Target> targets = new HashMap<>();
@@ -61,14 +61,14 @@
    * @param remoteLoads sources of the load of other instances
    * @param limits the request limits of targets
    */
-  TargetPool(RandomGenerator random, List<RemoteLoad> remoteLoads, TargetLimits limits) {
+  public TargetPool(RandomGenerator random, List<RemoteLoad> remoteLoads, TargetLimits limits) {
     this.random = random;
     this.loads = new TargetLoads(random, remoteLoads);
     this.limits = limits;
   }
 
   /** Adds a target or a new run of it; a repeated announcement has no effect. */
-  void available(TargetInfo info) {
+  public void available(TargetInfo info) {
     Target known = targets.get(info.id());
     if (known != null && known.info().equals(info)) {
       return;
@@ -80,7 +80,7 @@
   }
 
   /** Marks a target as leaving; returns empty if this run is unknown or already marked. */
-  Optional<Target> leaving(TargetId id, long incarnation, long nowMs) {
+  public Optional<Target> leaving(TargetId id, long incarnation, long nowMs) {
     Target known = targets.get(id);
     if (known == null || known.info().incarnation() != incarnation || known.leaving()) {
       return Optional.empty();
@@ -89,7 +89,7 @@
     return Optional.of(known);
   }
 
-  void gone(TargetId id, long incarnation) {
+  public void gone(TargetId id, long incarnation) {
     Target known = targets.get(id);
     if (known != null && known.info().incarnation() == incarnation) {
       targets.remove(id);
@@ -102,7 +102,7 @@
    * not reported: they end before the report arrives, and when they were reported, all instances
    * chose the same target of a service at the same time.
    */
-  List<TargetLoad> ownLoads() {
+  public List<TargetLoad> ownLoads() {
     List<TargetLoad> loads = new ArrayList<>();
     for (Target target : targets.values()) {
       if (target.hasTokens()) {
@@ -114,12 +114,12 @@
   }
 
   /** Sets the number of instances that choose targets, including this one. */
-  void setInstances(int count) {
+  public void setInstances(int count) {
     instances = Math.max(1, count);
   }
 
   /** Sets the limits of the engines of each service. */
-  void setEngineLimits(Map<String, EngineLimits> limitsByService) {
+  public void setEngineLimits(Map<String, EngineLimits> limitsByService) {
     loads.setEngineLimits(limitsByService);
   }
 
@@ -127,7 +127,7 @@
    * Targets of a service that a control instance must not choose for this instance, at most {@link
    * #MAX_EXCLUDED}: those that want no requests from it, and penalized ones.
    */
-  Set<TargetId> excluded(String service, long nowMs) {
+  public Set<TargetId> excluded(String service, long nowMs) {
     Set<TargetId> excluded = new HashSet<>();
     for (Target target : targets.values()) {
       boolean counts =
@@ -144,7 +144,7 @@
    * If all remaining targets of a service reject requests for some time, or have no permit, the
    * earliest time at which one of them is expected to accept a request again.
    */
-  Optional<Long> nextAcceptingMs(PlacementNeed need, long nowMs) {
+  public Optional<Long> nextAcceptingMs(PlacementNeed need, long nowMs) {
     Optional<Long> earliest = Optional.empty();
     for (Target target : targets.values()) {
       boolean candidate =
@@ -167,13 +167,13 @@
   }
 
   /** The target of a service with this ID, if it accepts requests. */
-  Optional<Target> usable(TargetId id, String service, long nowMs) {
+  public Optional<Target> usable(TargetId id, String service, long nowMs) {
     return Optional.ofNullable(targets.get(id))
         .filter(target -> target.info().service().equals(service) && target.accepts(nowMs));
   }
 
   /** Whether a previously chosen target is still known and does not leave. */
-  boolean staying(Target target) {
+  public boolean staying(Target target) {
     return targets.get(target.info().id()) == target && !target.leaving();
   }
 
@@ -181,7 +181,7 @@
    * Chooses the least loaded target among a random sample of a service. Ties go to the preferred
    * failure domain, then to a random target. Penalized targets are used only if no other is left.
    */
-  Optional<Target> choose(PlacementNeed need, long nowMs) {
+  public Optional<Target> choose(PlacementNeed need, long nowMs) {
     int count = Math.max(MIN_CANDIDATES, CANDIDATES_OF_ALL_INSTANCES / instances);
     List<Target> candidates = sample(count, permitted(need, nowMs));
     return leastLoaded(candidates, need, need.preferredDomain(), 0, nowMs);
@@ -191,7 +191,7 @@
    * Chooses the least loaded target among those that have room in memory and in their batch and are
    * not reserved for another request.
    */
-  Optional<Target> chooseWithRoom(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
+  public Optional<Target> chooseWithRoom(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     List<Target> fitting = new ArrayList<>();
     for (Target target : permitted(need, nowMs)) {
       if (!reserved.contains(target.info().id())
@@ -203,7 +203,7 @@
   }
 
   /** The target of a service with the most free memory that is not reserved for another request. */
-  Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
+  public Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     Optional<Target> best = Optional.empty();
     double most = Double.NEGATIVE_INFINITY;
     for (Target target : permitted(need, nowMs)) {
@@ -217,17 +217,17 @@
   }
 
   /** Total memory, in tokens, that may be assigned to requests on all available engines. */
-  long admittedTokens() {
+  public long admittedTokens() {
     return loads.admittedTokens(targets.values());
   }
 
   /** Whether a request fits on an idle engine of its service. */
-  boolean fitsIdleEngine(PlacementNeed need) {
+  public boolean fitsIdleEngine(PlacementNeed need) {
     return loads.fitsIdleEngine(need);
   }
 
   /** Chooses the destination of a move; a copy within a failure domain is faster. */
-  Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
+  public Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
     return leastLoaded(
         sample(candidates, permitted(need, nowMs)),
         need,
@@ -240,7 +240,7 @@
    * Chooses the engine that continuously gets a copy of a generation's memory, so that the
    * generation can continue there if its engine fails.
    */
-  Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
+  public Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
     Optional<EngineLimits> engine = loads.limits(need.service()).filter(EngineLimits::backups);
     if (engine.isEmpty()
         || !need.wantsBackup()
@@ -262,7 +262,7 @@
   }
 
   /** Whether any target accepts a request, now or when it has a permit. */
-  boolean anyUsable(PlacementNeed need, long nowMs) {
+  public boolean anyUsable(PlacementNeed need, long nowMs) {
     return !accepting(need.service(), need.excluded(), nowMs).isEmpty();
   }
 
@@ -274,33 +274,33 @@
   }
 
   /** Whether a control instance may have a permit for a limited target. */
-  boolean permitExpected(PlacementNeed need, long nowMs) {
+  public boolean permitExpected(PlacementNeed need, long nowMs) {
     return limits.anyLimited()
         && limited(need, nowMs).stream()
             .anyMatch(target -> limits.permitExpected(target.info().run(), nowMs));
   }
 
   /** Chooses the least loaded limited target for which this instance has a permit. */
-  Optional<Target> chooseLimited(PlacementNeed need, long nowMs) {
+  public Optional<Target> chooseLimited(PlacementNeed need, long nowMs) {
     List<Target> candidates = limited(need, nowMs);
     candidates.removeIf(target -> !limits.permits(target.info().run(), nowMs));
     return leastLoaded(unpenalized(candidates, nowMs), need, need.preferredDomain(), 0, nowMs);
   }
 
   /** Time in milliseconds until a permit for a limited target is expected; empty if none is. */
-  Optional<Long> permitWaitMs(PlacementNeed need, long nowMs) {
+  public Optional<Long> permitWaitMs(PlacementNeed need, long nowMs) {
     return limited(need, nowMs).stream()
         .map(target -> limits.waitMs(target.info().run(), nowMs))
         .min(Long::compare);
   }
 
   /** Records that a control instance has no permit for the limited targets until a time. */
-  void permitDenied(PlacementNeed need, long untilMs, long nowMs) {
+  public void permitDenied(PlacementNeed need, long untilMs, long nowMs) {
     limited(need, nowMs).forEach(target -> limits.denied(target.info().run(), untilMs));
   }
 
   /** Uses a permit for a request that is sent or assigned to a target, if it names a limit. */
-  void takePermit(Target target, long nowMs) {
+  public void takePermit(Target target, long nowMs) {
     limits.take(target.info().run(), nowMs);
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TargetPoolTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/TargetPoolTest.java
@@ -1,4 +1,4 @@
-package dev.caroblb.forwarding;
+package dev.caroblb.targets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,10 +6,11 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
-import dev.caroblb.forwarding.limit.TargetLimits;
+import dev.caroblb.pacing.TargetLimits;
+import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
@@ -30,30 +31,37 @@
     }
   }
 
-  private static Exchange exchange(Optional<GenerationSize> size) {
-    return ForwardingFixture.exchange(1, size);
+  private static PlacementNeed need(long tokens, long promptTokens) {
+    return new PlacementNeed(
+        PlacementNeed.Purpose.START,
+        "service",
+        tokens,
+        promptTokens,
+        Set.of(),
+        HERE,
+        false,
+        1,
+        800);
   }
 
-  private Target start(Optional<GenerationSize> size) {
-    Exchange exchange = exchange(size);
-    Target target =
-        pool.choose(exchange.placementNeed(PlacementNeed.Purpose.START, HERE, 0), 0).orElseThrow();
-    exchange.startAttempt(target, Optional.empty(), Optional.empty(), 0);
+  private Target start(long tokens, long promptTokens) {
+    Target target = pool.choose(need(tokens, promptTokens), 0).orElseThrow();
+    target.started(tokens, promptTokens);
     return target;
   }
 
   @Nested
   class ReportedLoads {
-    private final Optional<GenerationSize> generation =
-        Optional.of(new GenerationSize(3_000, 1_800, Optional.empty()));
+    private static final long PROMPT_TOKENS = 3_000;
+    private static final long TOKENS = 3_900;
 
     /** Guards against all instances choosing the same target of a plain service. */
     @Test
     void excludePlainRequests() {
       available(3);
-      start(Optional.empty());
+      start(0, 0);
       assertEquals(List.of(), pool.ownLoads());
-      Target engine = start(generation);
+      Target engine = start(TOKENS, PROMPT_TOKENS);
       assertEquals(List.of(engine.load()), pool.ownLoads());
     }
 
@@ -79,12 +87,7 @@
       reportedLoad.replace(loads, 0);
       pool.setInstances(instances);
       for (int i = 0; i < 20; i++) {
-        chosen.add(
-            pool.choose(exchange(generation).placementNeed(PlacementNeed.Purpose.START, HERE, 0), 0)
-                .orElseThrow()
-                .info()
-                .id()
-                .name());
+        chosen.add(pool.choose(need(TOKENS, PROMPT_TOKENS), 0).orElseThrow().info().id().name());
       }
       return chosen;
     }
@@ -99,7 +102,7 @@
             PlacementNeed.Purpose.START, "service", 4_000, 3_000, Set.of(), HERE, true, 1, 1_800);
 
     private boolean backedUp(long tokensAtEach) {
-      pool.setEngineLimits(ForwardingFixture.table().engines());
+      pool.setEngineLimits(Map.of("service", new EngineLimits(24, 34_000, true, true, 4)));
       available(ENGINES);
       List<TargetLoad> loads = new ArrayList<>();
       for (int i = 0; i < ENGINES; i++) {
--- a/transport/src/main/java/dev/caroblb/transport/Channel.java
+++ b/transport/src/main/java/dev/caroblb/transport/Channel.java
@@ -8,7 +8,9 @@
   AGREEMENT(2),
   CONFIGURATION(3),
   IDEMPOTENCY(4),
-  FORWARDING(5);
+  FORWARDING(5),
+  SCHEDULING(6),
+  PACING(7);
 
   private final int number;
 
