Send callers to entries by what these have left

Look-ups named up to 64 entries at random, so that an entry with 0.27 of a core and 5 Mbit/s got as many callers as one with 0.9 and 17.5. Entries now report their size and the smallest part that is left of processor, link and connections with their heartbeats (in steps, so that views rarely change), and an answer names each with a probability in proportion to that; full entries are left out, callers of a failure domain with room get its entries, and 1 in 20 of the others. Entries of equal size are named as before. A change of resources alone is not announced to routing and forwarding.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -77,6 +77,7 @@
   private final CountDownLatch immediateStop = new CountDownLatch(1);
   private final CountDownLatch stopStarted = new CountDownLatch(1);
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
+  private InstanceView offeredMembers = view;
   private volatile Optional<RoutingTable> table = Optional.empty();
   private volatile Optional<DrainProgress> drain = Optional.empty();
   private volatile boolean failed;
@@ -217,7 +218,8 @@
                 settings.instance(),
                 incarnation,
                 settings.domain(),
-                settings.callersAddress().orElse("")),
+                settings.callersAddress().orElse(""),
+                settings.resources()),
             new ContactTopology(
                 settings.instance(), settings.hasControlReplica(), Set.copyOf(settings.seeds())),
             settings.drainLimitMs(),
@@ -236,9 +238,24 @@
     return membership.offer(new MembershipMessage.LeavingObserved(run.target(), run.incarnation()));
   }
 
-  /** Routing tables are exchanged with the same instances as the tables of targets. */
+  /**
+   * Routing tables are exchanged with the same instances as the tables of targets. The resources of
+   * instances change often and matter only to look-ups, which read the view.
+   */
   private boolean viewChanged(InstanceView latest) {
     view = latest;
+    InstanceView members = latest.withoutResources();
+    if (members.equals(offeredMembers)) {
+      return true;
+    }
+    boolean offered = membersChanged(members);
+    if (offered) {
+      offeredMembers = members;
+    }
+    return offered;
+  }
+
+  private boolean membersChanged(InstanceView latest) {
     Set<InstanceId> peers = new HashSet<>(settings.seeds());
     for (InstanceRecord known : latest.instances()) {
       peers.add(known.id());
@@ -343,6 +360,11 @@
     return drain.map(DrainProgress::limitAtMs);
   }
 
+  /** Number of requests in progress; may be called from any thread. */
+  public int running() {
+    return forwardingHandler.running();
+  }
+
   public InstanceView view() {
     return view;
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.forwarding.ForwardingSettings;
+import dev.caroblb.membership.LocalResources;
 import dev.caroblb.transport.PeerDirectory;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -25,6 +26,7 @@
  * @param callersAddress address for callers; empty if it serves none
  * @param drainLimitMs maximum duration of a planned stop in milliseconds
  * @param forwarding settings of the forwarding duty
+ * @param resources source of the resources that this instance reports to the others
  */
 public record ForwardingInstanceSettings(
     InstanceId instance,
@@ -39,7 +41,8 @@
     Optional<Path> dataFolder,
     Optional<String> callersAddress,
     long drainLimitMs,
-    ForwardingSettings forwarding) {
+    ForwardingSettings forwarding,
+    LocalResources resources) {
   public ForwardingInstanceSettings {
     seeds = List.copyOf(seeds);
   }
--- a/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
+++ b/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
@@ -11,6 +11,7 @@
 import dev.caroblb.forwarding.ForwardingSettings;
 import dev.caroblb.forwarding.MoveOrder;
 import dev.caroblb.forwarding.TargetPort;
+import dev.caroblb.membership.LocalResources;
 import dev.caroblb.membership.MembershipMessage;
 import dev.caroblb.routing.RoutingError;
 import dev.caroblb.routing.RoutingTable;
@@ -72,7 +73,8 @@
                 Optional.empty(),
                 Optional.of("127.0.0.1:1"),
                 DRAIN_LIMIT_MS,
-                new ForwardingSettings(SELF, DOMAIN, 10, 1 << 20, 0.2, 10_000, 10)),
+                new ForwardingSettings(SELF, DOMAIN, 10, 1 << 20, 0.2, 10_000, 10),
+                LocalResources.UNKNOWN),
             ForwardingInstanceTest::read,
             new NoTargets(),
             new SystemMillisClock());
--- a/membership/src/main/java/dev/caroblb/membership/InstanceRecord.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceRecord.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
+import java.util.Optional;
 
 /**
  * State of an instance according to its latest heartbeat.
@@ -12,6 +13,7 @@
  * @param configuration number of the configuration installed at the instance
  * @param domain failure domain of the instance
  * @param address address that callers connect to; empty if the instance is not an entry
+ * @param resources its size and what is left of it; empty if it reports none
  */
 public record InstanceRecord(
     InstanceId id,
@@ -19,4 +21,10 @@
     InstanceState state,
     long configuration,
     FailureDomain domain,
-    String address) {}
+    String address,
+    Optional<InstanceResources> resources) {
+  InstanceRecord withoutResources() {
+    return new InstanceRecord(
+        id, incarnation, state, configuration, domain, address, Optional.empty());
+  }
+}
--- a/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceTable.java
@@ -55,7 +55,8 @@
             heartbeat.state(),
             heartbeat.configuration(),
             heartbeat.domain(),
-            heartbeat.address());
+            heartbeat.address(),
+            heartbeat.resources());
     known.put(peer, new KnownInstance(instance, heartbeat.sequence(), nowMs));
     boolean same = before != null && before.instance().equals(instance);
     return same ? MergeResult.REFRESHED : MergeResult.CHANGED;
--- a/membership/src/main/java/dev/caroblb/membership/InstanceView.java
+++ b/membership/src/main/java/dev/caroblb/membership/InstanceView.java
@@ -23,6 +23,13 @@
     instances = List.copyOf(instances);
   }
 
+  /** Returns the same view without the resources of instances. */
+  public InstanceView withoutResources() {
+    return new InstanceView(
+        entries.stream().map(InstanceRecord::withoutResources).toList(),
+        instances.stream().map(InstanceRecord::withoutResources).toList());
+  }
+
   /** Time for which callers may cache the addresses in this view. */
   public long addressTtlMs() {
     boolean admitting = entries.stream().anyMatch(entry -> entry.state() == InstanceState.READY);
--- a/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
+++ b/membership/src/main/java/dev/caroblb/membership/MembershipHandler.java
@@ -55,6 +55,7 @@
   private final TargetCatchUp catchUp = new TargetCatchUp();
   private long admitsUntilMs = ALWAYS;
   private InstanceState sentState = InstanceState.READY;
+  private Optional<InstanceResources> resources = Optional.empty();
   private long heartbeatSequence;
   private long nextHeartbeatMs;
   private long nextDigestMs;
@@ -318,6 +319,7 @@
 
   private PeerMessage.Heartbeat heartbeatMessage(long nowMs) {
     heartbeatSequence++;
+    resources = self.resources().at(nowMs);
     return new PeerMessage.Heartbeat(
         self.incarnation(),
         heartbeatSequence,
@@ -326,7 +328,8 @@
         self.domain(),
         self.address(),
         nowMs,
-        topology.contacts());
+        topology.contacts(),
+        resources);
   }
 
   private void offerView(long nowMs) {
@@ -337,7 +340,8 @@
             stateAt(nowMs),
             configuration,
             self.domain(),
-            self.address());
+            self.address(),
+            resources);
     Optional<InstanceView> view = Optional.of(instances.view(own, nowMs));
     if (!view.equals(offeredView) && viewOutlet.offer(view.get())) {
       offeredView = view;
--- a/membership/src/main/java/dev/caroblb/membership/PeerMessage.java
+++ b/membership/src/main/java/dev/caroblb/membership/PeerMessage.java
@@ -18,6 +18,7 @@
    * @param address address that callers connect to; empty if the instance is not an entry
    * @param sentAtMs monotonic time of the sender, which the receiver returns in an {@link Echo}
    * @param contacts contacts that the sender knows, see {@link ContactTopology}
+   * @param resources size of the instance and what is left of it; empty if it is not known
    */
   record Heartbeat(
       long incarnation,
@@ -27,11 +28,34 @@
       FailureDomain domain,
       String address,
       long sentAtMs,
-      List<InstanceId> contacts)
+      List<InstanceId> contacts,
+      Optional<InstanceResources> resources)
       implements PeerMessage {
     public Heartbeat {
       contacts = List.copyOf(contacts);
     }
+
+    /** A heartbeat without resources. */
+    public Heartbeat(
+        long incarnation,
+        long sequence,
+        InstanceState state,
+        long configuration,
+        FailureDomain domain,
+        String address,
+        long sentAtMs,
+        List<InstanceId> contacts) {
+      this(
+          incarnation,
+          sequence,
+          state,
+          configuration,
+          domain,
+          address,
+          sentAtMs,
+          contacts,
+          Optional.empty());
+    }
   }
 
   /** Announcements that are forwarded or were requested. */
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -8,6 +8,7 @@
 import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.Echo;
+import dev.caroblb.membership.InstanceResources;
 import dev.caroblb.membership.InstanceState;
 import dev.caroblb.membership.PeerMessage;
 import dev.caroblb.membership.TargetSummary;
@@ -31,7 +32,8 @@
   private static final int TYPE_DIGEST = 3;
   private static final int TYPE_REQUEST = 4;
 
-  private static final int HEARTBEAT_FIELDS = 8;
+  private static final int HEARTBEAT_FIELDS = 9;
+  private static final int RESOURCES_FIELDS = 3;
   private static final int RECORDS_FIELDS = 2;
   private static final int SUMMARIES_FIELDS = 1;
   private static final int SUMMARY_FIELDS = 4;
@@ -77,6 +79,14 @@
     for (InstanceId contact : heartbeat.contacts()) {
       out.packString(contact.name());
     }
+    out.packArrayHeader(heartbeat.resources().isPresent() ? 1 : 0);
+    if (heartbeat.resources().isPresent()) {
+      InstanceResources resources = heartbeat.resources().get();
+      out.packArrayHeader(RESOURCES_FIELDS);
+      out.packLong(resources.milliCores());
+      out.packLong(resources.linkKbps());
+      out.packInt(resources.freePercent());
+    }
   }
 
   private static void writeRecords(MessagePacker out, PeerMessage.Records records)
@@ -148,7 +158,13 @@
         in.text(Announcement.MAX_ADDRESS_LENGTH),
         in.longValue(),
         in.list(
-            MAX_CONTACTS, name -> new InstanceId(name.text(AnnouncementFormat.MAX_NAME_BYTES))));
+            MAX_CONTACTS, name -> new InstanceId(name.text(AnnouncementFormat.MAX_NAME_BYTES))),
+        in.optional(r -> r.structure(RESOURCES_FIELDS, MembershipCodec::resources))
+            .filter(InstanceResources::valid));
+  }
+
+  private static InstanceResources resources(BoundedReader in) throws IOException {
+    return new InstanceResources(in.longValue(), in.longValue(), in.intValue());
   }
 
   private static PeerMessage records(BoundedReader in) throws IOException {
--- a/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
@@ -10,6 +10,7 @@
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.CacheEvent;
 import dev.caroblb.membership.Echo;
+import dev.caroblb.membership.InstanceResources;
 import dev.caroblb.membership.InstanceState;
 import dev.caroblb.membership.PeerMessage;
 import dev.caroblb.membership.TargetKind;
@@ -61,7 +62,8 @@
               new FailureDomain("d1"),
               "10.0.0.1:80",
               -4,
-              List.of()),
+              List.of(),
+              Optional.of(new InstanceResources(360, 7_000, 80))),
           new PeerMessage.Records(
               Optional.of(new Echo(1, 2, 3)), List.of(new AgedAnnouncement(ANNOUNCEMENT, 9))),
           new PeerMessage.Records(Optional.empty(), List.of()),
