End or continue generations whose engine falls silent twice

A generation was moved from a leaving engine to a second one that was taken away 3 s later without a reset of its connections. Nothing happened then until the caller left: the copy to a third engine never completed, and neither a copy in progress, a backup, nor an engine that is no longer heard from had a timer. Streams of engines that leave or are gone are now checked for silence: after 400 ms the engine is told to stop the generation, which continues at the backup or the copy; without either, the stream ends after 4 s at most.

--- a/entryselection/src/main/java/dev/caroblb/entryselection/CapacitySelection.java
+++ b/entryselection/src/main/java/dev/caroblb/entryselection/CapacitySelection.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Random;
 import java.util.random.RandomGenerator;
 
 /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -51,6 +51,7 @@
   private boolean streaming;
   private boolean targetEnded;
   private boolean waiting;
+  private boolean silenceWatched;
 
   Exchange(
       ForwardCall call,
@@ -127,6 +128,15 @@
     return callerStream;
   }
 
+  /** Checks the current attempt for silence, because its target leaves or is gone. */
+  void watchSilence() {
+    silenceWatched = true;
+  }
+
+  boolean silenceWatched() {
+    return silenceWatched;
+  }
+
   boolean waiting() {
     return waiting;
   }
@@ -273,6 +283,7 @@
     head = Optional.empty();
     streaming = false;
     targetEnded = false;
+    silenceWatched = false;
     moveAttempts = 0;
     return new AttemptOrder(
         call,
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ExchangeTable.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.targets.Target;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -69,6 +70,16 @@
     return size;
   }
 
+  /** Checks the exchanges of a target for silence, for the first time at the given time. */
+  void watchSilence(Target target, long dueMs) {
+    for (Exchange exchange : exchanges.values()) {
+      if (exchange.target().filter(current -> current == target).isPresent()) {
+        exchange.watchSilence();
+        wakeAt(exchange, dueMs);
+      }
+    }
+  }
+
   void wakeAt(Exchange exchange, long dueMs) {
     timers.add(new Timer(dueMs, exchange.call().id()));
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -276,7 +276,8 @@
     } else if (message instanceof ForwardingMessage.TargetLeaving announced) {
       boolean unused = targetLeaving(announced.target(), announced.incarnation(), nowMs);
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
-      pool.gone(gone.target(), gone.incarnation());
+      pool.gone(gone.target(), gone.incarnation())
+          .ifPresent(target -> mover.watchSilence(target, nowMs));
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
       limitExchange.setControlInstances(changed.controlInstances());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -34,18 +34,18 @@
    */
   private static final long SILENCE_TIMEOUT_MS = 400;
 
-  /**
-   * Maximum time in milliseconds that a generation waits for an engine with its copy that rejects
-   * requests. Engines keep a copy for some seconds, and callers abandon a stream without events.
-   */
-  private static final long MAX_CONTINUATION_DELAY_MS = 4_000;
-
   /**
    * Time in milliseconds within which an engine must have stopped a generation. If it has not, the
    * generation may still run and does not continue elsewhere.
    */
   private static final long STOP_TIMEOUT_MS = 4_000;
 
+  /**
+   * Time in milliseconds without a stream part after which a generation ends whose engine is gone
+   * and that no other engine can continue. Callers abandon a stream a few seconds later.
+   */
+  private static final long ABANDON_TIMEOUT_MS = 4_000;
+
   /** Minimum delay in milliseconds before a failed order to stop a generation is repeated. */
   private static final long MIN_STOP_RETRY_MS = 100;
 
@@ -59,7 +59,7 @@
   private final TargetPool pool;
   private final TargetPort port;
   private final Dispatcher dispatcher;
-  private final ResponseRelay responses;
+  private final Continuation continuation;
   private final CoordinatorClient coordinator;
   private final PromptGuard guard;
 
@@ -75,7 +75,7 @@
     this.pool = pool;
     this.port = port;
     this.dispatcher = dispatcher;
-    this.responses = responses;
+    continuation = new Continuation(exchanges, pool, dispatcher, responses);
     this.coordinator = coordinator;
     this.guard = guard;
   }
@@ -87,6 +87,15 @@
         moveIfLeaving(exchange, table, nowMs);
       }
     }
+    watchSilence(leaving, nowMs);
+  }
+
+  /**
+   * Checks from now on whether the streams of an engine fall silent that leaves or is gone. Its
+   * connections may stay open without a reset, so that nothing else shows that it has ended.
+   */
+  void watchSilence(Target engine, long nowMs) {
+    exchanges.watchSilence(engine, nowMs + RECHECK_MS);
   }
 
   /** Starts to move the generation of an exchange if its engine leaves and it can be moved. */
@@ -118,7 +127,7 @@
   }
 
   private void start(Exchange exchange, Target source, long nowMs) {
-    if (!exchange.countMoveAttempt(MAX_TRIES)) {
+    if (exchange.pendingPlacement().isPresent() || !exchange.countMoveAttempt(MAX_TRIES)) {
       return;
     }
     PlacementNeed need =
@@ -135,7 +144,7 @@
   /** Starts the copy to the destination that a control instance chose, if it is still needed. */
   void destinationChosen(Exchange exchange, Optional<TargetId> destination, long nowMs) {
     exchange.clearPendingPlacement();
-    Optional<Target> source = exchange.target().filter(Target::leaving);
+    Optional<Target> source = exchange.target().filter(engine -> movesFrom(exchange, engine));
     if (source.isPresent() && exchange.move().isEmpty() && !exchange.targetEnded()) {
       startCopy(
           exchange,
@@ -147,7 +156,7 @@
   /** Chooses the destination itself, because no control instance replied. */
   private void placementTimedOut(Exchange exchange, long nowMs) {
     coordinator.timedOut(exchange);
-    Optional<Target> source = exchange.target().filter(Target::leaving);
+    Optional<Target> source = exchange.target().filter(engine -> movesFrom(exchange, engine));
     if (source.isPresent() && exchange.move().isEmpty()) {
       PlacementNeed need =
           exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.get().info().domain(), nowMs);
@@ -158,6 +167,10 @@
     }
   }
 
+  private static boolean movesFrom(Exchange exchange, Target engine) {
+    return engine.leaving() || exchange.silenceWatched();
+  }
+
   private void startCopy(Exchange exchange, Target source, Optional<Target> destination) {
     if (destination.isEmpty()) {
       log(exchange, "forwarding.move_impossible", "no destination");
@@ -213,7 +226,7 @@
   private void copyCompleted(
       Exchange exchange, GenerationMove move, boolean finalCopy, CopiedMemory memory, long nowMs) {
     if (finalCopy) {
-      continueAt(exchange, move.destination(), memory, nowMs);
+      continuation.at(exchange, move.destination(), memory, nowMs);
       return;
     }
     log(exchange, "forwarding.copied", "to " + move.destination().info().id());
@@ -229,7 +242,7 @@
   void timerFired(Exchange exchange, long nowMs) {
     Optional<DelayedContinuation> delayed = exchange.continuation();
     if (delayed.isPresent()) {
-      continueDelayed(exchange, delayed.get(), nowMs);
+      continuation.delayed(exchange, delayed.get(), nowMs);
       return;
     }
     if (exchange.pendingPlacement().isPresent()) {
@@ -240,16 +253,38 @@
     }
     Optional<GenerationMove> move = exchange.move();
     Optional<Target> source = exchange.target();
-    if (move.isEmpty() || source.isEmpty()) {
+    if (source.isEmpty()) {
       return;
     }
-    switch (move.get().stage()) {
-      case COPIED -> checkCopied(exchange, source.get(), move.get(), nowMs);
-      case STOPPING -> checkStopping(exchange, source.get(), move.get(), nowMs);
-      case COPYING -> {}
+    if (move.filter(current -> current.stage() == GenerationMove.Stage.COPIED).isPresent()) {
+      checkCopied(exchange, source.get(), move.get(), nowMs);
+    } else if (exchange.stopOrdered()) {
+      checkStopping(exchange, source.get(), move.orElseThrow(), nowMs);
+    } else if (exchange.silenceWatched() && !exchange.targetEnded()) {
+      checkSilence(exchange, source.get(), nowMs);
     }
   }
 
+  /** Continues, or ends, a silent generation of which there is no complete copy. */
+  private void checkSilence(Exchange exchange, Target source, long nowMs) {
+    exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
+    long silentMs = Math.min(nowMs - exchange.sentMs(), silentForMs(exchange, nowMs));
+    if (!exchange.streaming() || silentMs < SILENCE_TIMEOUT_MS) {
+      return;
+    }
+    if (exchange.move().isPresent()) {
+      stop(exchange, source, exchange.move().get(), "silent for " + silentMs + " ms", nowMs);
+    } else if (silentMs >= ABANDON_TIMEOUT_MS) {
+      continuation.abandon(exchange, "the engine is gone and no other one can continue", nowMs);
+    } else if (!sourceLost(exchange, nowMs) && !exchange.route().resumable()) {
+      start(exchange, source, nowMs);
+    }
+  }
+
+  private static long silentForMs(Exchange exchange, long nowMs) {
+    return exchange.timing().begun() ? exchange.timing().sinceLastPartMs(nowMs) : nowMs;
+  }
+
   private void checkCopied(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
     long silentMs = exchange.timing().sinceLastPartMs(nowMs);
@@ -263,7 +298,7 @@
 
   private void checkStopping(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     if (nowMs >= move.stopByMs()) {
-      abandon(exchange, "the engine did not confirm in time that it stopped", nowMs);
+      continuation.abandon(exchange, "the engine did not confirm in time that it stopped", nowMs);
     } else if (move.stopRetryMs().filter(retryMs -> nowMs >= retryMs).isPresent()) {
       exchange.setMove(move.stopping(move.stopByMs()));
       port.move(order(exchange, source, move.destination(), true));
@@ -312,33 +347,6 @@
     return new CopiedMemory(engine.info().address(), exchange.call().requestId());
   }
 
-  /**
-   * Continues a generation at the engine that has its copy. If that engine wants no requests from
-   * this instance for a short time, the generation continues after it.
-   */
-  private void continueAt(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
-    if (destination.accepts(nowMs) || destination.leaving()) {
-      log(exchange, "forwarding.moved", "to " + destination.info().id());
-      dispatcher.continueFromCopy(exchange, destination, memory, nowMs);
-      return;
-    }
-    if (destination.rejectsUntilMs() - nowMs > MAX_CONTINUATION_DELAY_MS) {
-      abandon(exchange, "the engine with the copy rejects requests", nowMs);
-      return;
-    }
-    log(exchange, "forwarding.continuation_delayed", "to " + destination.info().id());
-    exchange.setContinuation(new DelayedContinuation(destination, memory));
-    exchanges.wakeAt(exchange, destination.rejectsUntilMs());
-  }
-
-  private void continueDelayed(Exchange exchange, DelayedContinuation delayed, long nowMs) {
-    if (pool.staying(delayed.destination())) {
-      continueAt(exchange, delayed.destination(), delayed.memory(), nowMs);
-      return;
-    }
-    abandon(exchange, "the engine with the copy is gone", nowMs);
-  }
-
   /**
    * Handles a failed order to stop a generation. The source may have stopped it and still hold the
    * memory, or it may have ended. Otherwise the generation may still run, and the order is
@@ -365,15 +373,10 @@
     boolean mayStart =
         outcome instanceof MoveOutcome.NotRunning && exchange.progress() != AttemptProgress.CONTENT;
     if (move.copy().isEmpty() || mayStart) {
-      abandon(exchange, "move failed: " + outcome, nowMs);
+      continuation.abandon(exchange, "move failed: " + outcome, nowMs);
       return;
     }
-    continueAt(exchange, move.destination(), move.copy().get(), nowMs);
-  }
-
-  private void abandon(Exchange exchange, String cause, long nowMs) {
-    exchange.cancelMove();
-    responses.targetFailed(exchange, cause, nowMs);
+    continuation.at(exchange, move.destination(), move.copy().get(), nowMs);
   }
 
   private static void log(Exchange exchange, String event, String detail) {
--- a/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/MembershipCodec.java
@@ -157,8 +157,7 @@
         new FailureDomain(in.text(AnnouncementFormat.MAX_NAME_BYTES)),
         in.text(Announcement.MAX_ADDRESS_LENGTH),
         in.longValue(),
-        in.list(
-            MAX_CONTACTS, name -> new InstanceId(name.text(AnnouncementFormat.MAX_NAME_BYTES))),
+        in.list(MAX_CONTACTS, name -> new InstanceId(name.text(AnnouncementFormat.MAX_NAME_BYTES))),
         in.optional(r -> r.structure(RESOURCES_FIELDS, MembershipCodec::resources))
             .filter(InstanceResources::valid));
   }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -72,7 +72,7 @@
     } else if (message instanceof SchedulingMessage.TargetLeaving leaving) {
       var unused = pool.leaving(leaving.target(), leaving.incarnation(), nowMs);
     } else if (message instanceof SchedulingMessage.TargetGone gone) {
-      pool.gone(gone.target(), gone.incarnation());
+      var unused = pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof SchedulingMessage.ServingInstancesChanged changed) {
       coordinator.setServingInstances(changed.count());
     }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -89,12 +89,15 @@
     return Optional.of(known);
   }
 
-  public void gone(TargetId id, long incarnation) {
+  /** Removes a run of a target; returns empty if it is unknown. */
+  public Optional<Target> gone(TargetId id, long incarnation) {
     Target known = targets.get(id);
-    if (known != null && known.info().incarnation() == incarnation) {
-      targets.remove(id);
-      limits.forget(known.info().run());
+    if (known == null || known.info().incarnation() != incarnation) {
+      return Optional.empty();
     }
+    targets.remove(id);
+    limits.forget(known.info().run());
+    return Optional.of(known);
   }
 
   /**
