Replicate the set of evacuated failure domains

Operators need to order that nothing more is sent to the targets of a failure domain, and to withdraw the order.

--- /dev/null
+++ b/evacuation/src/main/java/dev/caroblb/evacuation/codec/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack encoding of the evacuation state and of its messages between instances. */
+package dev.caroblb.evacuation.codec;
--- a/transport/src/main/java/dev/caroblb/transport/Channel.java
+++ b/transport/src/main/java/dev/caroblb/transport/Channel.java
@@ -10,7 +10,8 @@
   IDEMPOTENCY(4),
   FORWARDING(5),
   SCHEDULING(6),
-  PACING(7);
+  PACING(7),
+  EVACUATION(8);
 
   private final int number;
 
