Send nothing to targets of evacuated failure domains

The forwarding and scheduling handlers get the set of evacuated domains. A target of such a domain is left out of every choice: new sends, queued requests, permits, retries, destinations of moves, backups, and a choice of the placement coordinator that does not know the order yet. Requests of a service whose targets are all evacuated are refused at once as not run; queued ones are answered. A generation whose backup or copy is at an evacuated engine continues at another engine if its source still has the memory, and otherwise ends at once. Running generations are not touched.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -49,6 +49,7 @@
   private final CallFinisher finisher;
   private final DrainAdmission drain;
   private final PromptGuard guard;
+  private final UnservableRequests unservable;
   private boolean anyWaiting;
 
   Dispatcher(
@@ -72,11 +73,12 @@
     this.finisher = finisher;
     this.drain = drain;
     this.guard = guard;
+    unservable = new UnservableRequests(exchanges, pool, finisher);
   }
 
   /** Finds a target for a request. For generations, a control instance chooses it. */
   void dispatch(Exchange exchange, long nowMs) {
-    if (refusedByDrain(exchange, nowMs)) {
+    if (refusedByDrain(exchange, nowMs) || unservable.refuse(exchange, nowMs)) {
       return;
     }
     if (!placedCentrally(exchange)) {
@@ -231,6 +233,9 @@
 
   /** Sends a request to a target chosen by this instance, or lets it wait for a target. */
   void placeLocally(Exchange exchange, long nowMs) {
+    if (unservable.refuse(exchange, nowMs)) {
+      return;
+    }
     PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
     Optional<Target> target = pool.choose(need, nowMs);
     if (target.isPresent()) {
@@ -286,6 +291,11 @@
     }
   }
 
+  /** Ends the requests without a target whose service has only evacuated targets. */
+  void refuseUnservable(long nowMs) {
+    unservable.refuseAll(nowMs);
+  }
+
   /** Ends the requests that wait for a target and whose prompt has been quarantined meanwhile. */
   void endQuarantined(long nowMs) {
     if (!guard.isActive()) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -277,6 +277,9 @@
       boolean unused = targetLeaving(announced.target(), announced.incarnation(), nowMs);
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation());
+    } else if (message instanceof ForwardingMessage.EvacuationsChanged changed) {
+      pool.setEvacuated(changed.domains());
+      dispatcher.refuseUnservable(nowMs);
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
       limitExchange.setControlInstances(changed.controlInstances());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -1,5 +1,6 @@
 package dev.caroblb.forwarding;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
@@ -7,6 +8,7 @@
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.targets.TargetInfo;
 import java.util.List;
+import java.util.Set;
 
 /** Input of the forwarding handler. */
 public sealed interface ForwardingMessage {
@@ -86,6 +88,13 @@
   /** New requests are refused from now on, because the instance stops. */
   record RefuseNew() implements ForwardingMessage {}
 
+  /** The set of failure domains to whose targets nothing may be sent has changed. */
+  record EvacuationsChanged(Set<FailureDomain> domains) implements ForwardingMessage {
+    public EvacuationsChanged {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** Running requests are aborted, because the instance ends. */
   record AbortRunning() implements ForwardingMessage {}
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -62,6 +62,7 @@
   private final ResponseRelay responses;
   private final CoordinatorClient coordinator;
   private final PromptGuard guard;
+  private final ContinuationChooser continuations;
 
   GenerationMover(
       ExchangeTable exchanges,
@@ -78,6 +79,7 @@
     this.responses = responses;
     this.coordinator = coordinator;
     this.guard = guard;
+    continuations = new ContinuationChooser(pool);
   }
 
   /** Starts to move all generations of a leaving engine. */
@@ -252,6 +254,13 @@
 
   private void checkCopied(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
+    if (move.destination().evacuated() && !move.updating()) {
+      // No order is pending, so no result can be taken for one of the new destination.
+      log(exchange, "forwarding.move_cancelled", move.destination().info().id() + " is evacuated");
+      exchange.cancelMove();
+      start(exchange, source, nowMs);
+      return;
+    }
     long silentMs = exchange.timing().sinceLastPartMs(nowMs);
     if (silentMs >= SILENCE_TIMEOUT_MS) {
       stop(exchange, source, move, "silent for " + silentMs + " ms", nowMs);
@@ -289,34 +298,28 @@
       return true;
     }
     Optional<Target> source = exchange.target();
-    Optional<GenerationMove> copied = exchange.move().filter(move -> move.copy().isPresent());
-    if (source.isEmpty()) {
+    Optional<GenerationMove> move =
+        source.flatMap(engine -> continuations.choose(exchange, engine, nowMs));
+    if (move.isEmpty()) {
       return false;
     }
-    if (copied.isPresent()) {
-      stop(exchange, source.get(), copied.get(), "connection lost", nowMs);
-      return true;
+    if (!move.equals(exchange.move())) {
+      exchange.cancelMove();
+      exchange.tried().add(move.get().destination().info().id());
     }
-    Optional<Target> backup = exchange.backup().filter(pool::staying);
-    if (backup.isEmpty()) {
-      return false;
-    }
-    exchange.cancelMove();
-    GenerationMove move =
-        GenerationMove.toBackup(backup.get(), backupOf(exchange, backup.get()), nowMs);
-    stop(exchange, source.get(), move, "connection lost", nowMs);
+    stop(exchange, source.get(), move.get(), "connection lost", nowMs);
     return true;
   }
 
-  private static CopiedMemory backupOf(Exchange exchange, Target engine) {
-    return new CopiedMemory(engine.info().address(), exchange.call().requestId());
-  }
-
   /**
    * Continues a generation at the engine that has its copy. If that engine wants no requests from
    * this instance for a short time, the generation continues after it.
    */
   private void continueAt(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
+    if (destination.evacuated()) {
+      abandon(exchange, "the engine with the copy is evacuated", nowMs);
+      return;
+    }
     if (destination.accepts(nowMs) || destination.leaving()) {
       log(exchange, "forwarding.moved", "to " + destination.info().id());
       dispatcher.continueFromCopy(exchange, destination, memory, nowMs);
@@ -336,7 +339,7 @@
       continueAt(exchange, delayed.destination(), delayed.memory(), nowMs);
       return;
     }
-    abandon(exchange, "the engine with the copy is gone", nowMs);
+    abandon(exchange, "the engine with the copy is gone or evacuated", nowMs);
   }
 
   /**
@@ -347,8 +350,7 @@
   private void stopFailed(
       Exchange exchange, Target source, GenerationMove move, MoveOutcome outcome, long nowMs) {
     if (outcome instanceof MoveOutcome.NoRoom noRoom && noRoom.handle().isPresent()) {
-      CopiedMemory memory = new CopiedMemory(source.info().address(), noRoom.handle().get());
-      dispatcher.continueFromCopy(exchange, source, memory, nowMs);
+      continueAtSource(exchange, source, noRoom.handle().get(), nowMs);
       return;
     }
     boolean ended =
@@ -371,6 +373,16 @@
     continueAt(exchange, move.destination(), move.copy().get(), nowMs);
   }
 
+  /** Continues a generation at the engine that stopped it and still holds its memory. */
+  private void continueAtSource(Exchange exchange, Target source, String handle, long nowMs) {
+    if (source.evacuated()) {
+      abandon(exchange, "the destination has no room and the source is evacuated", nowMs);
+      return;
+    }
+    CopiedMemory memory = new CopiedMemory(source.info().address(), handle);
+    dispatcher.continueFromCopy(exchange, source, memory, nowMs);
+  }
+
   private void abandon(Exchange exchange, String cause, long nowMs) {
     exchange.cancelMove();
     responses.targetFailed(exchange, cause, nowMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -163,6 +163,11 @@
     }
   }
 
+  /** Replies at once to the queued requests that no target may take any more. */
+  public void replyUnservable(long nowMs) {
+    queue.takeUnservable(nowMs).forEach(request -> placeStart(request, Optional.empty(), nowMs));
+  }
+
   private void placeStart(
       PlacementQueue.QueuedRequest request, Optional<Target> target, long nowMs) {
     PlacementNeed need = request.need();
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -82,6 +82,14 @@
     queue.removeIf(request -> request.instance().equals(instance) && request.ticket() == ticket);
   }
 
+  /** Removes and returns the requests that no target may take. */
+  public List<QueuedRequest> takeUnservable(long nowMs) {
+    List<QueuedRequest> unservable = new ArrayList<>(queue);
+    unservable.removeIf(request -> pool.anyUsable(request.need(), nowMs));
+    queue.removeAll(unservable);
+    return unservable;
+  }
+
   /** Removes requests that an earlier process of the instance queued. */
   public void removeOfEarlierProcess(InstanceId instance, long ticket) {
     queue.removeIf(
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -75,6 +75,9 @@
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof SchedulingMessage.ServingInstancesChanged changed) {
       coordinator.setServingInstances(changed.count());
+    } else if (message instanceof SchedulingMessage.EvacuationsChanged changed) {
+      pool.setEvacuated(changed.domains());
+      coordinator.replyUnservable(nowMs);
     }
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
@@ -1,9 +1,11 @@
 package dev.caroblb.scheduling;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.targets.TargetInfo;
+import java.util.Set;
 
 /** Input of the scheduling handler. */
 public sealed interface SchedulingMessage {
@@ -28,4 +30,11 @@
 
   /** The number of instances known to serve callers changed. */
   record ServingInstancesChanged(int count) implements SchedulingMessage {}
+
+  /** The set of failure domains to whose targets nothing may be sent has changed. */
+  record EvacuationsChanged(Set<FailureDomain> domains) implements SchedulingMessage {
+    public EvacuationsChanged {
+      domains = Set.copyOf(domains);
+    }
+  }
 }
--- a/targets/src/main/java/dev/caroblb/targets/Target.java
+++ b/targets/src/main/java/dev/caroblb/targets/Target.java
@@ -19,6 +19,7 @@
   private long penaltyUntilMs = Long.MIN_VALUE;
   private long penaltyMs = MIN_PENALTY_MS;
   private long rejectsUntilMs = Long.MIN_VALUE;
+  private boolean evacuated;
 
   public Target(TargetInfo info) {
     this.info = info;
@@ -41,6 +42,20 @@
     leavingSinceMs = nowMs;
   }
 
+  /** Whether nothing may be sent to the target, because its failure domain is evacuated. */
+  public boolean evacuated() {
+    return evacuated;
+  }
+
+  void setEvacuated(boolean value) {
+    evacuated = value;
+  }
+
+  /** Whether requests may be sent to the target now or later. */
+  public boolean serves() {
+    return !leaving && !evacuated;
+  }
+
   public int running() {
     return running;
   }
@@ -96,9 +111,9 @@
     return rejectsUntilMs;
   }
 
-  /** Whether the target accepts requests, as far as it has said. */
+  /** Whether requests may be sent to the target now. */
   public boolean accepts(long nowMs) {
-    return !leaving && nowMs >= rejectsUntilMs;
+    return serves() && nowMs >= rejectsUntilMs;
   }
 
   public boolean penalized(long nowMs) {
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -101,7 +101,7 @@
     double admitted = 0;
     for (Target target : targets) {
       Optional<EngineLimits> limits = limits(target.info().service());
-      if (!target.leaving() && limits.isPresent()) {
+      if (target.serves() && limits.isPresent()) {
         admitted += ADMITTED_FRACTION * limits.get().memoryTokens();
       }
     }
@@ -114,7 +114,7 @@
     double used = need.tokens();
     double memory = 0;
     for (Target target : targets) {
-      if (target.info().service().equals(need.service()) && !target.leaving()) {
+      if (target.info().service().equals(need.service()) && target.serves()) {
         used += total(target, nowMs).tokens();
         memory += limits.memoryTokens();
       }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -56,6 +56,7 @@
   private final TargetLoads loads;
   private final TargetLimits limits;
   private int instances = 1;
+  private Set<FailureDomain> evacuated = Set.of();
 
   /**
    * @param remoteLoads sources of the load of other instances
@@ -76,7 +77,31 @@
     if (known != null) {
       limits.forget(known.info().run());
     }
-    targets.put(info.id(), new Target(info));
+    Target added = new Target(info);
+    added.setEvacuated(evacuated.contains(info.domain()));
+    targets.put(info.id(), added);
+  }
+
+  /** Sets the failure domains to whose targets nothing may be sent. */
+  public void setEvacuated(Set<FailureDomain> domains) {
+    evacuated = Set.copyOf(domains);
+    targets
+        .values()
+        .forEach(target -> target.setEvacuated(domains.contains(target.info().domain())));
+  }
+
+  /** Whether a service has targets, but none is left because the others are evacuated. */
+  public boolean allEvacuated(String service) {
+    boolean any = false;
+    for (Target target : targets.values()) {
+      if (target.info().service().equals(service)) {
+        if (target.serves()) {
+          return false;
+        }
+        any |= target.evacuated();
+      }
+    }
+    return any;
   }
 
   /** Marks a target as leaving; returns empty if this run is unknown or already marked. */
@@ -150,7 +175,7 @@
       boolean candidate =
           target.info().service().equals(need.service())
               && !need.excluded().contains(target.info().id())
-              && !target.leaving();
+              && target.serves();
       if (!candidate) {
         continue;
       }
@@ -172,9 +197,9 @@
         .filter(target -> target.info().service().equals(service) && target.accepts(nowMs));
   }
 
-  /** Whether a previously chosen target is still known and does not leave. */
+  /** Whether a previously chosen target is still known, does not leave and is not evacuated. */
   public boolean staying(Target target) {
-    return targets.get(target.info().id()) == target && !target.leaving();
+    return targets.get(target.info().id()) == target && target.serves();
   }
 
   /**
