Accept evacuation orders at the platform's control address

POST and DELETE /v1/evacuations/ZONE order and withdraw an evacuation, with 200 once the order is committed and in force at the leader, 307 to the leader, 400 for a zone that the table zones of the settings does not name, and 503 where the outcome is unknown; GET /v1/evacuations lists what the instance knows. The daemon runs the evacuation duty, lets its state machine share the control group with that of the routing documents, and exports caroblb_evacuated_domains.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -12,6 +12,8 @@
 import dev.caroblb.core.ProposalOutcome;
 import dev.caroblb.core.Proposer;
 import dev.caroblb.core.TargetRun;
+import dev.caroblb.evacuation.EvacuationMessage;
+import dev.caroblb.evacuation.EvacuationState;
 import dev.caroblb.forwarding.ForwardingHandler;
 import dev.caroblb.forwarding.ForwardingMessage;
 import dev.caroblb.forwarding.ForwardingOutlets;
@@ -72,6 +74,7 @@
   private final Optional<LateBoundOutlet<SchedulingMessage>> scheduling;
   private final LateBoundOutlet<MembershipMessage> membership = new LateBoundOutlet<>();
   private final RoutingStateMachine routingStateMachine = new RoutingStateMachine(routing);
+  private final EvacuationDuty evacuation = new EvacuationDuty();
   private final Optional<ControlReplica> replica;
   private final ForwardingHandler forwardingHandler;
   private final CountDownLatch immediateStop = new CountDownLatch(1);
@@ -106,6 +109,7 @@
     replica = settings.hasControlReplica() ? Optional.of(openReplica()) : Optional.empty();
     createRouting(format);
     forwardingHandler = createForwarding(targets);
+    evacuation.create(duties, transport, proposer(), metrics, forwarding, scheduling);
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
@@ -119,7 +123,7 @@
             settings.seeds(),
             settings.firstStart(),
             OptionalInt.of(settings.toleratedLosses())),
-        Map.of(GroupId.CONTROL, routingStateMachine),
+        Map.of(GroupId.CONTROL, evacuation.sharedWith(routingStateMachine)),
         duties,
         transport,
         this::leaseChanged,
@@ -127,7 +131,8 @@
   }
 
   private boolean leaseChanged(LeaderLease lease) {
-    return routing.offer(new RoutingMessage.LeaseChanged(lease));
+    boolean known = evacuation.leaseChanged(lease);
+    return routing.offer(new RoutingMessage.LeaseChanged(lease)) && known;
   }
 
   private boolean replicaFailed(ReplicaFault fault) {
@@ -258,7 +263,8 @@
     forwarding.offer(
         new ForwardingMessage.ControlInstancesChanged(
             settings.hasControlReplica() ? List.of() : controlInstances));
-    return routing.offer(new RoutingMessage.PeersChanged(peers));
+    boolean known = evacuation.peersChanged(peers, settings.seeds(), controlInstances);
+    return routing.offer(new RoutingMessage.PeersChanged(peers)) && known;
   }
 
   private boolean drainProgressed(DrainProgress progress) {
@@ -359,6 +365,15 @@
     return routing;
   }
 
+  public Outlet<EvacuationMessage> evacuation() {
+    return evacuation;
+  }
+
+  /** The evacuated failure domains that this instance knows of. */
+  public EvacuationState evacuations() {
+    return evacuation.inForce();
+  }
+
   public Outlet<ForwardingMessage> forwarding() {
     return forwarding;
   }
