--- a/forwarding/src/test/java/dev/caroblb/forwarding/EvacuationTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EvacuationTest.java
@@ -236,7 +236,7 @@
 
     /** Guards against the result of the first copy that is taken for one of the second. */
     @Test
-    void getAnotherDestinationOnceTheCopyIsComplete() {
+    void areRedirectedOnceTheFirstCopyIsComplete() {
       evacuateDomainOf(firstDestination);
       advance(200);
       assertEquals(1, targets.moves.size());
--- a/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
@@ -67,7 +67,7 @@
 
     /** Guards against permits for targets that nothing may be sent to. */
     @Test
-    void getsNoPermits() {
+    void hasNoPermits() {
       assertTrue(limits.heard(info(0, A).run(), Optional.of(100.0), 0, 1));
       assertTrue(pool.permitWaitMs(NEED, 10).isPresent());
       pool.setEvacuated(Set.of(A));
