--- a/forwarding/src/main/java/dev/caroblb/forwarding/Continuation.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Continuation.java
@@ -35,6 +35,10 @@
    * this instance for a short time, the generation continues after it.
    */
   void at(Exchange exchange, Target destination, CopiedMemory memory, long nowMs) {
+    if (destination.evacuated()) {
+      abandon(exchange, "the engine with the copy is evacuated", nowMs);
+      return;
+    }
     if (destination.accepts(nowMs) || destination.leaving()) {
       log(exchange, "forwarding.moved", "to " + destination.info().id());
       dispatcher.continueFromCopy(exchange, destination, memory, nowMs);
@@ -57,7 +61,7 @@
       at(exchange, delayed.destination(), delayed.memory(), nowMs);
       return;
     }
-    abandon(exchange, "the engine with the copy is gone", nowMs);
+    abandon(exchange, "the engine with the copy is gone or evacuated", nowMs);
   }
 
   /** Ends the attempt of a generation that no engine can continue. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -278,6 +278,9 @@
     } else if (message instanceof ForwardingMessage.TargetGone gone) {
       pool.gone(gone.target(), gone.incarnation())
           .ifPresent(target -> mover.watchSilence(target, nowMs));
+    } else if (message instanceof ForwardingMessage.EvacuationsChanged changed) {
+      pool.setEvacuated(changed.domains());
+      dispatcher.refuseUnservable(nowMs);
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
       limitExchange.setControlInstances(changed.controlInstances());
