Keep silent generations from evacuated destinations

A generation that moves to an engine that is evacuated meanwhile is not stopped in favour of that engine.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -274,15 +274,22 @@
     if (!exchange.streaming() || silentMs < SILENCE_TIMEOUT_MS) {
       return;
     }
-    if (exchange.move().isPresent()) {
-      stop(exchange, source, exchange.move().get(), "silent for " + silentMs + " ms", nowMs);
-    } else if (silentMs >= ABANDON_TIMEOUT_MS) {
+    if (silentMs >= ABANDON_TIMEOUT_MS) {
       continuation.abandon(exchange, "the engine is gone and no other one can continue", nowMs);
+    } else if (exchange.move().isPresent()) {
+      stopUnlessEvacuated(exchange, source, exchange.move().get(), silentMs, nowMs);
     } else if (!sourceLost(exchange, nowMs) && !exchange.route().resumable()) {
       start(exchange, source, nowMs);
     }
   }
 
+  private void stopUnlessEvacuated(
+      Exchange exchange, Target source, GenerationMove move, long silentMs, long nowMs) {
+    if (!move.destination().evacuated()) {
+      stop(exchange, source, move, "silent for " + silentMs + " ms", nowMs);
+    }
+  }
+
   private static long silentForMs(Exchange exchange, long nowMs) {
     return exchange.timing().begun() ? exchange.timing().sinceLastPartMs(nowMs) : nowMs;
   }
