Read the warm-up of services and targets

Cause: a target that is cold crashes at a rate that a warm one takes, and the time for which it stays cold was read from announcements and dropped. Change: Service has an optional warm-up (cold-start-s, cold-per-s); Announcement carries the time that is left at its end, and an announcement that names a longer one is passed on at once instead of with the next batch of refreshed targets.

--- a/membership/src/main/java/dev/caroblb/membership/AgedAnnouncement.java
+++ b/membership/src/main/java/dev/caroblb/membership/AgedAnnouncement.java
@@ -11,4 +11,9 @@
       throw new IllegalArgumentException("an age cannot be negative: " + ageMs + " ms");
     }
   }
+
+  /** Time in milliseconds for which the target still stays cold. */
+  public long warmUpLeftMs() {
+    return Math.max(0, announcement.warmUpLeftMs() - ageMs);
+  }
 }
--- a/membership/src/main/java/dev/caroblb/membership/Announcement.java
+++ b/membership/src/main/java/dev/caroblb/membership/Announcement.java
@@ -19,6 +19,8 @@
  *     incarnation
  * @param load load at the time of the announcement
  * @param cacheEvents cache events since the previous announcement
+ * @param warmUpLeftMs time in milliseconds, from the announcement on, for which the target stays
+ *     cold; 0 if it is warm
  */
 public record Announcement(
     TargetId target,
@@ -30,7 +32,8 @@
     List<String> serves,
     boolean leaving,
     TargetLoad load,
-    List<CacheEvent> cacheEvents) {
+    List<CacheEvent> cacheEvents,
+    long warmUpLeftMs) {
   public static final int MAX_ADDRESS_LENGTH = 255;
   public static final int MAX_SERVES = 128;
   public static final int MAX_SERVED_NAME_LENGTH = 192;
@@ -38,12 +41,38 @@
   /** Limits an announcement to a few KiB; events beyond the limit count as lost. */
   public static final int MAX_CACHE_EVENTS = 256;
 
+  /** The announcement of a warm target. */
+  public Announcement(
+      TargetId target,
+      long incarnation,
+      long sequence,
+      TargetKind kind,
+      FailureDomain domain,
+      String address,
+      List<String> serves,
+      boolean leaving,
+      TargetLoad load,
+      List<CacheEvent> cacheEvents) {
+    this(
+        target,
+        incarnation,
+        sequence,
+        kind,
+        domain,
+        address,
+        serves,
+        leaving,
+        load,
+        cacheEvents,
+        0);
+  }
+
   public Announcement {
     serves = List.copyOf(serves);
     cacheEvents = List.copyOf(cacheEvents);
-    if (incarnation < 0 || sequence < 0) {
+    if (incarnation < 0 || sequence < 0 || warmUpLeftMs < 0) {
       throw new IllegalArgumentException(
-          "incarnation and sequence of target " + target + " must not be negative");
+          "incarnation, sequence and warm-up of target " + target + " must not be negative");
     }
     if (address.length() > MAX_ADDRESS_LENGTH || IpEndpoints.parseUnicast(address).isEmpty()) {
       throw new IllegalArgumentException(
@@ -71,7 +100,10 @@
     }
   }
 
-  /** Whether this later announcement has no news except that the target is still alive. */
+  /**
+   * Whether this later announcement has no news except that the target is still alive. A warm-up
+   * that gets shorter is no news; a longer one means that the target is cold again.
+   */
   boolean onlyRefreshes(Announcement earlier) {
     return cacheEvents.isEmpty()
         && incarnation == earlier.incarnation
@@ -80,13 +112,24 @@
         && address.equals(earlier.address)
         && serves.equals(earlier.serves)
         && leaving == earlier.leaving
+        && warmUpLeftMs <= earlier.warmUpLeftMs
         && load.equals(earlier.load);
   }
 
   /** Returns the same announcement, marked as leaving. */
   Announcement asLeaving() {
     return new Announcement(
-        target, incarnation, sequence, kind, domain, address, serves, true, load, cacheEvents);
+        target,
+        incarnation,
+        sequence,
+        kind,
+        domain,
+        address,
+        serves,
+        true,
+        load,
+        cacheEvents,
+        warmUpLeftMs);
   }
 
   TargetSummary summary() {
--- a/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
@@ -26,7 +26,7 @@
   private static final List<CacheEvent.Change> CHANGES =
       List.of(CacheEvent.Change.STORED, CacheEvent.Change.EVICTED, CacheEvent.Change.CLEARED);
 
-  private static final int FIELDS = 11;
+  private static final int FIELDS = 12;
   private static final int LOAD_FIELDS = 6;
   private static final int EVENT_FIELDS = 3;
 
@@ -55,6 +55,7 @@
       out.packInt(CHANGES.indexOf(event.change()));
       out.packLong(event.prefix());
     }
+    out.packLong(announcement.warmUpLeftMs());
   }
 
   private static void writeLoad(MessagePacker out, TargetLoad load) throws IOException {
@@ -79,7 +80,8 @@
       List<String> serves,
       boolean leaving,
       RawLoad load,
-      List<CacheEvent> cacheEvents) {
+      List<CacheEvent> cacheEvents,
+      long warmUpLeftMs) {
     AgedAnnouncement toAnnouncement() {
       return new AgedAnnouncement(
           new Announcement(
@@ -92,7 +94,8 @@
               serves,
               leaving,
               load.toLoad(),
-              cacheEvents),
+              cacheEvents,
+              warmUpLeftMs),
           ageMs);
     }
   }
@@ -136,7 +139,8 @@
         in.structure(LOAD_FIELDS, AnnouncementFormat::load),
         in.list(
             Announcement.MAX_CACHE_EVENTS,
-            event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)));
+            event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)),
+        in.longValue());
   }
 
   private static RawLoad load(BoundedReader in) throws IOException {
--- a/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingTable.java
@@ -69,6 +69,15 @@
     return engines;
   }
 
+  /** Warm-up of the targets of each service that names one. */
+  public Map<String, WarmUp> warmUps() {
+    Map<String, WarmUp> warmUps = new HashMap<>();
+    for (Service service : services.values()) {
+      service.warmUp().ifPresent(warmUp -> warmUps.put(service.name(), warmUp));
+    }
+    return warmUps;
+  }
+
   /** Whether requests need an API key, except on routes that require none. */
   public boolean requiresKeys() {
     return workspacesByKey.isPresent();
