Pace targets that are cold or have started or recovered

Cause: a cold target got requests at any rate, and one that had started or recovered was flooded by all instances at once. Change: TargetLimits takes the least of several sources of a rate: what the target names, the rate of its service while it is cold, and a rate that the control instance learns from the outcomes that entries report.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -27,6 +27,7 @@
 import dev.caroblb.membership.MembershipOutlets;
 import dev.caroblb.membership.codec.MembershipCodec;
 import dev.caroblb.metrics.InstanceMetrics;
+import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.pacing.codec.PacingCodec;
 import dev.caroblb.routing.RoutingFormat;
 import dev.caroblb.routing.RoutingHandler;
@@ -191,6 +192,7 @@
     if (scheduling.isPresent()) {
       createScheduling(scheduling.get(), schedulers, limits);
     } else {
+      addPacingMetrics(handler.pacingGauges());
       schedulers.setReceiver(message -> duty.offer(new ForwardingMessage.FromScheduler(message)));
       limits.setReceiver(message -> duty.offer(new ForwardingMessage.LimitsFromPeer(message)));
     }
@@ -201,13 +203,22 @@
       LateBoundOutlet<SchedulingMessage> outlet,
       PeerChannel<dev.caroblb.scheduling.PeerMessage> peers,
       PeerChannel<dev.caroblb.pacing.PeerMessage> limits) {
-    Duty<SchedulingMessage> duty =
-        duties.create("scheduling", new SchedulingHandler(peers, limits, new Random()));
+    SchedulingHandler handler =
+        new SchedulingHandler(peers, limits, new Random(), settings.learnsRates());
+    addPacingMetrics(handler.pacingGauges());
+    Duty<SchedulingMessage> duty = duties.create("scheduling", handler);
     outlet.bind(duty);
     peers.setReceiver(message -> duty.offer(new SchedulingMessage.FromPeer(message)));
     limits.setReceiver(message -> duty.offer(new SchedulingMessage.LimitsFromPeer(message)));
   }
 
+  private void addPacingMetrics(PacingGauges gauges) {
+    metrics.addGauge("caroblb.targets.warming", "Targets that are cold", gauges::warming);
+    metrics.addGauge("caroblb.targets.paced", "Targets whose rate is learned", gauges::paced);
+    metrics.addCounter(
+        "caroblb.permits", "Permits for requests", "outcome", "denied", gauges::denied);
+  }
+
   private void createMembership(long incarnation) {
     PeerChannel<dev.caroblb.membership.PeerMessage> peers =
         new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
@@ -25,6 +25,7 @@
  * @param callersAddress address for callers; empty if it serves none
  * @param drainLimitMs maximum duration of a planned stop in milliseconds
  * @param forwarding settings of the forwarding duty
+ * @param learnsRates whether the rates of targets that have started or recovered are learned
  */
 public record ForwardingInstanceSettings(
     InstanceId instance,
@@ -39,7 +40,8 @@
     Optional<Path> dataFolder,
     Optional<String> callersAddress,
     long drainLimitMs,
-    ForwardingSettings forwarding) {
+    ForwardingSettings forwarding,
+    boolean learnsRates) {
   public ForwardingInstanceSettings {
     seeds = List.copyOf(seeds);
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Outlet;
 import dev.caroblb.forwarding.ForwardingMessage;
+import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.TargetChange;
 import dev.caroblb.scheduling.SchedulingMessage;
@@ -33,15 +34,16 @@
           new ForwardingMessage.TargetGone(gone.target(), gone.incarnation()));
     }
     if (change instanceof TargetChange.Reported reported) {
-      return available(reported.latest().announcement());
+      return available(reported.latest());
     }
     if (change instanceof TargetChange.Restarted restarted) {
-      return available(restarted.latest().announcement());
+      return available(restarted.latest());
     }
-    return available(((TargetChange.Available) change).latest().announcement());
+    return available(((TargetChange.Available) change).latest());
   }
 
-  private boolean available(Announcement announcement) {
+  private boolean available(AgedAnnouncement latest) {
+    Announcement announcement = latest.announcement();
     if (announcement.serves().isEmpty()) {
       return true;
     }
@@ -53,8 +55,8 @@
             announcement.address(),
             announcement.domain());
     return offer(
-        new SchedulingMessage.TargetAvailable(target),
-        new ForwardingMessage.TargetAvailable(target));
+        new SchedulingMessage.TargetAvailable(target, latest.warmUpLeftMs(), latest.ageMs()),
+        new ForwardingMessage.TargetAvailable(target, latest.warmUpLeftMs(), latest.ageMs()));
   }
 
   private boolean offer(SchedulingMessage toScheduling, ForwardingMessage toForwarding) {
--- a/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
+++ b/daemon/src/test/java/dev/caroblb/daemon/ForwardingInstanceTest.java
@@ -72,7 +72,8 @@
                 Optional.empty(),
                 Optional.of("127.0.0.1:1"),
                 DRAIN_LIMIT_MS,
-                new ForwardingSettings(SELF, DOMAIN, 10, 1 << 20, 0.2, 10_000, 10)),
+                new ForwardingSettings(SELF, DOMAIN, 10, 1 << 20, 0.2, 10_000, 10),
+                true),
             ForwardingInstanceTest::read,
             new NoTargets(),
             new SystemMillisClock());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -9,8 +9,7 @@
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
-import dev.caroblb.pacing.LimitExchange;
-import dev.caroblb.pacing.TargetLimits;
+import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Workspace;
@@ -37,8 +36,7 @@
   private final RandomGenerator random;
   private final ExchangeTable exchanges = new ExchangeTable();
   private final DrainAdmission drain = new DrainAdmission();
-  private final TargetLimits limits = new TargetLimits();
-  private final LimitExchange limitExchange;
+  private final TargetPacing pacing;
   private final TargetPool pool;
   private final RetryBudget budget;
   private final CallFinisher finisher;
@@ -61,8 +59,8 @@
     this.settings = settings;
     leaving = outlets.leaving();
     this.random = random;
-    limitExchange = new LimitExchange(outlets.pacing(), limits, List::of);
-    pool = new TargetPool(random, List.of(remoteLoad), limits);
+    pacing = new TargetPacing(outlets.pacing(), random);
+    pool = new TargetPool(random, List.of(remoteLoad), pacing.limits());
     coordinator = new CoordinatorClient(outlets.scheduling(), new ProcessSequence(random));
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
@@ -108,7 +106,7 @@
     } else if (message instanceof ForwardingMessage.FromScheduler fromScheduler) {
       fromScheduler(fromScheduler.received().peer(), fromScheduler.received().message(), nowMs);
     } else if (message instanceof ForwardingMessage.LimitsFromPeer fromPeer) {
-      limitsFromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
+      pacing.fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else {
       stateChanged(message, nowMs);
       dispatcher.placeWaiting(nowMs);
@@ -128,16 +126,20 @@
   }
 
   private void attemptEvent(Exchange exchange, ForwardingMessage.AttemptEvent message, long nowMs) {
+    if (message instanceof ForwardingMessage.Failed) {
+      pacing.failed(exchange);
+    }
     if (message instanceof ForwardingMessage.Body body) {
       responses.body(exchange, body.part(), nowMs);
       mover.moveIfLeaving(exchange, table, nowMs);
     } else if (message instanceof ForwardingMessage.Head head) {
-      limitReceived(exchange, head.head(), nowMs);
+      pacing.head(exchange, head.head(), nowMs);
       noticeReceived(exchange, head.head().notice(), nowMs);
       responses.head(exchange, head.head(), nowMs);
     } else if (message instanceof ForwardingMessage.Ended) {
       boolean incomplete = exchange.stopOrdered() || exchange.incompleteStream();
       if (incomplete) {
+        pacing.failed(exchange);
         connectionBroken(exchange, nowMs);
       }
       if (!incomplete || !mover.sourceLost(exchange, nowMs)) {
@@ -156,15 +158,6 @@
     }
   }
 
-  /** Applies the request limit that a target names, or names no longer, in a sound response. */
-  private void limitReceived(Exchange exchange, ResponseHead head, long nowMs) {
-    Optional<Target> target = exchange.target().filter(current -> head.sentByTarget());
-    target.ifPresent(
-        current ->
-            limitExchange.heard(
-                current.info().run(), head.notice().requestsPerSecond(), exchange.sentMs(), nowMs));
-  }
-
   /** Applies what a target says about itself before its response is handled. */
   private void noticeReceived(Exchange exchange, TargetNotice notice, long nowMs) {
     Optional<Target> target = exchange.target();
@@ -214,12 +207,6 @@
     }
   }
 
-  private void limitsFromPeer(InstanceId peer, dev.caroblb.pacing.PeerMessage message, long nowMs) {
-    if (message instanceof dev.caroblb.pacing.PeerMessage.LimitAnnouncement announcement) {
-      limitExchange.announced(peer, announcement.statements(), nowMs);
-    }
-  }
-
   private void fromScheduler(
       InstanceId peer, dev.caroblb.scheduling.PeerMessage message, long nowMs) {
     if (message instanceof PlacementQueued queued) {
@@ -236,15 +223,10 @@
       coordinator.remoteLoadReported(peer, nowMs);
       budget.setInstances(report.instances());
       pool.setInstances(report.instances());
-      limits.setShare(1, report.instances());
-      limits.expire(nowMs);
-      limits.coordinatorHeard(nowMs);
+      pacing.remoteLoadReported(report.instances(), nowMs);
       remoteLoad.replace(report.loads(), nowMs);
     } else if (message instanceof PermitReply reply) {
-      limits.coordinatorHeard(nowMs);
-      if (reply.target().isEmpty() && reply.waitMs().isEmpty()) {
-        limitExchange.reportAll(nowMs);
-      }
+      pacing.permitReplied(reply, nowMs);
       coordinator
           .replied(reply, nowMs)
           .flatMap(exchanges::find)
@@ -270,8 +252,10 @@
     if (message instanceof ForwardingMessage.TableInstalled installed) {
       table = Optional.of(installed.table());
       pool.setEngineLimits(installed.table().engines());
+      pacing.setTable(installed.table());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
+      pacing.available(available, nowMs);
       guard.heartbeatReceived(available.target(), nowMs);
     } else if (message instanceof ForwardingMessage.TargetLeaving announced) {
       boolean unused = targetLeaving(announced.target(), announced.incarnation(), nowMs);
@@ -279,7 +263,7 @@
       pool.gone(gone.target(), gone.incarnation());
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
-      limitExchange.setControlInstances(changed.controlInstances());
+      pacing.setControlInstances(changed.controlInstances());
       evidence.setControlInstances(changed.controlInstances());
     } else if (message instanceof ForwardingMessage.DrainStarted started) {
       drain.setLimit(started.limitAtMs());
@@ -300,6 +284,11 @@
     }
   }
 
+  /** Numbers about paced targets; may be read from any thread. */
+  public PacingGauges pacingGauges() {
+    return pacing.limits().gauges();
+  }
+
   /** Number of running requests; may be called from any thread. */
   public int running() {
     return exchanges.size();
@@ -374,16 +363,16 @@
     if (nowMs >= coordinator.nextMs()) {
       coordinator.tick(pool.ownLoads(), nowMs);
     }
-    coordinator.inUse().ifPresent(control -> limitExchange.useCoordinator(control, nowMs));
-    if (nowMs >= limitExchange.nextMs()) {
-      limitExchange.tick(nowMs);
-    }
+    pacing.tick(coordinator.inUse(), nowMs);
     if (nowMs >= evidence.nextMs()) {
       evidence.tick(nowMs);
     }
   }
 
   private void timedOut(Exchange exchange, long nowMs) {
+    if (exchange.head().isEmpty()) {
+      pacing.failed(exchange);
+    }
     RefusalReason reason =
         exchange.possibleRuns() > 0 ? RefusalReason.DEADLINE_AFTER_START : RefusalReason.NO_TARGET;
     finisher.fail(exchange, reason, "timeout expired", nowMs);
@@ -392,6 +381,6 @@
   @Override
   public long nextTickMs() {
     long ownMs = Math.min(exchanges.nextDueMs(), coordinator.nextMs());
-    return Math.min(ownMs, Math.min(evidence.nextMs(), limitExchange.nextMs()));
+    return Math.min(ownMs, Math.min(evidence.nextMs(), pacing.nextMs()));
   }
 }
--- a/pacing/src/main/java/dev/caroblb/pacing/PeerMessage.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/PeerMessage.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Messages between instances about the request limits of targets. */
+/** Messages between instances about the rates at which targets may get requests. */
 public sealed interface PeerMessage {
   /**
    * Request limits that targets named in responses to the sender, for control instances.
@@ -22,4 +22,35 @@
       statements = List.copyOf(statements);
     }
   }
+
+  /**
+   * What an entry observed of paced targets, for control instances.
+   *
+   * @param warmUps targets that said in responses that they are cold
+   * @param outcomes what happened to the requests that the sender sent
+   * @param paces learned rates that the sender knows from another control instance
+   */
+  record PaceReport(
+      List<WarmUpStatement> warmUps, List<RunOutcomes> outcomes, List<LimitStatement> paces)
+      implements PeerMessage {
+    public PaceReport {
+      warmUps = List.copyOf(warmUps);
+      outcomes = List.copyOf(outcomes);
+      paces = List.copyOf(paces);
+    }
+  }
+
+  /**
+   * What a control instance knows of paced targets.
+   *
+   * @param warmUps targets that have become cold
+   * @param paces learned rates of all targets that have one
+   */
+  record PaceAnnouncement(List<WarmUpStatement> warmUps, List<LimitStatement> paces)
+      implements PeerMessage {
+    public PaceAnnouncement {
+      warmUps = List.copyOf(warmUps);
+      paces = List.copyOf(paces);
+    }
+  }
 }
--- a/pacing/src/main/java/dev/caroblb/pacing/StatedLimits.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/StatedLimits.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /** The latest statement of each target that names a request limit, or has named one. */
-public final class StatedLimits {
+public final class StatedLimits implements RateSource {
   /**
    * Time in milliseconds for which the end of a limit is kept. Until then an earlier statement that
    * arrives late does not bring the limit back.
@@ -59,13 +59,13 @@
     return known == null || !known.perSecond().equals(perSecond);
   }
 
-  /** The limit of a target in requests per second; empty if it names none. */
-  public Optional<Double> perSecond(TargetRun run) {
+  @Override
+  public Optional<Double> perSecond(TargetRun run, long nowMs) {
     return Optional.ofNullable(latest.get(run)).flatMap(Stated::perSecond);
   }
 
-  /** Whether any target names a limit. */
-  public boolean anyLimit() {
+  @Override
+  public boolean limitsAny(long nowMs) {
     return latest.values().stream().anyMatch(stated -> stated.perSecond().isPresent());
   }
 
@@ -88,12 +88,13 @@
     return Math.max(0, nowMs - stated.atMs());
   }
 
-  /** Forgets a run of a target that has ended. */
+  @Override
   public void forget(TargetRun run) {
     latest.remove(run);
   }
 
   /** Forgets limits that ended or were named last some time ago. */
+  @Override
   public void expire(long nowMs) {
     latest
         .values()
--- a/pacing/src/main/java/dev/caroblb/pacing/codec/LimitCodec.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/codec/LimitCodec.java
@@ -20,13 +20,17 @@
     out.packArrayHeader(statements.size());
     for (LimitStatement statement : statements) {
       out.packArrayHeader(STATEMENT_FIELDS);
-      out.packString(statement.run().target().name());
-      out.packLong(statement.run().incarnation());
+      write(out, statement.run());
       write(out, statement.perSecond());
       out.packLong(statement.ageMs());
     }
   }
 
+  static void write(MessagePacker out, TargetRun run) throws IOException {
+    out.packString(run.target().name());
+    out.packLong(run.incarnation());
+  }
+
   private static void write(MessagePacker out, Optional<Double> perSecond) throws IOException {
     out.packArrayHeader(perSecond.isPresent() ? 1 : 0);
     if (perSecond.isPresent()) {
@@ -41,9 +45,10 @@
   }
 
   private static LimitStatement statement(BoundedReader in) throws IOException {
-    return new LimitStatement(
-        new TargetRun(new TargetId(in.text(MAX_TARGET_BYTES)), in.longValue()),
-        in.optional(BoundedReader::doubleValue),
-        in.longValue());
+    return new LimitStatement(run(in), in.optional(BoundedReader::doubleValue), in.longValue());
+  }
+
+  static TargetRun run(BoundedReader in) throws IOException {
+    return new TargetRun(new TargetId(in.text(MAX_TARGET_BYTES)), in.longValue());
   }
 }
--- a/pacing/src/main/java/dev/caroblb/pacing/codec/PacingCodec.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/codec/PacingCodec.java
@@ -15,8 +15,12 @@
 public final class PacingCodec implements MessageCodec<PeerMessage> {
   private static final int TYPE_LIMIT_REPORT = 1;
   private static final int TYPE_LIMIT_ANNOUNCEMENT = 2;
+  private static final int TYPE_PACE_REPORT = 3;
+  private static final int TYPE_PACE_ANNOUNCEMENT = 4;
   private static final int LIMIT_REPORT_FIELDS = 2;
   private static final int LIMIT_ANNOUNCEMENT_FIELDS = 1;
+  private static final int PACE_REPORT_FIELDS = 3;
+  private static final int PACE_ANNOUNCEMENT_FIELDS = 2;
 
   @Override
   public Payload encode(PeerMessage message) {
@@ -33,6 +37,17 @@
       out.packArrayHeader(1 + LIMIT_ANNOUNCEMENT_FIELDS);
       out.packInt(TYPE_LIMIT_ANNOUNCEMENT);
       LimitCodec.write(out, announcement.statements());
+    } else if (message instanceof PeerMessage.PaceReport report) {
+      out.packArrayHeader(1 + PACE_REPORT_FIELDS);
+      out.packInt(TYPE_PACE_REPORT);
+      PaceCodec.writeWarmUps(out, report.warmUps());
+      PaceCodec.writeOutcomes(out, report.outcomes());
+      LimitCodec.write(out, report.paces());
+    } else if (message instanceof PeerMessage.PaceAnnouncement announcement) {
+      out.packArrayHeader(1 + PACE_ANNOUNCEMENT_FIELDS);
+      out.packInt(TYPE_PACE_ANNOUNCEMENT);
+      PaceCodec.writeWarmUps(out, announcement.warmUps());
+      LimitCodec.write(out, announcement.paces());
     }
   }
 
@@ -47,15 +62,23 @@
       return switch (type) {
         case TYPE_LIMIT_REPORT -> LIMIT_REPORT_FIELDS;
         case TYPE_LIMIT_ANNOUNCEMENT -> LIMIT_ANNOUNCEMENT_FIELDS;
+        case TYPE_PACE_REPORT -> PACE_REPORT_FIELDS;
+        case TYPE_PACE_ANNOUNCEMENT -> PACE_ANNOUNCEMENT_FIELDS;
         default -> -1;
       };
     }
 
     @Override
     public PeerMessage read(int type, BoundedReader in) throws IOException {
-      return type == TYPE_LIMIT_REPORT
-          ? new PeerMessage.LimitReport(LimitCodec.read(in), in.flag())
-          : new PeerMessage.LimitAnnouncement(LimitCodec.read(in));
+      return switch (type) {
+        case TYPE_LIMIT_REPORT -> new PeerMessage.LimitReport(LimitCodec.read(in), in.flag());
+        case TYPE_PACE_REPORT ->
+            new PeerMessage.PaceReport(
+                PaceCodec.warmUps(in), PaceCodec.outcomes(in), LimitCodec.read(in));
+        case TYPE_PACE_ANNOUNCEMENT ->
+            new PeerMessage.PaceAnnouncement(PaceCodec.warmUps(in), LimitCodec.read(in));
+        default -> new PeerMessage.LimitAnnouncement(LimitCodec.read(in));
+      };
     }
   }
 }
--- a/pacing/src/test/java/dev/caroblb/pacing/TargetLimitsTest.java
+++ b/pacing/src/test/java/dev/caroblb/pacing/TargetLimitsTest.java
@@ -38,9 +38,9 @@
     void responseToAnEarlierRequestDoesNotEndTheLimit() {
       assertTrue(heard(2.5, 1_000));
       assertFalse(limits.heard(RUN, Optional.empty(), 990, 1_010));
-      assertTrue(limits.limited(RUN));
+      assertTrue(limits.limited(RUN, 1_010));
       assertTrue(limits.heard(RUN, Optional.empty(), 1_001, 1_040));
-      assertFalse(limits.limited(RUN));
+      assertFalse(limits.limited(RUN, 1_040));
     }
 
     /** Guards against a limit that returns with a statement that arrives late. */
@@ -49,7 +49,7 @@
       heard(2.5, 1_000);
       limits.heard(RUN, Optional.empty(), 1_500, 1_550);
       assertFalse(limits.received(new LimitStatement(RUN, Optional.of(2.5), 1_000), 2_000));
-      assertFalse(limits.limited(RUN));
+      assertFalse(limits.limited(RUN, 2_000));
     }
 
     /** Guards against values of a message that make the rate meaningless. */
@@ -59,7 +59,7 @@
         assertFalse(limits.received(new LimitStatement(RUN, Optional.of(perSecond), 0), 1_000));
       }
       assertFalse(limits.received(new LimitStatement(RUN, Optional.of(1.0), -1), 1_000));
-      assertFalse(limits.limited(RUN));
+      assertFalse(limits.limited(RUN, 1_000));
     }
 
     /** Guards against state that grows with each run of a target. */
@@ -88,9 +88,9 @@
     void isForgottenIfItIsNotRepeatedForALongTime() {
       heard(2.5, 1_000);
       limits.expire(600_000);
-      assertTrue(limits.limited(RUN));
+      assertTrue(limits.limited(RUN, 600_000));
       limits.expire(601_000);
-      assertFalse(limits.limited(RUN));
+      assertFalse(limits.limited(RUN, 601_000));
     }
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -66,7 +66,7 @@
   public void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
     ledger.expire(nowMs);
     ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
-    limits.setShare(ledger.instances().size(), servingInstances);
+    limits.setShare(ledger.instances().size(), servingInstances, nowMs);
     reportSentMs.keySet().retainAll(ledger.instances());
     queue.retainInstances(ledger.instances(), nowMs - RemoteLoad.MAX_AGE_MS);
     placeQueued(nowMs);
@@ -143,6 +143,9 @@
     target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
     permits += target.isPresent() ? 1 : 0;
     denials += target.isPresent() ? 0 : 1;
+    if (target.isEmpty()) {
+      limits.countDenied();
+    }
     send(
         peer,
         new PeerMessage.PermitReply(
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -4,11 +4,16 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.pacing.LearnedRates;
 import dev.caroblb.pacing.LimitExchange;
+import dev.caroblb.pacing.PaceAnnouncer;
+import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.TargetInfo;
 import dev.caroblb.targets.TargetPool;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -17,21 +22,35 @@
  */
 public final class SchedulingHandler implements DutyHandler<SchedulingMessage> {
   private final PlacementLedger ledger = new PlacementLedger(RemoteLoad.MAX_AGE_MS);
-  private final TargetLimits limits = new TargetLimits();
+  private final TargetLimits limits;
   private final TargetPool pool;
   private final LimitExchange limitExchange;
+  private final PaceAnnouncer paces;
   private final PlacementCoordinator coordinator;
 
+  /** Creates a handler that learns the rates of targets which have started or recovered. */
+  public SchedulingHandler(
+      Outlet<PeerEnvelope<PeerMessage>> peers,
+      Outlet<PeerEnvelope<dev.caroblb.pacing.PeerMessage>> limitPeers,
+      RandomGenerator random) {
+    this(peers, limitPeers, random, true);
+  }
+
   /**
    * @param peers receives the replies to the instances that request targets
    * @param limitPeers receives the announcements of request limits
+   * @param learnsRates whether the rates of targets that have started or recovered are learned
    */
   public SchedulingHandler(
       Outlet<PeerEnvelope<PeerMessage>> peers,
       Outlet<PeerEnvelope<dev.caroblb.pacing.PeerMessage>> limitPeers,
-      RandomGenerator random) {
+      RandomGenerator random,
+      boolean learnsRates) {
+    limits =
+        TargetLimits.ofControl(learnsRates ? Optional.of(new LearnedRates()) : Optional.empty());
     pool = new TargetPool(random, List.of(ledger), limits);
     limitExchange = new LimitExchange(limitPeers, limits, ledger::instances);
+    paces = new PaceAnnouncer(limitPeers, limits, ledger::instances);
     coordinator =
         new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
   }
@@ -61,14 +80,17 @@
   private void limitsFromPeer(InstanceId peer, dev.caroblb.pacing.PeerMessage message, long nowMs) {
     if (message instanceof dev.caroblb.pacing.PeerMessage.LimitReport report) {
       limitExchange.reported(peer, report, nowMs);
+    } else if (message instanceof dev.caroblb.pacing.PeerMessage.PaceReport report) {
+      paces.reported(report, nowMs);
     }
   }
 
   private void stateChanged(SchedulingMessage message, long nowMs) {
     if (message instanceof SchedulingMessage.TableInstalled installed) {
       pool.setEngineLimits(installed.table().engines());
+      limits.setWarmUps(installed.table().warmUps());
     } else if (message instanceof SchedulingMessage.TargetAvailable available) {
-      pool.available(available.target());
+      targetAvailable(available, nowMs);
     } else if (message instanceof SchedulingMessage.TargetLeaving leaving) {
       var unused = pool.leaving(leaving.target(), leaving.incarnation(), nowMs);
     } else if (message instanceof SchedulingMessage.TargetGone gone) {
@@ -78,15 +100,35 @@
     }
   }
 
+  private void targetAvailable(SchedulingMessage.TargetAvailable available, long nowMs) {
+    TargetInfo target = available.target();
+    pool.available(target);
+    limits.available(
+        target.run(),
+        target.service(),
+        target.domain(),
+        available.warmUpLeftMs(),
+        available.ageMs(),
+        nowMs);
+  }
+
+  /** Numbers about paced targets; may be read from any thread. */
+  public PacingGauges pacingGauges() {
+    return limits.gauges();
+  }
+
   @Override
   public void tick(long nowMs) {
     if (nowMs >= limitExchange.nextMs()) {
       limitExchange.tick(nowMs);
     }
+    if (nowMs >= paces.nextMs()) {
+      paces.tick(nowMs);
+    }
   }
 
   @Override
   public long nextTickMs() {
-    return limitExchange.nextMs();
+    return Math.min(limitExchange.nextMs(), paces.nextMs());
   }
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
@@ -17,8 +17,19 @@
   /** Another routing table became active. */
   record TableInstalled(RoutingTable table) implements SchedulingMessage {}
 
-  /** The target accepts requests; sent again with each heartbeat of the target. */
-  record TargetAvailable(TargetInfo target) implements SchedulingMessage {}
+  /**
+   * The target accepts requests; sent again with each heartbeat of the target.
+   *
+   * @param warmUpLeftMs time in milliseconds for which the target still stays cold
+   * @param ageMs time in milliseconds since the heartbeat
+   */
+  record TargetAvailable(TargetInfo target, long warmUpLeftMs, long ageMs)
+      implements SchedulingMessage {
+    /** The target is warm. */
+    public TargetAvailable(TargetInfo target) {
+      this(target, 0, 0);
+    }
+  }
 
   /** The target finishes its running requests and accepts no new ones. */
   record TargetLeaving(TargetId target, long incarnation) implements SchedulingMessage {}
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -252,7 +252,7 @@
     List<Target> others = accepting(need.service(), Set.of(primary.info().id()), nowMs);
     for (Target target : unpenalized(others, nowMs)) {
       // All generations with this backup may continue there at the same time.
-      boolean limited = limits.limited(target.info().run());
+      boolean limited = limits.limited(target.info().run(), nowMs);
       if (!limited && loads.total(target, nowMs).tokens() <= room) {
         candidates.add(target);
       }
@@ -269,13 +269,13 @@
   /** Targets that accept a request and name a request limit. */
   private List<Target> limited(PlacementNeed need, long nowMs) {
     List<Target> limited = accepting(need.service(), need.excluded(), nowMs);
-    limited.removeIf(target -> !limits.limited(target.info().run()));
+    limited.removeIf(target -> !limits.limited(target.info().run(), nowMs));
     return limited;
   }
 
   /** Whether a control instance may have a permit for a limited target. */
   public boolean permitExpected(PlacementNeed need, long nowMs) {
-    return limits.anyLimited()
+    return limits.anyLimited(nowMs)
         && limited(need, nowMs).stream()
             .anyMatch(target -> limits.permitExpected(target.info().run(), nowMs));
   }
