Test cold targets with all instances joined in memory

Cause: the rate of a cold target holds for all instances together, also while some are cut off and while the control instance changes. Change: the group of limited targets has targets that turn cold, with or without an announcement, and restart; the bound is checked for one second.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -14,6 +14,7 @@
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Service;
+import dev.caroblb.routing.WarmUp;
 import dev.caroblb.routing.WeightedService;
 import dev.caroblb.routing.Workspace;
 import dev.caroblb.scheduling.PeerMessage;
@@ -82,6 +83,10 @@
   }
 
   static RoutingTable table() {
+    return table(Optional.empty());
+  }
+
+  static RoutingTable table(Optional<WarmUp> warmUp) {
     return new RoutingTable(
         3,
         List.of(
@@ -92,7 +97,11 @@
             route("/open/", RepeatRule.REPEATABLE, 1, false)),
         Map.of(
             "service",
-            new Service("service", 100, Optional.of(new EngineLimits(24, 34_000, true, true, 4)))),
+            new Service(
+                "service",
+                100,
+                Optional.of(new EngineLimits(24, 34_000, true, true, 4)),
+                warmUp)),
         new CallerLimits(1, 1, 1, 1),
         Optional.of(Map.of("key", new Workspace("farm", Optional.empty()))));
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -11,6 +11,7 @@
 import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.codec.PeerMessageCodec;
 import dev.caroblb.pacing.codec.PacingCodec;
+import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.scheduling.SchedulingHandler;
 import dev.caroblb.scheduling.SchedulingMessage;
 import dev.caroblb.scheduling.codec.SchedulingCodec;
@@ -87,8 +88,13 @@
     }
 
     private void available(TargetInfo target) {
-      scheduling.handle(new SchedulingMessage.TargetAvailable(target), nowMs);
-      handler.handle(new ForwardingMessage.TargetAvailable(target), nowMs);
+      available(target, 0, 0);
+    }
+
+    private void available(TargetInfo target, long warmUpLeftMs, long ageMs) {
+      scheduling.handle(
+          new SchedulingMessage.TargetAvailable(target, warmUpLeftMs, ageMs), nowMs);
+      handler.handle(new ForwardingMessage.TargetAvailable(target, warmUpLeftMs, ageMs), nowMs);
     }
 
     void handle(ForwardingMessage message) {
@@ -131,6 +137,7 @@
   private final SchedulingCodec schedulingCodec = new SchedulingCodec();
   private final PacingCodec pacingCodec = new PacingCodec();
   private final PeerMessageCodec evidenceCodec = new PeerMessageCodec();
+  private final RoutingTable table;
   private final Map<InstanceId, Instance> instances = new LinkedHashMap<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::dueMs).thenComparing(Event::number));
@@ -143,6 +150,11 @@
   private long nextCall;
 
   InstanceGroup(int controls, int entries) {
+    this(controls, entries, ForwardingFixture.table());
+  }
+
+  InstanceGroup(int controls, int entries, RoutingTable table) {
+    this.table = table;
     for (int i = 0; i < controls; i++) {
       instances.put(new InstanceId("control-" + i), new Instance("control-" + i, true));
     }
@@ -174,9 +186,8 @@
   private void introduce(Instance instance) {
     List<InstanceId> controls =
         instances.values().stream().filter(known -> known.control).map(known -> known.id).toList();
-    instance.handle(new ForwardingMessage.TableInstalled(ForwardingFixture.table()));
-    instance.scheduling.handle(
-        new SchedulingMessage.TableInstalled(ForwardingFixture.table()), nowMs);
+    instance.handle(new ForwardingMessage.TableInstalled(table));
+    instance.scheduling.handle(new SchedulingMessage.TableInstalled(table), nowMs);
     instance.scheduling.handle(
         new SchedulingMessage.ServingInstancesChanged(instances.size() - controls.size()), nowMs);
     instance.handle(
@@ -232,6 +243,14 @@
     instances.values().forEach(instance -> instance.available(info(target, incarnation)));
   }
 
+  /** Announces a run of a target that stays cold for some time to all instances. */
+  void announce(TargetId target, long incarnation, long warmUpLeftMs, long ageMs) {
+    instances
+        .values()
+        .forEach(
+            instance -> instance.available(info(target, incarnation), warmUpLeftMs, ageMs));
+  }
+
   /** Number that the next request gets. */
   long nextCall() {
     return nextCall++;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetGroup.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.routing.WarmUp;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,10 +25,16 @@
 
   private final Map<TargetId, Long> running = new TreeMap<>((a, b) -> a.name().compareTo(b.name()));
   private final Map<TargetId, Double> limits = new HashMap<>();
+  private final Map<TargetId, Long> coldUntilMs = new HashMap<>();
   private final Map<TargetId, List<Long>> arrivals = new HashMap<>();
 
   LimitedTargetGroup(int controls, int entries, int targets) {
-    super(controls, entries);
+    this(controls, entries, targets, Optional.empty());
+  }
+
+  /** Creates a group whose targets need a warm-up. */
+  LimitedTargetGroup(int controls, int entries, int targets, Optional<WarmUp> warmUp) {
+    super(controls, entries, ForwardingFixture.table(warmUp));
     for (int i = 0; i < targets; i++) {
       running.put(target(i), 1L);
       arrivals.put(target(i), new ArrayList<>());
@@ -40,10 +47,46 @@
   }
 
   private void sendHeartbeats(TargetId target) {
-    announce(target, 1);
+    announce(target, running.get(target), warmUpLeftMs(target), 0);
     in(HEARTBEAT_MS, () -> sendHeartbeats(target));
   }
 
+  private long warmUpLeftMs(TargetId target) {
+    return Math.max(0, coldUntilMs.getOrDefault(target, 0L) - nowMs);
+  }
+
+  /** Lets a target be cold for some time; all instances hear of it at once. */
+  void turnCold(int target, long forMs) {
+    coldUntilMs.put(target(target), nowMs + forMs);
+    announce(target(target), running.get(target(target)), forMs, 0);
+  }
+
+  /** Lets a target be cold for some time, which only its responses and heartbeats tell. */
+  void turnColdUnannounced(int target, long forMs) {
+    coldUntilMs.put(target(target), nowMs + forMs);
+  }
+
+  /** Starts a new run of a target, which is cold for some time. */
+  void restartTarget(int target, long coldForMs) {
+    running.merge(target(target), 1L, Long::sum);
+    turnCold(target, coldForMs);
+  }
+
+  /** Lets an older announcement of a warm target arrive. */
+  void announceLate(int target, long ageMs) {
+    announce(target(target), running.get(target(target)), 0, ageMs);
+  }
+
+  /** The most requests that a target got in one second between two times. */
+  long mostInOneSecond(int target, long fromMs, long toMs) {
+    List<Long> times =
+        arrivals.get(target(target)).stream().filter(ms -> ms >= fromMs && ms < toMs).toList();
+    return times.stream()
+        .mapToLong(start -> times.stream().filter(ms -> ms >= start && ms < start + 1_000).count())
+        .max()
+        .orElse(0);
+  }
+
   @Override
   Map<TargetId, Long> runningTargets() {
     return running;
@@ -65,9 +108,12 @@
     in(RESPONSE_MS, () -> respond(from, order, Optional.ofNullable(limits.get(target))));
   }
 
-  private static void respond(Instance to, AttemptOrder order, Optional<Double> limit) {
+  private void respond(Instance to, AttemptOrder order, Optional<Double> limit) {
     long call = order.call().id();
-    TargetNotice notice = new TargetNotice(false, Optional.empty(), limit);
+    long leftMs = warmUpLeftMs(order.target().id());
+    TargetNotice notice =
+        new TargetNotice(
+            false, Optional.empty(), limit, Optional.of(leftMs).filter(ms -> ms > 0));
     ResponseHead head = new ResponseHead(200, false, true, false, notice, new ResponseFields() {});
     to.handle(new ForwardingMessage.Head(call, order.attempt(), head));
     to.handle(new ForwardingMessage.Body(call, order.attempt(), Payload.ofText("x")));
