Test the parsing and the passing on of warm-ups

Cause: the fields of settings, configuration, announcements, responses and messages about warm-ups had no tests. Change: tests of the parsers and codecs, of the news that a target has turned cold, and of the age that is subtracted.

--- a/membership/src/test/java/dev/caroblb/membership/Announcements.java
+++ b/membership/src/test/java/dev/caroblb/membership/Announcements.java
@@ -24,6 +24,22 @@
         List.of(new CacheEvent(7, CacheEvent.Change.STORED, -5)));
   }
 
+  /** An announcement without any other news than the time left of the warm-up. */
+  static Announcement cold(long incarnation, long sequence, long warmUpLeftMs) {
+    return new Announcement(
+        ENGINE,
+        incarnation,
+        sequence,
+        TargetKind.ENGINE,
+        new FailureDomain("d1"),
+        "127.0.0.1:9000",
+        List.of("reader"),
+        false,
+        new TargetLoad(0, 0, 0, 0, 0, 0),
+        List.of(),
+        warmUpLeftMs);
+  }
+
   static Announcement alive(long incarnation, long sequence) {
     return of(ENGINE, incarnation, sequence, false);
   }
--- a/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/MembershipHandlerTest.java
@@ -53,6 +53,43 @@
     }
   }
 
+  @Nested
+  class TargetThatTurnsCold {
+    private long warmUpLeftMs(Node node) {
+      TargetChange last = node.changes.get(node.changes.size() - 1);
+      return ((TargetChange.Reported) last).latest().warmUpLeftMs();
+    }
+
+    /** Guards against instances that hear of a warm-up only with the next refresh. */
+    @Test
+    void isNewsForEveryInstance() {
+      announce(first, Announcements.cold(1, 1, 0));
+      cluster.advance(1_200);
+      announce(first, Announcements.cold(1, 2, 4_000));
+      cluster.advance(50);
+      long leftMs = warmUpLeftMs(second);
+      assertTrue(leftMs > 3_900 && leftMs <= 4_000, leftMs + " ms");
+    }
+
+    /** Guards against an older announcement that ends a warm-up. */
+    @Test
+    void staysColdWhenAnOlderAnnouncementArrives() {
+      announce(first, Announcements.cold(1, 1, 0));
+      announce(first, Announcements.cold(1, 3, 4_000));
+      announce(first, Announcements.cold(1, 2, 0));
+      cluster.advance(50);
+      assertTrue(warmUpLeftMs(first) > 3_900);
+    }
+
+    /** Guards against a warm-up that is taken for longer by an instance that hears of it late. */
+    @Test
+    void hasTheTimeSubtractedThatPassedSinceItsAnnouncement() {
+      AgedAnnouncement aged = new AgedAnnouncement(Announcements.cold(1, 1, 1_000), 400);
+      assertEquals(600, aged.warmUpLeftMs());
+      assertEquals(0, new AgedAnnouncement(aged.announcement(), 1_400).warmUpLeftMs());
+    }
+  }
+
   @Nested
   class LateAnnouncementAfterLeave {
     /**
--- a/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
@@ -40,7 +40,8 @@
           List.of("ledger", "größe"),
           true,
           new TargetLoad(1, 2, 3, 4, 5, -6),
-          List.of(new CacheEvent(1, CacheEvent.Change.EVICTED, Long.MIN_VALUE)));
+          List.of(new CacheEvent(1, CacheEvent.Change.EVICTED, Long.MIN_VALUE)),
+          2_500);
   private static final TargetSummary SUMMARY = new TargetSummary(new TargetId("t1"), 1, -1, true);
   private static final List<PeerMessage> MESSAGES =
       List.of(
