Order announcements of warm-ups by their numbers

Cause: the age of an announcement is an upper bound, so that a later one that says that the target has turned cold could appear older than the one before and be dropped. An entry kept learned rates that the control instance it uses does not take over. Change: announcements carry their number; times decide only between announcements and other observations. A control instance answers a report of learned rates with its own. A move that an entry places itself takes a permit. Rates are logged when they change by a factor of 2.

--- a/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
@@ -5,6 +5,7 @@
 import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.TargetChange;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.scheduling.SchedulingMessage;
 import dev.caroblb.targets.TargetInfo;
 import java.util.Optional;
@@ -54,9 +55,11 @@
             announcement.serves().get(0),
             announcement.address(),
             announcement.domain());
+    AnnouncedWarmUp warmUp =
+        new AnnouncedWarmUp(latest.warmUpLeftMs(), latest.ageMs(), announcement.sequence());
     return offer(
-        new SchedulingMessage.TargetAvailable(target, latest.warmUpLeftMs(), latest.ageMs()),
-        new ForwardingMessage.TargetAvailable(target, latest.warmUpLeftMs(), latest.ageMs()));
+        new SchedulingMessage.TargetAvailable(target, warmUp),
+        new ForwardingMessage.TargetAvailable(target, warmUp));
   }
 
   private boolean offer(SchedulingMessage toScheduling, ForwardingMessage toForwarding) {
--- a/daemon/src/test/java/dev/caroblb/daemon/TargetChangeBridgeTest.java
+++ b/daemon/src/test/java/dev/caroblb/daemon/TargetChangeBridgeTest.java
@@ -11,6 +11,7 @@
 import dev.caroblb.membership.TargetChange;
 import dev.caroblb.membership.TargetKind;
 import dev.caroblb.membership.TargetLoad;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -31,7 +32,7 @@
           new Announcement(
               new TargetId("t"),
               1,
-              1,
+              7,
               TargetKind.SERVICE,
               new FailureDomain("z"),
               "10.0.0.1:80",
@@ -43,8 +44,7 @@
       assertTrue(bridge.offer(new TargetChange.Reported(new AgedAnnouncement(announcement, 600))));
       ForwardingMessage.TargetAvailable available =
           (ForwardingMessage.TargetAvailable) forwarding.get(0);
-      assertEquals(1_400, available.warmUpLeftMs());
-      assertEquals(600, available.ageMs());
+      assertEquals(new AnnouncedWarmUp(1_400, 600, 7), available.warmUp());
     }
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -128,8 +128,15 @@
       exchanges.wakeAt(exchange, replyByMs.get());
       return;
     }
-    startCopy(
-        exchange, source, pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs));
+    startCopy(exchange, source, ownDestination(need, nowMs));
+  }
+
+  /** Chooses the destination of a move without a control instance. */
+  private Optional<Target> ownDestination(PlacementNeed need, long nowMs) {
+    Optional<Target> destination =
+        pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs);
+    destination.ifPresent(target -> pool.takePermit(target, nowMs));
+    return destination;
   }
 
   /** Starts the copy to the destination that a control instance chose, if it is still needed. */
@@ -151,10 +158,7 @@
     if (source.isPresent() && exchange.move().isEmpty()) {
       PlacementNeed need =
           exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.get().info().domain(), nowMs);
-      startCopy(
-          exchange,
-          source.get(),
-          pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs));
+      startCopy(exchange, source.get(), ownDestination(need, nowMs));
     }
   }
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPacing.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPacing.java
@@ -50,13 +50,7 @@
 
   void available(ForwardingMessage.TargetAvailable available, long nowMs) {
     TargetInfo target = available.target();
-    limits.available(
-        target.run(),
-        target.service(),
-        target.domain(),
-        available.warmUpLeftMs(),
-        available.ageMs(),
-        nowMs);
+    limits.available(target.run(), target.service(), target.domain(), available.warmUp(), nowMs);
   }
 
   /** Applies what a target says about its rate in a sound response, and counts the response. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ColdTargetsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ColdTargetsTest.java
@@ -23,8 +23,7 @@
   private final Random random = new Random(1);
   private final List<RecordingCaller> callers = new ArrayList<>();
   private final LimitedTargetGroup group =
-      new LimitedTargetGroup(
-          3, ENTRIES, TARGETS, Optional.of(new WarmUp(WARM_UP_MS, RATE)));
+      new LimitedTargetGroup(3, ENTRIES, TARGETS, Optional.of(new WarmUp(WARM_UP_MS, RATE)));
 
   ColdTargetsTest() {
     group.advance(2_000);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -98,10 +98,7 @@
         Map.of(
             "service",
             new Service(
-                "service",
-                100,
-                Optional.of(new EngineLimits(24, 34_000, true, true, 4)),
-                warmUp)),
+                "service", 100, Optional.of(new EngineLimits(24, 34_000, true, true, 4)), warmUp)),
         new CallerLimits(1, 1, 1, 1),
         Optional.of(Map.of("key", new Workspace("farm", Optional.empty()))));
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -10,6 +10,7 @@
 import dev.caroblb.core.RetryReason;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.codec.PeerMessageCodec;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.pacing.codec.PacingCodec;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.scheduling.SchedulingHandler;
@@ -88,13 +89,12 @@
     }
 
     private void available(TargetInfo target) {
-      available(target, 0, 0);
+      available(target, AnnouncedWarmUp.WARM);
     }
 
-    private void available(TargetInfo target, long warmUpLeftMs, long ageMs) {
-      scheduling.handle(
-          new SchedulingMessage.TargetAvailable(target, warmUpLeftMs, ageMs), nowMs);
-      handler.handle(new ForwardingMessage.TargetAvailable(target, warmUpLeftMs, ageMs), nowMs);
+    private void available(TargetInfo target, AnnouncedWarmUp warmUp) {
+      scheduling.handle(new SchedulingMessage.TargetAvailable(target, warmUp), nowMs);
+      handler.handle(new ForwardingMessage.TargetAvailable(target, warmUp), nowMs);
     }
 
     void handle(ForwardingMessage message) {
@@ -243,12 +243,9 @@
     instances.values().forEach(instance -> instance.available(info(target, incarnation)));
   }
 
-  /** Announces a run of a target that stays cold for some time to all instances. */
-  void announce(TargetId target, long incarnation, long warmUpLeftMs, long ageMs) {
-    instances
-        .values()
-        .forEach(
-            instance -> instance.available(info(target, incarnation), warmUpLeftMs, ageMs));
+  /** Announces a run of a target and its warm-up to all instances. */
+  void announce(TargetId target, long incarnation, AnnouncedWarmUp warmUp) {
+    instances.values().forEach(instance -> instance.available(info(target, incarnation), warmUp));
   }
 
   /** Number that the next request gets. */
--- a/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/LimitedTargetGroup.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.routing.WarmUp;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +26,7 @@
 
   private final Map<TargetId, Long> running = new TreeMap<>((a, b) -> a.name().compareTo(b.name()));
   private final Map<TargetId, Double> limits = new HashMap<>();
+  private long sequence;
   private final Map<TargetId, Long> coldUntilMs = new HashMap<>();
   private final Map<TargetId, List<Long>> arrivals = new HashMap<>();
 
@@ -47,10 +49,15 @@
   }
 
   private void sendHeartbeats(TargetId target) {
-    announce(target, running.get(target), warmUpLeftMs(target), 0);
+    announceNow(target);
     in(HEARTBEAT_MS, () -> sendHeartbeats(target));
   }
 
+  private void announceNow(TargetId target) {
+    AnnouncedWarmUp warmUp = new AnnouncedWarmUp(warmUpLeftMs(target), 0, ++sequence);
+    announce(target, running.get(target), warmUp);
+  }
+
   private long warmUpLeftMs(TargetId target) {
     return Math.max(0, coldUntilMs.getOrDefault(target, 0L) - nowMs);
   }
@@ -58,7 +65,7 @@
   /** Lets a target be cold for some time; all instances hear of it at once. */
   void turnCold(int target, long forMs) {
     coldUntilMs.put(target(target), nowMs + forMs);
-    announce(target(target), running.get(target(target)), forMs, 0);
+    announceNow(target(target));
   }
 
   /** Lets a target be cold for some time, which only its responses and heartbeats tell. */
@@ -74,7 +81,7 @@
 
   /** Lets an older announcement of a warm target arrive. */
   void announceLate(int target, long ageMs) {
-    announce(target(target), running.get(target(target)), 0, ageMs);
+    announce(target(target), running.get(target(target)), new AnnouncedWarmUp(0, ageMs, 1));
   }
 
   /** The most requests that a target got in one second between two times. */
@@ -112,8 +119,7 @@
     long call = order.call().id();
     long leftMs = warmUpLeftMs(order.target().id());
     TargetNotice notice =
-        new TargetNotice(
-            false, Optional.empty(), limit, Optional.of(leftMs).filter(ms -> ms > 0));
+        new TargetNotice(false, Optional.empty(), limit, Optional.of(leftMs).filter(ms -> ms > 0));
     ResponseHead head = new ResponseHead(200, false, true, false, notice, new ResponseFields() {});
     to.handle(new ForwardingMessage.Head(call, order.attempt(), head));
     to.handle(new ForwardingMessage.Body(call, order.attempt(), Payload.ofText("x")));
--- a/pacing/src/main/java/dev/caroblb/pacing/LearnedRates.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/LearnedRates.java
@@ -36,6 +36,9 @@
 
   private static final int MAX_RELAPSES = 4;
 
+  /** Factor between two logged rates of a target, so that small steps write no lines. */
+  private static final double LOGGED_FACTOR = 2;
+
   /** Maximum number of targets that are paced; an announcement names all of them. */
   private static final int MAX_PACED = LimitStatement.MAX_STATEMENTS;
 
@@ -43,6 +46,7 @@
   private record History(int relapses, long endedMs) {}
 
   private final Map<TargetRun, PaceSearch> searches = new HashMap<>();
+  private final Map<TargetRun, Double> loggedRates = new HashMap<>();
   private final Map<TargetRun, FailureWindow> failures = new HashMap<>();
   private final Map<TargetRun, History> histories = new HashMap<>();
   private final Map<TargetRun, Long> seenMs = new HashMap<>();
@@ -145,7 +149,7 @@
         continue;
       }
       changed = true;
-      log(run, "answers", search.ended() ? "none" : String.valueOf(search.perSecond()));
+      logDecision(run, search);
       if (search.ended()) {
         all.remove();
         int relapses = histories.getOrDefault(run, new History(0, nowMs)).relapses();
@@ -155,6 +159,20 @@
     return changed;
   }
 
+  /** Logs the end of a search, and a rate that differs much from the one that was logged last. */
+  private void logDecision(TargetRun run, PaceSearch search) {
+    double rate = search.perSecond();
+    double before = loggedRates.getOrDefault(run, rate);
+    boolean large = rate >= LOGGED_FACTOR * before || rate * LOGGED_FACTOR <= before;
+    if (search.ended()) {
+      loggedRates.remove(run);
+      log(run, "answers", "none");
+    } else if (large || !loggedRates.containsKey(run)) {
+      loggedRates.put(run, rate);
+      log(run, "answers", String.valueOf(rate));
+    }
+  }
+
   private static void log(TargetRun run, String cause, String perSecond) {
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -200,6 +218,7 @@
   @Override
   public void forget(TargetRun run) {
     searches.remove(run);
+    loggedRates.remove(run);
     failures.remove(run);
     services.remove(run);
   }
--- a/pacing/src/main/java/dev/caroblb/pacing/PaceAnnouncer.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/PaceAnnouncer.java
@@ -46,8 +46,15 @@
     this.entries = entries;
   }
 
-  /** Adds the report of an entry. */
+  /**
+   * Adds the report of an entry. Rates of another control instance that it names are announced, or
+   * end with the announcement if they are not taken over.
+   */
   public void reported(PeerMessage.PaceReport report, long nowMs) {
+    if (!report.paces().isEmpty()) {
+      changed = true;
+      lastPacedMs = nowMs;
+    }
     for (WarmUpStatement statement : report.warmUps()) {
       if (limits.received(statement, nowMs)) {
         pending.add(statement.run());
--- a/pacing/src/main/java/dev/caroblb/pacing/PaceReporter.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/PaceReporter.java
@@ -19,6 +19,9 @@
   /** Minimum interval in milliseconds between two reports. */
   private static final long MIN_INTERVAL_MS = 100;
 
+  /** Interval in milliseconds after which a control instance gets all that is known again. */
+  private static final long REPEAT_MS = 1_000;
+
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
   private final TargetLimits limits;
   private final OutcomeCounter outcomes = new OutcomeCounter();
@@ -26,6 +29,7 @@
   private List<InstanceId> controlInstances = List.of();
   private Optional<InstanceId> coordinator = Optional.empty();
   private long lastSentMs = Long.MIN_VALUE / 2;
+  private long allSentMs = Long.MIN_VALUE / 2;
 
   public PaceReporter(Outlet<PeerEnvelope<PeerMessage>> peers, TargetLimits limits) {
     this.peers = peers;
@@ -46,12 +50,19 @@
   public void useCoordinator(InstanceId instance, long nowMs) {
     if (!coordinator.equals(Optional.of(instance))) {
       coordinator = Optional.of(instance);
-      reportAll(nowMs);
+      sendAll(nowMs);
     }
   }
 
   /** Sends all that is known to the control instance in use, which does not know a paced target. */
   public void reportAll(long nowMs) {
+    if (nowMs - allSentMs >= REPEAT_MS) {
+      sendAll(nowMs);
+    }
+  }
+
+  private void sendAll(long nowMs) {
+    allSentMs = nowMs;
     send(
         coordinator.stream().toList(),
         new PeerMessage.PaceReport(
--- a/pacing/src/main/java/dev/caroblb/pacing/TargetLimits.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/TargetLimits.java
@@ -121,18 +121,18 @@
     return leastPaced(run, nowMs).isPresent() ? phase : 0;
   }
 
-  /**
-   * Records that a target is available and how long it stays cold by its announcement.
-   *
-   * @param leftMs time in milliseconds from now on; 0 if it is warm
-   * @param ageMs time in milliseconds since the announcement
-   */
+  /** Records that a target is available and what its announcement says about its warm-up. */
   public void available(
-      TargetRun run, String service, FailureDomain domain, long leftMs, long ageMs, long nowMs) {
+      TargetRun run,
+      String service,
+      FailureDomain domain,
+      AnnouncedWarmUp announcement,
+      long nowMs) {
     warmUps.member(run, service, domain);
     learned.ifPresent(rates -> rates.available(run, service, nowMs));
-    long untilMs = leftMs > 0 ? leftMs + ageMs : 0;
-    boolean unused = warmUpObserved(run, untilMs, nowMs - ageMs, "announcement", nowMs);
+    boolean coldBefore = warmUps.cold(run, nowMs);
+    warmUps.announced(run, announcement, nowMs);
+    warmUpObserved(run, coldBefore, "announcement", nowMs);
   }
 
   /**
@@ -142,23 +142,24 @@
    *     time since then, so a response of a warm target does not end a warm-up that began later.
    */
   public boolean warmUpHeard(TargetRun run, long leftMs, long sentMs, long nowMs) {
-    return warmUpObserved(run, leftMs, leftMs > 0 ? nowMs : sentMs, "response", nowMs);
+    boolean coldBefore = warmUps.cold(run, nowMs);
+    boolean news = warmUps.observed(run, leftMs, leftMs > 0 ? nowMs : sentMs, nowMs);
+    warmUpObserved(run, coldBefore, "response", nowMs);
+    return news;
   }
 
   /** Adds what another instance knows of a warm-up; returns whether this is news. */
   public boolean received(WarmUpStatement statement, long nowMs) {
-    return statement.valid()
-        && warmUpObserved(
-            statement.run(), statement.leftMs(), nowMs - statement.ageMs(), "peer", nowMs);
+    boolean coldBefore = warmUps.cold(statement.run(), nowMs);
+    boolean news = warmUps.received(statement, nowMs);
+    warmUpObserved(statement.run(), coldBefore, "peer", nowMs);
+    return news;
   }
 
-  private boolean warmUpObserved(TargetRun run, long leftMs, long atMs, String source, long nowMs) {
-    boolean coldBefore = warmUps.cold(run, nowMs);
-    boolean news = warmUps.observed(run, leftMs, atMs, nowMs);
+  private void warmUpObserved(TargetRun run, boolean coldBefore, String source, long nowMs) {
     if (coldBefore != warmUps.cold(run, nowMs)) {
       warmUpChanged(run, source, nowMs);
     }
-    return news;
   }
 
   /** A target that turns cold gets no requests with permits from before. */
--- a/pacing/src/main/java/dev/caroblb/pacing/WarmUps.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/WarmUps.java
@@ -28,7 +28,16 @@
 
   private record Member(String service, FailureDomain domain) {}
 
-  private record Observation(long untilMs, long atMs) {}
+  /** Sequence of the announcement of a target that has not announced itself. */
+  private static final long NO_SEQUENCE = -1;
+
+  /**
+   * What is known last of a target.
+   *
+   * @param sequence number of its latest announcement
+   * @param announced whether the observation is that announcement
+   */
+  private record Observation(long untilMs, long atMs, long sequence, boolean announced) {}
 
   private final Map<TargetRun, Member> members = new HashMap<>();
   private final Map<TargetRun, Observation> latest = new HashMap<>();
@@ -50,8 +59,31 @@
   }
 
   /**
-   * Records how long a target stays cold, unless a later observation is known; returns whether this
-   * is news.
+   * Records what a target announced, unless a later announcement or observation is known. Among
+   * announcements their numbers decide: the age of one is an upper bound, which may make a later
+   * one appear older.
+   */
+  void announced(TargetRun run, AnnouncedWarmUp announcement, long nowMs) {
+    Observation known = latest.get(run);
+    if (known != null && announcement.sequence() <= known.sequence()) {
+      return;
+    }
+    long atMs = nowMs - announcement.ageMs();
+    boolean older = known != null && !known.announced() && known.atMs() >= atMs;
+    latest.put(
+        run,
+        older
+            ? new Observation(known.untilMs(), known.atMs(), announcement.sequence(), false)
+            : observation(announcement.leftThenMs(), atMs, announcement.sequence(), true));
+  }
+
+  private static Observation observation(long leftMs, long atMs, long sequence, boolean announced) {
+    return new Observation(atMs + Math.min(leftMs, MAX_LEFT_MS), atMs, sequence, announced);
+  }
+
+  /**
+   * Records how long a target stays cold by a response or by another instance, unless a later
+   * observation is known; returns whether this is news.
    *
    * @param leftMs time in milliseconds from the observation to the end of the warm-up; 0 if the
    *     target is warm
@@ -62,7 +94,8 @@
     if (known != null && known.atMs() >= atMs) {
       return false;
     }
-    Observation now = new Observation(atMs + Math.min(leftMs, MAX_LEFT_MS), atMs);
+    long sequence = known == null ? NO_SEQUENCE : known.sequence();
+    Observation now = observation(leftMs, atMs, sequence, false);
     latest.put(run, now);
     long beforeMs = known == null ? nowMs : Math.max(nowMs, known.untilMs());
     return Math.abs(Math.max(nowMs, now.untilMs()) - beforeMs) >= NEWS_MS;
@@ -84,7 +117,9 @@
         (run, member) -> {
           WarmUp warmUp = warmUps.get(member.service());
           if (member.domain().equals(domain) && warmUp != null) {
-            latest.put(run, new Observation(nowMs + warmUp.durationMs(), nowMs));
+            long sequence =
+                Optional.ofNullable(latest.get(run)).map(Observation::sequence).orElse(NO_SEQUENCE);
+            latest.put(run, observation(warmUp.durationMs(), nowMs, sequence, false));
             warming.add(run);
           }
         });
--- a/pacing/src/test/java/dev/caroblb/pacing/LearnedRatesTest.java
+++ b/pacing/src/test/java/dev/caroblb/pacing/LearnedRatesTest.java
@@ -44,8 +44,7 @@
     /** Guards against a rate that grows while the target cannot keep up, or that never recovers. */
     @Test
     void thatIsSlowForOneSecondGetsMoreAfterIt() {
-      PacedTargets targets =
-          new PacedTargets(ms -> ms < 1_000 ? Outcome.SLOW : Outcome.ANSWERED);
+      PacedTargets targets = new PacedTargets(ms -> ms < 1_000 ? Outcome.SLOW : Outcome.ANSWERED);
       targets.run(40, 10_000);
       assertTrue(targets.sentInFirstSecond <= 2 * PacedTargets.COLD_PER_SECOND, targets.state());
       assertTrue(targets.pacedUntilMs <= 5_000, targets.state());
@@ -99,7 +98,7 @@
 
     private void available(TargetRun run, String service, long nowMs) {
       limits.setWarmUps(Map.of("service", new WarmUp(5_000, 4)));
-      limits.available(run, service, ZONE, 0, 0, nowMs);
+      limits.available(run, service, ZONE, AnnouncedWarmUp.WARM, nowMs);
     }
 
     /** Guards against an instance that starts and paces all targets, which run for a long time. */
--- a/pacing/src/test/java/dev/caroblb/pacing/PacedTargets.java
+++ b/pacing/src/test/java/dev/caroblb/pacing/PacedTargets.java
@@ -51,11 +51,12 @@
     this.behaviours = behaviours;
     limits.setWarmUps(Map.of("service", new WarmUp(5_000, COLD_PER_SECOND)));
     limits.setShare(9, 9);
-    limits.available(new TargetRun(new TargetId("old"), 1), "service", ZONE, 0, 0, 0);
+    limits.available(
+        new TargetRun(new TargetId("old"), 1), "service", ZONE, AnnouncedWarmUp.WARM, 0);
     for (int i = 0; i < behaviours.length; i++) {
       TargetRun run = new TargetRun(new TargetId("t" + i), 1);
       runs.add(run);
-      limits.available(run, "service", ZONE, 0, 0, nowMs);
+      limits.available(run, "service", ZONE, AnnouncedWarmUp.WARM, nowMs);
     }
   }
 
--- a/pacing/src/test/java/dev/caroblb/pacing/WarmUpsTest.java
+++ b/pacing/src/test/java/dev/caroblb/pacing/WarmUpsTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -23,6 +24,7 @@
   private static final double MAX_IN_ONE_SECOND = 1.5 * PER_SECOND + 5;
 
   private final TargetLimits limits = new TargetLimits();
+  private long sequence = 10;
 
   private static void configure(TargetLimits limits) {
     limits.setWarmUps(Map.of("service", new WarmUp(5_000, PER_SECOND)));
@@ -34,9 +36,14 @@
     limits.setShare(9, 9);
   }
 
-  /** Announces a time left that is as old as the announcement. */
+  /** Announces, for the next time, how long the target stays cold from its announcement on. */
   private void announced(long leftMs, long ageMs, long nowMs) {
-    limits.available(RUN, "service", ZONE, Math.max(0, leftMs - ageMs), ageMs, nowMs);
+    announced(leftMs, ageMs, ++sequence, nowMs);
+  }
+
+  private void announced(long leftMs, long ageMs, long number, long nowMs) {
+    AnnouncedWarmUp warmUp = new AnnouncedWarmUp(Math.max(0, leftMs - ageMs), ageMs, number);
+    limits.available(RUN, "service", ZONE, warmUp, nowMs);
   }
 
   private static List<Long> sends(TargetLimits limits, long fromMs, long toMs) {
@@ -52,8 +59,7 @@
 
   private static long mostInOneSecond(List<Long> sends) {
     return sends.stream()
-        .mapToLong(
-            start -> sends.stream().filter(ms -> ms >= start && ms < start + 1_000).count())
+        .mapToLong(start -> sends.stream().filter(ms -> ms >= start && ms < start + 1_000).count())
         .max()
         .orElse(0);
   }
@@ -73,9 +79,30 @@
     @Test
     void thatArriveLateHaveNoEffect() {
       announced(3_000, 0, 10_000);
-      announced(0, 2_000, 10_500);
+      announced(0, 500, 9, 10_500);
       assertTrue(limits.limited(RUN, 10_500));
-      announced(600_000, 1_500, 10_600);
+      announced(600_000, 0, 8, 10_600);
+      assertFalse(limits.limited(RUN, 13_000));
+    }
+
+    /**
+     * Guards against a warm-up that is ignored because the age of its announcement is uncertain.
+     */
+    @Test
+    void applyInTheOrderInWhichTheTargetSentThem() {
+      announced(0, 0, 10_000);
+      announced(3_000, 100, 10_050);
+      assertTrue(limits.limited(RUN, 10_050));
+    }
+
+    /** Guards against an announcement from before a response that ends what the response said. */
+    @Test
+    void doNotOverrideLaterResponses() {
+      announced(0, 0, 10_000);
+      assertTrue(limits.warmUpHeard(RUN, 3_000, 11_950, 12_000));
+      announced(0, 300, 12_100);
+      assertTrue(limits.limited(RUN, 12_100));
+      announced(0, 0, 13_000);
       assertFalse(limits.limited(RUN, 13_000));
     }
 
@@ -103,7 +130,7 @@
     /** Guards against permits from before that are used when a target turns cold again. */
     @Test
     void thatTurnsColdAgainGetsNoPermitsFromBefore() {
-      limits.heard(RUN, java.util.Optional.of(100.0), 0, 1_000);
+      limits.heard(RUN, Optional.of(100.0), 0, 1_000);
       announced(0, 0, 1_000);
       announced(5_000, 0, 10_000);
       assertEquals(List.of(), sends(limits, 10_000, 10_200));
@@ -115,7 +142,7 @@
     /** Guards against a rate above the least of the sources. */
     @Test
     void takesTheLeastOfItsRates() {
-      limits.heard(RUN, java.util.Optional.of(1.0), 0, 1_000);
+      limits.heard(RUN, Optional.of(1.0), 0, 1_000);
       announced(20_000, 0, 1_000);
       assertEquals(10, sends(limits, 1_000, 11_010).size());
     }
@@ -131,7 +158,7 @@
         configure(entry);
         entry.setShare(1, entries, 0);
         entry.coordinatorHeard(1_000);
-        entry.available(RUN, "service", ZONE, 500_000, 0, 1_000);
+        entry.available(RUN, "service", ZONE, new AnnouncedWarmUp(500_000, 0, 1), 1_000);
         // Nobody calls for a minute; then requests arrive at all entries at once.
         sends.addAll(sends(entry, 60_000, 300_000));
       }
@@ -160,7 +187,7 @@
     @Test
     void takesTheTargetsOfTheDomainForCold() {
       announced(0, 0, 10_000);
-      limits.available(other, "service", new FailureDomain("zone-b"), 0, 0, 10_000);
+      limits.available(other, "service", new FailureDomain("zone-b"), AnnouncedWarmUp.WARM, 10_000);
       limits.warmingAgain(ZONE, 20_000);
       announced(0, 800, 20_100);
       assertTrue(limits.limited(RUN, 24_999));
@@ -183,7 +210,7 @@
     void leavesEachTargetItsOwnRate() {
       for (int i = 0; i < 15; i++) {
         TargetRun run = new TargetRun(new TargetId("d" + i), 1);
-        limits.available(run, "service", ZONE, 0, 0, 10_000);
+        limits.available(run, "service", ZONE, AnnouncedWarmUp.WARM, 10_000);
       }
       limits.warmingAgain(ZONE, 20_000);
       for (int i = 0; i < 15; i++) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -103,13 +103,7 @@
   private void targetAvailable(SchedulingMessage.TargetAvailable available, long nowMs) {
     TargetInfo target = available.target();
     pool.available(target);
-    limits.available(
-        target.run(),
-        target.service(),
-        target.domain(),
-        available.warmUpLeftMs(),
-        available.ageMs(),
-        nowMs);
+    limits.available(target.run(), target.service(), target.domain(), available.warmUp(), nowMs);
   }
 
   /** Numbers about paced targets; may be read from any thread. */
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.targets.TargetInfo;
 
@@ -20,14 +21,12 @@
   /**
    * The target accepts requests; sent again with each heartbeat of the target.
    *
-   * @param warmUpLeftMs time in milliseconds for which the target still stays cold
-   * @param ageMs time in milliseconds since the heartbeat
+   * @param warmUp what the heartbeat says about the warm-up of the target
    */
-  record TargetAvailable(TargetInfo target, long warmUpLeftMs, long ageMs)
-      implements SchedulingMessage {
+  record TargetAvailable(TargetInfo target, AnnouncedWarmUp warmUp) implements SchedulingMessage {
     /** The target is warm. */
     public TargetAvailable(TargetInfo target) {
-      this(target, 0, 0);
+      this(target, AnnouncedWarmUp.WARM);
     }
   }
 
