--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstanceSettings.java
@@ -27,6 +27,7 @@
  * @param drainLimitMs maximum duration of a planned stop in milliseconds
  * @param forwarding settings of the forwarding duty
  * @param resources source of the resources that this instance reports to the others
+ * @param learnsRates whether the rates of targets that have started or recovered are learned
  */
 public record ForwardingInstanceSettings(
     InstanceId instance,
@@ -42,7 +43,8 @@
     Optional<String> callersAddress,
     long drainLimitMs,
     ForwardingSettings forwarding,
-    LocalResources resources) {
+    LocalResources resources,
+    boolean learnsRates) {
   public ForwardingInstanceSettings {
     seeds = List.copyOf(seeds);
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
@@ -2,8 +2,10 @@
 
 import dev.caroblb.core.Outlet;
 import dev.caroblb.forwarding.ForwardingMessage;
+import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
 import dev.caroblb.membership.TargetChange;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.scheduling.SchedulingMessage;
 import dev.caroblb.targets.TargetInfo;
 import java.util.Optional;
@@ -33,15 +35,16 @@
           new ForwardingMessage.TargetGone(gone.target(), gone.incarnation()));
     }
     if (change instanceof TargetChange.Reported reported) {
-      return available(reported.latest().announcement());
+      return available(reported.latest());
     }
     if (change instanceof TargetChange.Restarted restarted) {
-      return available(restarted.latest().announcement());
+      return available(restarted.latest());
     }
-    return available(((TargetChange.Available) change).latest().announcement());
+    return available(((TargetChange.Available) change).latest());
   }
 
-  private boolean available(Announcement announcement) {
+  private boolean available(AgedAnnouncement latest) {
+    Announcement announcement = latest.announcement();
     if (announcement.serves().isEmpty()) {
       return true;
     }
@@ -52,9 +55,11 @@
             announcement.serves().get(0),
             announcement.address(),
             announcement.domain());
+    AnnouncedWarmUp warmUp =
+        new AnnouncedWarmUp(latest.warmUpLeftMs(), latest.ageMs(), announcement.sequence());
     return offer(
-        new SchedulingMessage.TargetAvailable(target),
-        new ForwardingMessage.TargetAvailable(target));
+        new SchedulingMessage.TargetAvailable(target, warmUp),
+        new ForwardingMessage.TargetAvailable(target, warmUp));
   }
 
   private boolean offer(SchedulingMessage toScheduling, ForwardingMessage toForwarding) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.targets.TargetInfo;
 import java.util.List;
@@ -69,8 +70,17 @@
   /** Another routing table became active. */
   record TableInstalled(RoutingTable table) implements ForwardingMessage {}
 
-  /** The target accepts requests; sent again with each heartbeat of the target. */
-  record TargetAvailable(TargetInfo target) implements ForwardingMessage {}
+  /**
+   * The target accepts requests; sent again with each heartbeat of the target.
+   *
+   * @param warmUp what the heartbeat says about the warm-up of the target
+   */
+  record TargetAvailable(TargetInfo target, AnnouncedWarmUp warmUp) implements ForwardingMessage {
+    /** The target is warm. */
+    public TargetAvailable(TargetInfo target) {
+      this(target, AnnouncedWarmUp.WARM);
+    }
+  }
 
   /** The target finishes its running requests and accepts no new ones. */
   record TargetLeaving(TargetId target, long incarnation) implements ForwardingMessage {}
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingMessage.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.targets.TargetInfo;
 import java.util.Set;
@@ -19,8 +20,17 @@
   /** Another routing table became active. */
   record TableInstalled(RoutingTable table) implements SchedulingMessage {}
 
-  /** The target accepts requests; sent again with each heartbeat of the target. */
-  record TargetAvailable(TargetInfo target) implements SchedulingMessage {}
+  /**
+   * The target accepts requests; sent again with each heartbeat of the target.
+   *
+   * @param warmUp what the heartbeat says about the warm-up of the target
+   */
+  record TargetAvailable(TargetInfo target, AnnouncedWarmUp warmUp) implements SchedulingMessage {
+    /** The target is warm. */
+    public TargetAvailable(TargetInfo target) {
+      this(target, AnnouncedWarmUp.WARM);
+    }
+  }
 
   /** The target finishes its running requests and accepts no new ones. */
   record TargetLeaving(TargetId target, long incarnation) implements SchedulingMessage {}
