Take targets for cold after the evacuation of their domain was withdrawn

Targets may become cold while nothing is sent to them, and their next announcement comes up to 1.2 s later. The withdrawal now starts the warm-up that their service names, on entries and on the placement coordinator, with a test of both together.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -263,7 +263,7 @@
       pool.gone(gone.target(), gone.incarnation())
           .ifPresent(target -> mover.watchSilence(target, nowMs));
     } else if (message instanceof ForwardingMessage.EvacuationsChanged changed) {
-      pool.setEvacuated(changed.domains());
+      pool.setEvacuated(changed.domains(), nowMs);
       dispatcher.refuseUnservable(nowMs);
     } else if (message instanceof ForwardingMessage.ControlInstancesChanged changed) {
       coordinator.setControlInstances(changed.controlInstances());
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -98,7 +98,7 @@
     } else if (message instanceof SchedulingMessage.ServingInstancesChanged changed) {
       coordinator.setServingInstances(changed.count());
     } else if (message instanceof SchedulingMessage.EvacuationsChanged changed) {
-      pool.setEvacuated(changed.domains());
+      pool.setEvacuated(changed.domains(), nowMs);
       coordinator.replyUnservable(nowMs);
     }
   }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -82,8 +82,16 @@
     targets.put(info.id(), added);
   }
 
-  /** Sets the failure domains to whose targets nothing may be sent. */
-  public void setEvacuated(Set<FailureDomain> domains) {
+  /**
+   * Sets the failure domains to whose targets nothing may be sent. The targets of a domain whose
+   * evacuation was withdrawn may have become cold meanwhile.
+   */
+  public void setEvacuated(Set<FailureDomain> domains, long nowMs) {
+    for (FailureDomain domain : evacuated) {
+      if (!domains.contains(domain)) {
+        limits.warmingAgain(domain, nowMs);
+      }
+    }
     evacuated = Set.copyOf(domains);
     targets
         .values()
--- a/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
@@ -6,8 +6,10 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
+import dev.caroblb.routing.WarmUp;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,7 +53,7 @@
     void isNotChosenFrom() {
       Target first = pool.choose(NEED, 0).orElseThrow();
       assertEquals(A, first.info().domain());
-      pool.setEvacuated(Set.of(A));
+      pool.setEvacuated(Set.of(A), 0);
       for (int i = 0; i < 20; i++) {
         assertEquals(Optional.of(B), domainOf(pool.choose(NEED, 0)));
         assertEquals(Optional.of(B), domainOf(pool.chooseWithRoom(NEED, Set.of(), 0)));
@@ -70,7 +72,7 @@
     void hasNoPermits() {
       assertTrue(limits.heard(info(0, A).run(), Optional.of(100.0), 0, 1));
       assertTrue(pool.permitWaitMs(NEED, 10).isPresent());
-      pool.setEvacuated(Set.of(A));
+      pool.setEvacuated(Set.of(A), 0);
       assertEquals(Optional.empty(), pool.permitWaitMs(NEED, 10));
       assertEquals(Optional.empty(), pool.chooseLimited(NEED, 2_000));
       assertFalse(pool.permitExpected(NEED, 2_000));
@@ -79,7 +81,7 @@
     /** Guards against targets that start during an evacuation and get requests. */
     @Test
     void isNotChosenFromAfterARestartOfItsTargets() {
-      pool.setEvacuated(Set.of(A, B));
+      pool.setEvacuated(Set.of(A, B), 0);
       pool.available(info(9, A));
       assertEquals(Optional.empty(), pool.choose(NEED, 0));
     }
@@ -87,19 +89,38 @@
     /** Guards against targets that stay unused after the order was withdrawn. */
     @Test
     void isChosenFromAgainAfterTheWithdrawal() {
-      pool.setEvacuated(Set.of(A));
-      pool.setEvacuated(Set.of());
+      pool.setEvacuated(Set.of(A), 0);
+      pool.setEvacuated(Set.of(), 0);
       assertEquals(Optional.of(A), domainOf(pool.choose(NEED, 0)));
     }
   }
 
+  @Nested
+  class WithAWarmUp {
+    /** Guards against a burst at targets that became cold while their domain was evacuated. */
+    @Test
+    void areColdAfterTheWithdrawal() {
+      limits.setWarmUps(Map.of("service", new WarmUp(1_000, 24)));
+      for (int i = 0; i < 4; i++) {
+        TargetInfo info = info(i, i < 2 ? A : B);
+        limits.available(info.run(), "service", info.domain(), AnnouncedWarmUp.WARM, 0);
+      }
+      pool.setEvacuated(Set.of(A), 5_000);
+      assertFalse(limits.limited(info(0, A).run(), 5_000));
+      pool.setEvacuated(Set.of(), 9_000);
+      assertTrue(limits.limited(info(0, A).run(), 9_500));
+      assertFalse(limits.limited(info(2, B).run(), 9_500));
+      assertFalse(limits.limited(info(0, A).run(), 10_000));
+    }
+  }
+
   @Nested
   class AllDomains {
     /** Guards against requests that wait for a target though none can take them. */
     @Test
     void leaveNothingToWaitFor() {
       assertFalse(pool.allEvacuated("service"));
-      pool.setEvacuated(Set.of(A));
+      pool.setEvacuated(Set.of(A), 0);
       assertFalse(pool.allEvacuated("service"));
       assertTrue(pool.leaving(info(2, B).id(), 1, 0).isPresent());
       assertTrue(pool.leaving(info(3, B).id(), 1, 0).isPresent());
