Send workspace, fingerprint and times of use with placement requests

The placement coordinator cannot share room fairly, or tell which requests are still of use, without them. Placement requests name the workspace, the fingerprint, the time since the arrival and the time for which a first event is of use. Entries refuse a request on PlacementRejected as not run (BACKLOG_FULL) with the Retry-After that it names.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallFinisher.java
@@ -3,6 +3,8 @@
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Refusal;
 import dev.caroblb.core.RefusalReason;
+import dev.caroblb.scheduling.PeerMessage.PlacementRejected;
+import java.util.Optional;
 
 /** Ends requests: with a refusal, with an aborted stream, or because the caller disconnected. */
 final class CallFinisher {
@@ -52,6 +54,23 @@
     fail(exchange, Refusal.of(reason, cause).retryAfter(RetryAfter.delayMs(reason)), cause, nowMs);
   }
 
+  /** Refuses a request that the placement coordinator rejected, as not run. */
+  void rejected(PlacementRejected reply, long nowMs) {
+    Optional<Exchange> rejected =
+        coordinator
+            .replied(reply, nowMs)
+            .flatMap(exchanges::find)
+            .filter(exchange -> exchange.awaitsReply(reply.ticket()));
+    if (rejected.isEmpty()) {
+      return;
+    }
+    rejected.get().clearPendingPlacement();
+    String cause = "no engine is expected to have room in time";
+    Refusal refusal =
+        Refusal.of(RefusalReason.BACKLOG_FULL, cause).retryAfter(reply.retryAfterMs());
+    fail(rejected.get(), refusal, cause, nowMs);
+  }
+
   /** Ends a request that must not be sent to an engine any more. */
   void fail(Exchange exchange, Refusal refusal, long nowMs) {
     fail(exchange, refusal, refusal.message(), nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
@@ -108,6 +108,12 @@
     return Optional.ofNullable(callByTicket.remove(reply.ticket()));
   }
 
+  /** Processes a rejection; returns its call, unless the request was cancelled. */
+  Optional<Long> replied(PeerMessage.PlacementRejected reply, long nowMs) {
+    messageReceived(nowMs);
+    return Optional.ofNullable(callByTicket.remove(reply.ticket()));
+  }
+
   /** Processes a queued reply; returns its call, unless the placement request was cancelled. */
   Optional<Long> queued(long ticket, long nowMs) {
     messageReceived(nowMs);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -137,7 +137,13 @@
   }
 
   /** Records that a control instance has queued the request until an engine has room. */
-  void queued(Exchange exchange, long nowMs) {
+  void queued(PeerMessage.PlacementQueued reply, long nowMs) {
+    Optional<Exchange> queued =
+        coordinator.queued(reply.ticket(), nowMs).flatMap(exchanges::find);
+    queued.ifPresent(exchange -> queued(exchange, nowMs));
+  }
+
+  private void queued(Exchange exchange, long nowMs) {
     log("forwarding.queued", exchange);
     exchange.setQueued();
     exchanges.wakeAt(exchange, Math.min(nowMs + RECHECK_MS, queuedUntilMs(exchange)));
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -172,7 +172,11 @@
         preferredDomain,
         wantsBackup,
         priority,
-        Math.max(0, arrivedMs + route.objectiveMs() - nowMs));
+        Math.max(0, arrivedMs + route.objectiveMs() - nowMs),
+        workspace,
+        call.fingerprint(),
+        nowMs - arrivedMs,
+        Math.max(0, FirstEventUse.untilMs(route, arrivedMs, deadlineMs) - nowMs));
   }
 
   private boolean longEnoughForBackup() {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.forwarding.quarantine.PromptPart;
+import dev.caroblb.forwarding.quarantine.RequestFingerprint;
 import java.util.List;
 import java.util.Optional;
 
@@ -31,4 +32,11 @@
   public ForwardCall {
     sharedPromptParts = List.copyOf(sharedPromptParts);
   }
+
+  /** Fingerprint of the request, if it has one that fits into messages. */
+  Optional<String> fingerprint() {
+    return sharedPromptParts.isEmpty()
+        ? Optional.empty()
+        : RequestFingerprint.idOf(sharedPromptParts.get(sharedPromptParts.size() - 1));
+  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -16,6 +16,7 @@
 import dev.caroblb.routing.Workspace;
 import dev.caroblb.scheduling.PeerMessage.PermitReply;
 import dev.caroblb.scheduling.PeerMessage.PlacementQueued;
+import dev.caroblb.scheduling.PeerMessage.PlacementRejected;
 import dev.caroblb.scheduling.PeerMessage.PlacementReply;
 import dev.caroblb.scheduling.PeerMessage.RemoteLoadReport;
 import dev.caroblb.scheduling.ProcessSequence;
@@ -223,10 +224,9 @@
   private void fromScheduler(
       InstanceId peer, dev.caroblb.scheduling.PeerMessage message, long nowMs) {
     if (message instanceof PlacementQueued queued) {
-      coordinator
-          .queued(queued.ticket(), nowMs)
-          .flatMap(exchanges::find)
-          .ifPresent(exchange -> dispatcher.queued(exchange, nowMs));
+      dispatcher.queued(queued, nowMs);
+    } else if (message instanceof PlacementRejected rejected) {
+      finisher.rejected(rejected, nowMs);
     } else if (message instanceof PlacementReply reply) {
       coordinator
           .replied(reply, nowMs)
--- a/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/RequestFingerprint.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/quarantine/RequestFingerprint.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.Optional;
 
 /**
  * Identifies requests with the same contents. A request that callers send again may crash its
@@ -39,6 +40,11 @@
     return new PromptPart(PREFIX + HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES));
   }
 
+  /** Returns the text of a part that is a fingerprint; empty for a part of a prompt. */
+  public static Optional<String> idOf(PromptPart part) {
+    return isFingerprint(part) ? Optional.of(part.id()) : Optional.empty();
+  }
+
   static boolean isFingerprint(PromptPart part) {
     return part.id().startsWith(PREFIX);
   }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PeerMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PeerMessage.java
@@ -68,6 +68,15 @@
   record PermitReply(long ticket, Optional<TargetId> target, Optional<Long> waitMs)
       implements PeerMessage {}
 
+  /**
+   * Final reply to a {@link PlacementRequest} that cannot start while its response is of use. The
+   * request has not run.
+   *
+   * @param ticket ticket of the placement request
+   * @param retryAfterMs time in milliseconds after which the caller may try again
+   */
+  record PlacementRejected(long ticket, long retryAfterMs) implements PeerMessage {}
+
   /** Cancels a placement request that is queued. */
   record PlacementCancelled(long ticket) implements PeerMessage {}
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -26,11 +26,13 @@
   private static final int TYPE_PLACEMENT_QUEUED = 5;
   private static final int TYPE_PLACEMENT_CANCELLED = 6;
   private static final int TYPE_PERMIT_REPLY = 7;
+  private static final int TYPE_PLACEMENT_REJECTED = 8;
   private static final int LOAD_REPORT_FIELDS = 2;
   private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
-  private static final int PLACEMENT_REQUEST_FIELDS = 10;
+  private static final int PLACEMENT_REQUEST_FIELDS = 14;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
+  private static final int PLACEMENT_REJECTED_FIELDS = 2;
   private static final int TICKET_FIELDS = 1;
   private static final int LOAD_FIELDS = 5;
   private static final int MAX_NAME_BYTES = 63;
@@ -86,6 +88,11 @@
       if (reply.waitMs().isPresent()) {
         out.packLong(reply.waitMs().get());
       }
+    } else if (message instanceof PeerMessage.PlacementRejected rejected) {
+      out.packArrayHeader(1 + PLACEMENT_REJECTED_FIELDS);
+      out.packInt(TYPE_PLACEMENT_REJECTED);
+      out.packLong(rejected.ticket());
+      out.packLong(rejected.retryAfterMs());
     }
   }
 
@@ -108,6 +115,17 @@
     out.packBoolean(need.wantsBackup());
     out.packInt(need.priority());
     out.packLong(need.objectiveMs());
+    writeText(out, need.workspace());
+    writeText(out, need.fingerprint());
+    out.packLong(need.sinceArrivalMs());
+    out.packLong(need.usefulMs());
+  }
+
+  private static void writeText(MessagePacker out, Optional<String> text) throws IOException {
+    out.packArrayHeader(text.isPresent() ? 1 : 0);
+    if (text.isPresent()) {
+      out.packString(text.get());
+    }
   }
 
   private static void write(MessagePacker out, Optional<TargetId> target) throws IOException {
@@ -144,6 +162,7 @@
         case TYPE_PLACEMENT_REPLY -> PLACEMENT_REPLY_FIELDS;
         case TYPE_PLACEMENT_QUEUED, TYPE_PLACEMENT_CANCELLED -> TICKET_FIELDS;
         case TYPE_PERMIT_REPLY -> PERMIT_REPLY_FIELDS;
+        case TYPE_PLACEMENT_REJECTED -> PLACEMENT_REJECTED_FIELDS;
         default -> -1;
       };
     }
@@ -161,6 +180,8 @@
                 in.longValue(),
                 in.optional(SchedulingCodec::target),
                 in.optional(BoundedReader::longValue));
+        case TYPE_PLACEMENT_REJECTED ->
+            new PeerMessage.PlacementRejected(in.longValue(), in.longValue());
         default ->
             new PeerMessage.PlacementReply(
                 in.longValue(),
@@ -181,6 +202,10 @@
         new FailureDomain(in.text(MAX_NAME_BYTES)),
         in.flag(),
         in.intValue(),
+        in.longValue(),
+        in.optional(text -> text.text(MAX_NAME_BYTES)),
+        in.optional(text -> text.text(PlacementNeed.MAX_FINGERPRINT_LENGTH)),
+        in.longValue(),
         in.longValue());
   }
 
--- a/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
@@ -33,7 +33,11 @@
               new FailureDomain("zone"),
               true,
               7,
-              8);
+              8,
+              Optional.of("workspace"),
+              Optional.of("request:0123456789abcdef"),
+              9,
+              10);
       for (PeerMessage message :
           List.of(
               new PeerMessage.LoadReport(8, loads),
@@ -44,7 +48,8 @@
               new PeerMessage.PlacementQueued(13),
               new PeerMessage.PlacementCancelled(14),
               new PeerMessage.PermitReply(15, Optional.of(new TargetId("t")), Optional.empty()),
-              new PeerMessage.PermitReply(16, Optional.empty(), Optional.of(17L)))) {
+              new PeerMessage.PermitReply(16, Optional.empty(), Optional.of(17L)),
+              new PeerMessage.PlacementRejected(18, 19))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
     }
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,6 +18,11 @@
  * @param wantsBackup whether a second engine should get a copy of its memory
  * @param priority priority of the request; 0 is the highest
  * @param objectiveMs time in milliseconds that is left to meet the latency objective
+ * @param workspace workspace of the caller, if known
+ * @param fingerprint digest of the request, equal for its repetitions; at most {@link
+ *     #MAX_FINGERPRINT_LENGTH} characters
+ * @param sinceArrivalMs time in milliseconds since the request arrived at its entry
+ * @param usefulMs time in milliseconds for which a first event is still of use to the caller
  */
 public record PlacementNeed(
     Purpose purpose,
@@ -27,7 +33,20 @@
     FailureDomain preferredDomain,
     boolean wantsBackup,
     int priority,
-    long objectiveMs) {
+    long objectiveMs,
+    Optional<String> workspace,
+    Optional<String> fingerprint,
+    long sinceArrivalMs,
+    long usefulMs) {
+  /** Maximum length of a fingerprint in characters; keeps messages small. */
+  public static final int MAX_FINGERPRINT_LENGTH = 64;
+
+  /** Minimum time in milliseconds without an event after which callers abandon a stream. */
+  private static final long MIN_ABANDON_MS = 2_000;
+
+  /** Callers abandon a stream after this number of latency objectives without an event. */
+  private static final long ABANDON_OBJECTIVES = 4;
+
   /** Purpose of a placement. */
   public enum Purpose {
     /** The request starts there; it can be queued until there is room. */
@@ -38,6 +57,33 @@
     PERMIT
   }
 
+  /** Requirements of a request that just arrived from an unknown workspace. */
+  public PlacementNeed(
+      Purpose purpose,
+      String service,
+      long tokens,
+      long promptTokens,
+      Set<TargetId> excluded,
+      FailureDomain preferredDomain,
+      boolean wantsBackup,
+      int priority,
+      long objectiveMs) {
+    this(
+        purpose,
+        service,
+        tokens,
+        promptTokens,
+        excluded,
+        preferredDomain,
+        wantsBackup,
+        priority,
+        objectiveMs,
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs));
+  }
+
   /** Returns the same requirements with additional excluded targets. */
   public PlacementNeed excluding(Set<TargetId> more) {
     Set<TargetId> all = new HashSet<>(excluded);
@@ -51,7 +97,11 @@
         preferredDomain,
         wantsBackup,
         priority,
-        objectiveMs);
+        objectiveMs,
+        workspace,
+        fingerprint,
+        sinceArrivalMs,
+        usefulMs);
   }
 
   /** Returns the same requirements without excluded targets. */
@@ -65,7 +115,11 @@
         preferredDomain,
         wantsBackup,
         priority,
-        objectiveMs);
+        objectiveMs,
+        workspace,
+        fingerprint,
+        sinceArrivalMs,
+        usefulMs);
   }
 
   public PlacementNeed {
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -108,6 +108,22 @@
     return (long) admitted;
   }
 
+  /** The places and requests on all targets of a service that do not leave. */
+  ServiceUse use(String service, Collection<Target> targets, long nowMs) {
+    long places = 0;
+    long requests = 0;
+    double mostFree = 0;
+    int slots = limits(service).map(EngineLimits::slots).orElse(0);
+    for (Target target : targets) {
+      if (target.info().service().equals(service) && !target.leaving()) {
+        places += slots;
+        requests += total(target, nowMs).requests();
+        mostFree = target.accepts(nowMs) ? Math.max(mostFree, freeTokens(target, nowMs)) : mostFree;
+      }
+    }
+    return new ServiceUse(places, requests, mostFree);
+  }
+
   /** Whether the total load of the engines of a service leaves room for backups. */
   public boolean roomForBackups(
       Collection<Target> targets, PlacementNeed need, EngineLimits limits, long nowMs) {
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
@@ -216,6 +217,28 @@
     return best;
   }
 
+  /**
+   * Free memory, in tokens, of the engine with most of it that is not reserved, whatever targets
+   * the request excludes; negative if there is none.
+   */
+  public double mostFreeTokens(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
+    return mostFreeMemory(need.withoutExclusions(), reserved, nowMs)
+        .map(engine -> loads.freeTokens(engine, nowMs))
+        .orElse(-1.0);
+  }
+
+  /** The service of a run of a target; empty if this run is not known, or not any more. */
+  public Optional<String> serviceOf(TargetRun run) {
+    return Optional.ofNullable(targets.get(run.target()))
+        .filter(target -> target.info().incarnation() == run.incarnation())
+        .map(target -> target.info().service());
+  }
+
+  /** The places and requests on all targets of a service that do not leave. */
+  public ServiceUse use(String service, long nowMs) {
+    return loads.use(service, targets.values(), nowMs);
+  }
+
   /** Total memory, in tokens, that may be assigned to requests on all available engines. */
   public long admittedTokens() {
     return loads.admittedTokens(targets.values());
