Reject requests that cannot start in time, and share room fairly

Under a burst the queue was full of old requests and made new ones late. The coordinator forecasts when room is freed, rejects requests that cannot start while their response is of use, orders queued ones by priority, tier and fair shares of workspaces, and spreads the returns of rejected callers.

--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -7,13 +7,17 @@
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.targets.PlacementNeed;
 import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.ServiceUse;
 import dev.caroblb.targets.Target;
 import dev.caroblb.targets.TargetInfo;
 import dev.caroblb.targets.TargetLoad;
 import dev.caroblb.targets.TargetPool;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
  * Chooses targets for the generations of all instances that use this control instance, and queues
@@ -31,30 +35,54 @@
   private static final System.Logger LOGGER =
       System.getLogger(PlacementCoordinator.class.getName());
 
+  /** Interval in milliseconds at which all queued requests are checked against the forecast. */
+  private static final long RECHECK_MS = 100;
+
+  /**
+   * Interval in milliseconds at which requests are placed without a report of freed load, because
+   * limited engines get new permits.
+   */
+  private static final long PLACE_INTERVAL_MS = 50;
+
+  /** Interval in milliseconds at which stale state is removed. */
+  private static final long EXPIRE_INTERVAL_MS = 250;
+
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
   private final TargetPool pool;
   private final PlacementLedger ledger;
   private final ProcessSequence grants;
   private final PlacementQueue queue;
   private final TargetLimits limits;
+  private final LearnedRoomForecast forecast = new LearnedRoomForecast();
+  private final RejectionRule rule = new RejectionRule(forecast);
+  private final Rejections rejections;
   private final Map<InstanceId, Long> reportSentMs = new HashMap<>();
   private int servingInstances;
   private long permits;
   private long denials;
   private long lastLogMs = Long.MIN_VALUE / 2;
+  private long lastExpireMs = Long.MIN_VALUE / 2;
+  private long lastPlaceMs = Long.MIN_VALUE / 2;
+  private long lastRecheckMs = Long.MIN_VALUE / 2;
 
+  /**
+   * @param peers receives the replies to the instances that request targets
+   * @param random spreads the returns of rejected callers
+   */
   public PlacementCoordinator(
       Outlet<PeerEnvelope<PeerMessage>> peers,
       TargetPool pool,
       PlacementLedger ledger,
       TargetLimits limits,
-      ProcessSequence grants) {
+      ProcessSequence grants,
+      RandomGenerator random) {
     this.peers = peers;
     this.pool = pool;
     this.ledger = ledger;
     this.limits = limits;
     this.grants = grants;
     queue = new PlacementQueue(pool);
+    rejections = new Rejections(forecast, random);
   }
 
   /** Sets the number of instances known to serve callers. */
@@ -64,12 +92,17 @@
 
   /** Records the load of an instance and periodically reports the load of the others to it. */
   public void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
-    ledger.expire(nowMs);
-    ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
-    limits.setShare(ledger.instances().size(), servingInstances);
-    reportSentMs.keySet().retainAll(ledger.instances());
-    queue.retainInstances(ledger.instances(), nowMs - RemoteLoad.MAX_AGE_MS);
-    placeQueued(nowMs);
+    List<TargetLoad> released =
+        ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
+    expire(nowMs);
+    forecast.observed(nowMs);
+    for (TargetLoad load : released) {
+      pool.serviceOf(load.run())
+          .ifPresent(service -> forecast.released(service, peer, load, nowMs));
+    }
+    if (!released.isEmpty() || nowMs - lastPlaceMs >= PLACE_INTERVAL_MS) {
+      placeQueued(nowMs);
+    }
     Long last = reportSentMs.get(peer);
     if (last != null && nowMs - last < REPORT_INTERVAL_MS) {
       return;
@@ -81,12 +114,27 @@
     send(peer, new PeerMessage.RemoteLoadReport(instances, ledger.totalsWithout(peer)));
   }
 
+  private void expire(long nowMs) {
+    if (nowMs - lastExpireMs < EXPIRE_INTERVAL_MS) {
+      return;
+    }
+    lastExpireMs = nowMs;
+    ledger.expire(nowMs);
+    Set<InstanceId> instances = Set.copyOf(ledger.instances());
+    limits.setShare(instances.size(), servingInstances);
+    reportSentMs.keySet().retainAll(instances);
+    queue.retainInstances(instances, nowMs - RemoteLoad.MAX_AGE_MS);
+  }
+
   private void logState(long nowMs) {
     if (nowMs - lastLogMs < REPORT_INTERVAL_MS) {
       return;
     }
     lastLogMs = nowMs;
     limits.expire(nowMs);
+    rejections.expire(nowMs);
+    forecast.expire(nowMs);
+    long inTime = queue.inTime();
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("placement.state")
@@ -97,11 +145,17 @@
             .with("permits", permits)
             .with("permits_denied", denials)
             .with("waiting", queue.size())
-            .with("in_time", queue.inTime(nowMs))
+            .with("in_time", inTime)
+            .with("late", queue.size() - inTime)
+            .with("rejected", rejections.count())
+            .with("freed_tokens_per_s", forecast.freedTokensPerSecond(nowMs))
             .toString());
   }
 
-  /** Chooses a target immediately, or queues the request until an engine has room. */
+  /**
+   * Chooses a target immediately, queues the request until an engine has room, or rejects it if
+   * that is expected too late.
+   */
   public void placementRequested(
       InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
     PlacementNeed need = request.need();
@@ -114,20 +168,96 @@
       givePermit(peer, request, nowMs);
       return;
     }
-    PlacementQueue.QueuedRequest queued =
-        new PlacementQueue.QueuedRequest(peer, request.ticket(), need, nowMs);
-    Optional<Target> fallback = pool.choose(need, nowMs);
+    Optional<RejectedCallers.Rejection> earlier = rejections.earlier(need, nowMs);
+    boolean early = earlier.filter(rejection -> rejection.early(nowMs)).isPresent();
     // Waiting is pointless if there is no target, or none that could ever have room.
-    if (!pool.anyUsable(need, nowMs) || !pool.fitsIdleEngine(need) || !queue.add(queued)) {
-      placeStart(queued, fallback, nowMs);
+    boolean mayWait = pool.anyUsable(need, nowMs) && pool.fitsIdleEngine(need);
+    if (early && mayWait && !roomNow(need, nowMs)) {
+      send(
+          peer, rejections.rejectEarly(need, request.ticket(), earlier.orElseThrow(), nowMs));
+      return;
+    }
+    QueuedRequest queued = queue.arrived(peer, request.ticket(), need, earlier, nowMs);
+    if (queued.inTime(nowMs)) {
+      forecast.requested(need.service(), need.priority(), need.tokens(), nowMs);
+    }
+    if (!mayWait || queue.isFull()) {
+      queue.servedAtOnce(queued);
+      placeStart(queued, pool.choose(need, nowMs), nowMs);
       return;
     }
+    queue.add(queued, nowMs);
     placeQueued(nowMs);
     if (queue.contains(queued)) {
-      send(peer, new PeerMessage.PlacementQueued(request.ticket()));
+      queueOrReject(queued, nowMs);
     }
   }
 
+  /** Whether a request fits now and no other one waits for this room. */
+  private boolean roomNow(PlacementNeed need, long nowMs) {
+    return queue.of(need.service()).size() == 0
+        && pool.chooseWithRoom(need, Set.of(), nowMs).isPresent();
+  }
+
+  private void queueOrReject(QueuedRequest queued, long nowMs) {
+    String service = queued.need().service();
+    RejectionRule.Verdict verdict =
+        rule.decide(
+            queued,
+            queue.of(service).ahead(queued, nowMs),
+            pool.use(service, nowMs),
+            false,
+            nowMs);
+    if (verdict.outcome() == RejectionRule.Outcome.REJECT) {
+      queue.withdraw(queued);
+      send(queued.instance(), rejections.reject(queued, verdict.expectedDelayMs(), nowMs));
+      return;
+    }
+    if (verdict.outcome() == RejectionRule.Outcome.KEEP_LATE) {
+      queue.replace(queued, queued.asLate(nowMs), nowMs);
+    }
+    rejections.accepted(queued.need());
+    send(queued.instance(), new PeerMessage.PlacementQueued(queued.ticket()));
+  }
+
+  /** Rejects queued requests that, by now, cannot start while a response is of use. */
+  private void recheck(long nowMs) {
+    if (queue.isEmpty() || nowMs - lastRecheckMs < RECHECK_MS) {
+      return;
+    }
+    lastRecheckMs = nowMs;
+    Map<String, ServiceUse> use = new HashMap<>();
+    Map<QueuedRequest.Key, Double> delays = new HashMap<>();
+    List<QueuedRequest> rejected =
+        queue.recheck(
+            (request, ahead) -> {
+              ServiceUse current =
+                  use.computeIfAbsent(
+                      request.need().service(), service -> pool.use(service, nowMs));
+              RejectionRule.Verdict verdict = rule.decide(request, ahead, current, true, nowMs);
+              delays.put(request.key(), verdict.expectedDelayMs());
+              return switch (verdict.outcome()) {
+                case KEEP -> Optional.of(request);
+                case KEEP_LATE -> Optional.of(request.asLate(nowMs));
+                case REJECT -> Optional.empty();
+              };
+            },
+            nowMs);
+    for (QueuedRequest request : rejected) {
+      send(request.instance(), rejections.reject(request, delays.get(request.key()), nowMs));
+    }
+  }
+
+  /** Checks queued requests again. */
+  public void tick(long nowMs) {
+    placeQueued(nowMs);
+  }
+
+  /** Time at which queued requests are to be checked again. */
+  public long nextMs() {
+    return queue.isEmpty() ? Long.MAX_VALUE : lastRecheckMs + RECHECK_MS;
+  }
+
   private void placeMove(InstanceId peer, PeerMessage.PlacementRequest request, long nowMs) {
     Optional<Target> target =
         pool.chooseDestination(request.need(), TargetPool.ALL_MOVE_CANDIDATES, nowMs);
@@ -156,15 +286,19 @@
     queue.remove(peer, ticket);
   }
 
-  /** Assigns targets to queued requests, because engines may have room again. */
+  /**
+   * Assigns targets to queued requests, because engines may have room again, and checks the rest.
+   */
   public void placeQueued(long nowMs) {
+    lastPlaceMs = nowMs;
     if (!queue.isEmpty()) {
       queue.place((request, target) -> placeStart(request, Optional.of(target), nowMs), nowMs);
     }
+    recheck(nowMs);
   }
 
-  private void placeStart(
-      PlacementQueue.QueuedRequest request, Optional<Target> target, long nowMs) {
+  private void placeStart(QueuedRequest request, Optional<Target> target, long nowMs) {
+    rejections.accepted(request.need());
     PlacementNeed need = request.need();
     Optional<Target> backup = target.flatMap(chosen -> pool.chooseBackup(need, chosen, nowMs));
     InstanceId peer = request.instance();
@@ -172,6 +306,9 @@
     target.ifPresent(
         chosen -> grant(peer, grant, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
     target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
+    target.ifPresent(
+        chosen ->
+            forecast.placed(need.service(), peer, chosen.info().run(), need.tokens(), nowMs));
     backup.ifPresent(engine -> grant(peer, grant, engine, 0, need.tokens(), 0, nowMs));
     reply(peer, request.ticket(), grant, target, backup);
   }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementLedger.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementLedger.java
@@ -39,15 +39,43 @@
 
   /**
    * Replaces the report of an instance and drops its grants up to the given number, which an
-   * earlier process of this instance may have given out.
+   * earlier process of this instance may have given out. Returns the load that the instance had by
+   * its previous report and these grants, and no longer has.
    */
-  public void reported(InstanceId instance, long upToGrant, List<TargetLoad> load, long nowMs) {
+  public List<TargetLoad> reported(
+      InstanceId instance, long upToGrant, List<TargetLoad> load, long nowMs) {
     Account account = accounts.computeIfAbsent(instance, id -> new Account());
+    List<TargetLoad> released = released(account, upToGrant, load);
     account.reported.forEach(this::subtract);
     load.forEach(this::add);
     account.reported = load;
     account.reportedAtMs = nowMs;
     dropGrants(account, upToGrant, nowMs);
+    return released;
+  }
+
+  private static List<TargetLoad> released(Account account, long upToGrant, List<TargetLoad> load) {
+    Map<TargetRun, TargetLoad> rest = new HashMap<>();
+    account.reported.forEach(each -> rest.merge(each.run(), each, TargetLoad::plus));
+    for (Grant grant : account.grants) {
+      if (ProcessSequence.covers(upToGrant, grant.number())) {
+        rest.merge(grant.load().run(), grant.load(), TargetLoad::plus);
+      }
+    }
+    load.forEach(each -> rest.merge(each.run(), each.negated(), TargetLoad::plus));
+    List<TargetLoad> released = new ArrayList<>();
+    for (TargetLoad each : rest.values()) {
+      if (each.tokens() > 0 || each.requests() > 0) {
+        released.add(
+            new TargetLoad(
+                each.target(),
+                each.incarnation(),
+                Math.max(0, each.requests()),
+                Math.max(0, each.tokens()),
+                0));
+      }
+    }
+    return released;
   }
 
   /** Adds load that was granted to an instance and that it has not reported yet. */
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -1,25 +1,19 @@
 package dev.caroblb.scheduling;
 
 import dev.caroblb.core.InstanceId;
-import dev.caroblb.core.TargetId;
 import dev.caroblb.targets.PlacementNeed;
 import dev.caroblb.targets.Target;
 import dev.caroblb.targets.TargetPool;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.Iterator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-
-/**
- * Requests that wait until an engine has room. Requests that can still meet their latency objective
- * come first, ordered by priority and then by arrival. Under overload, plain first-come,
- * first-served order would make all of them late.
- */
-public final class PlacementQueue {
+import java.util.function.Predicate;
+
+/** Requests of all services that wait until an engine has room. */
+final class PlacementQueue {
   /** Maximum number of queued requests; further ones are placed without waiting. */
   private static final int MAX_QUEUED = 4_096;
 
@@ -29,91 +23,147 @@
    */
   private static final long FIRST_EVENT_DELAY_MS = 700;
 
-  /**
-   * Maximum number of requests for which an engine is reserved until it has room. Without
-   * reservations, large requests starve while small ones take all memory that becomes free.
-   */
-  private static final int MAX_RESERVED_ENGINES = 4;
-
-  /** A queued request. */
-  public record QueuedRequest(
-      InstanceId instance, long ticket, PlacementNeed need, long queuedAtMs) {
-    private boolean inTime(long nowMs) {
-      return nowMs - queuedAtMs + FIRST_EVENT_DELAY_MS <= need.objectiveMs();
-    }
-  }
-
   /** Receives the requests that got a target. */
-  public interface Placed {
+  interface Placed {
     void placed(QueuedRequest request, Target target);
   }
 
   private final TargetPool pool;
-  private final List<QueuedRequest> queue = new ArrayList<>();
+  private final Map<QueuedRequest.Key, QueuedRequest> queued = new HashMap<>();
+  private final Map<String, ServiceQueue> services = new HashMap<>();
+  private final Map<InstanceId, Long> lastTickets = new HashMap<>();
+  private long sequence;
 
-  public PlacementQueue(TargetPool pool) {
+  PlacementQueue(TargetPool pool) {
     this.pool = pool;
   }
 
-  public int size() {
-    return queue.size();
+  ServiceQueue of(String service) {
+    return services.computeIfAbsent(service, name -> new ServiceQueue());
+  }
+
+  int size() {
+    return queued.size();
+  }
+
+  boolean isEmpty() {
+    return queued.isEmpty();
+  }
+
+  boolean isFull() {
+    return queued.size() >= MAX_QUEUED;
   }
 
   /** Number of requests that can still meet their objective. */
-  public long inTime(long nowMs) {
-    return queue.stream().filter(request -> request.inTime(nowMs)).count();
+  long inTime() {
+    return queued.size() - services.values().stream().mapToLong(ServiceQueue::lateSize).sum();
   }
 
-  public boolean isEmpty() {
-    return queue.isEmpty();
+  boolean contains(QueuedRequest request) {
+    return queued.containsKey(request.key());
   }
 
-  /** Adds a request; returns false if the queue is full. */
-  public boolean add(QueuedRequest request) {
-    return queue.size() < MAX_QUEUED && queue.add(request);
+  /**
+   * Returns a request with its place in the order, without queueing it.
+   *
+   * @param earlier what is remembered of an earlier attempt of the same caller
+   */
+  QueuedRequest arrived(
+      InstanceId instance,
+      long ticket,
+      PlacementNeed need,
+      Optional<RejectedCallers.Rejection> earlier,
+      long nowMs) {
+    long arrivedMs = nowMs - need.sinceArrivalMs();
+    long firstMs =
+        earlier.map(RejectedCallers.Rejection::firstArrivalMs).orElse(arrivedMs);
+    long objectiveMs = need.objectiveMs() + need.sinceArrivalMs();
+    long delayMs = Math.min(FIRST_EVENT_DELAY_MS, objectiveMs / 2);
+    ServiceQueue service = of(need.service());
+    if (service.size() == 0) {
+      service.shares().idle();
+    }
+    double tag = service.shares().arrived(need.workspace().orElse(""), need.tokens());
+    return new QueuedRequest(
+        instance,
+        ticket,
+        need,
+        nowMs,
+        firstMs,
+        Math.min(tag, earlier.map(RejectedCallers.Rejection::startTag).orElse(tag)),
+        firstMs + objectiveMs - delayMs,
+        nowMs + need.usefulMs() - delayMs,
+        ++sequence);
+  }
+
+  void add(QueuedRequest request, long nowMs) {
+    queued.put(request.key(), request);
+    of(request.need().service()).add(request, nowMs);
+  }
+
+  /** Records that a request got a target without being queued. */
+  void servedAtOnce(QueuedRequest request) {
+    of(request.need().service()).shares().served(request.startTag());
+  }
+
+  /** Removes a request that gets no room. */
+  void withdraw(QueuedRequest request) {
+    ServiceQueue service = of(request.need().service());
+    Optional.ofNullable(queued.remove(request.key())).ifPresent(service::remove);
+    service.shares().withdrawn(request.workspace(), request.need().tokens());
   }
 
-  public boolean contains(QueuedRequest request) {
-    return queue.contains(request);
+  /** Replaces a request by one that comes later in the order. */
+  void replace(QueuedRequest request, QueuedRequest replacement, long nowMs) {
+    of(request.need().service()).remove(request);
+    add(replacement, nowMs);
   }
 
   /** Removes a request that its instance cancelled. */
-  public void remove(InstanceId instance, long ticket) {
-    queue.removeIf(request -> request.instance().equals(instance) && request.ticket() == ticket);
+  void remove(InstanceId instance, long ticket) {
+    Optional.ofNullable(queued.get(new QueuedRequest.Key(instance, ticket)))
+        .ifPresent(this::withdraw);
   }
 
   /** Removes requests that an earlier process of the instance queued. */
-  public void removeOfEarlierProcess(InstanceId instance, long ticket) {
-    queue.removeIf(
-        request ->
-            request.instance().equals(instance)
-                && !ProcessSequence.sameProcess(request.ticket(), ticket));
+  void removeOfEarlierProcess(InstanceId instance, long ticket) {
+    Long last = lastTickets.put(instance, ticket);
+    if (last == null || !ProcessSequence.sameProcess(last, ticket)) {
+      withdrawIf(
+          request ->
+              request.instance().equals(instance)
+                  && !ProcessSequence.sameProcess(request.ticket(), ticket));
+    }
   }
 
   /** Removes requests queued before the given time, except those of the given instances. */
-  public void retainInstances(Collection<InstanceId> instances, long queuedBeforeMs) {
-    queue.removeIf(
+  void retainInstances(Collection<InstanceId> instances, long queuedBeforeMs) {
+    lastTickets.keySet().retainAll(instances);
+    withdrawIf(
         request ->
             request.queuedAtMs() < queuedBeforeMs && !instances.contains(request.instance()));
   }
 
+  private void withdrawIf(Predicate<QueuedRequest> condition) {
+    List<QueuedRequest> all = new ArrayList<>(queued.values());
+    all.removeIf(condition.negate());
+    all.forEach(this::withdraw);
+  }
+
   /** Assigns targets to the requests for which there is room now. */
-  public void place(Placed placed, long nowMs) {
-    queue.sort(
-        Comparator.comparing((QueuedRequest request) -> !request.inTime(nowMs))
-            .thenComparing(request -> request.need().priority())
-            .thenComparing(QueuedRequest::queuedAtMs));
-    Set<TargetId> reserved = new HashSet<>();
-    for (Iterator<QueuedRequest> all = queue.iterator(); all.hasNext(); ) {
-      QueuedRequest request = all.next();
-      Optional<Target> target = pool.chooseWithRoom(request.need(), reserved, nowMs);
-      if (target.isPresent()) {
-        all.remove();
-        placed.placed(request, target.get());
-      } else if (reserved.size() < MAX_RESERVED_ENGINES) {
-        pool.mostFreeMemory(request.need(), reserved, nowMs)
-            .ifPresent(engine -> reserved.add(engine.info().id()));
-      }
+  void place(Placed placed, long nowMs) {
+    for (ServiceQueue service : services.values()) {
+      service.place(pool, placed, nowMs).forEach(request -> queued.remove(request.key()));
+    }
+  }
+
+  /** Checks all queued requests; returns those that are not kept. */
+  List<QueuedRequest> recheck(ServiceQueue.Check check, long nowMs) {
+    List<QueuedRequest> rejected = new ArrayList<>();
+    for (ServiceQueue service : services.values()) {
+      rejected.addAll(service.recheck(check, nowMs));
     }
+    rejected.forEach(this::withdraw);
+    return rejected;
   }
 }
--- /dev/null
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectedCallers.java
@@ -0,0 +1,79 @@
+package dev.caroblb.scheduling;
+
+import dev.caroblb.targets.PlacementNeed;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Callers that were rejected and told when to return. One that returns then keeps the place of its
+ * first arrival; one that returns earlier gains nothing. Requests without a fingerprint are not
+ * remembered.
+ */
+final class RejectedCallers {
+  /** Maximum number of callers; the one rejected first is forgotten. Some 2 MB. */
+  static final int MAX_CALLERS = 8_192;
+
+  /** Time in milliseconds after its return time for which a caller is remembered. */
+  private static final long KEEP_MS = 10_000;
+
+  /** A caller that returns this much early, in milliseconds, is taken as on time. */
+  private static final long EARLY_TOLERANCE_MS = 20;
+
+  private record Caller(String workspace, String fingerprint) {}
+
+  /**
+   * What is remembered of a caller.
+   *
+   * @param firstArrivalMs time of its first attempt
+   * @param startTag virtual start tag of its first attempt
+   * @param returnMs time at which it was told to return
+   */
+  record Rejection(long firstArrivalMs, double startTag, long returnMs) {
+    boolean early(long nowMs) {
+      return nowMs < returnMs - EARLY_TOLERANCE_MS;
+    }
+  }
+
+  private final Map<Caller, Rejection> rejections =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Caller, Rejection> eldest) {
+          return size() > MAX_CALLERS;
+        }
+      };
+
+  private static Optional<Caller> caller(PlacementNeed need) {
+    return need.fingerprint().map(text -> new Caller(need.workspace().orElse(""), text));
+  }
+
+  Optional<Rejection> find(PlacementNeed need, long nowMs) {
+    return caller(need)
+        .map(rejections::get)
+        .filter(rejection -> nowMs < rejection.returnMs() + KEEP_MS);
+  }
+
+  void remember(PlacementNeed need, Rejection rejection) {
+    caller(need)
+        .ifPresent(
+            caller -> {
+              rejections.remove(caller);
+              rejections.put(caller, rejection);
+            });
+  }
+
+  /** Forgets a caller that is queued or placed again. */
+  void forget(PlacementNeed need) {
+    caller(need).ifPresent(rejections::remove);
+  }
+
+  void expire(long nowMs) {
+    rejections.values().removeIf(rejection -> nowMs >= rejection.returnMs() + KEEP_MS);
+  }
+
+  int size() {
+    return rejections.size();
+  }
+}
--- /dev/null
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
@@ -0,0 +1,101 @@
+package dev.caroblb.scheduling;
+
+import dev.caroblb.scheduling.RoomForecast.Demand;
+import dev.caroblb.targets.ServiceUse;
+import java.util.Optional;
+
+/**
+ * Decides whether a request that gets no room now may wait. It may if it is expected to start in
+ * time, or late with room that requests in time leave idle, or if too little is known.
+ */
+final class RejectionRule {
+  /** Queued requests are rejected only if they miss their time by more than this. */
+  private static final long QUEUED_MARGIN_MS = 250;
+
+  /** The margin for queued requests grows by this fraction of their expected delay. */
+  private static final double QUEUED_MARGIN_FRACTION = 0.1;
+
+  /** What happens to a request. */
+  enum Outcome {
+    KEEP,
+    /** Keep it behind the requests that can meet their objective. */
+    KEEP_LATE,
+    REJECT
+  }
+
+  /**
+   * A decision.
+   *
+   * @param outcome what happens to the request
+   * @param expectedDelayMs time until room for it is expected; 0 if not known
+   */
+  record Verdict(Outcome outcome, double expectedDelayMs) {}
+
+  private static final Verdict KEEP = new Verdict(Outcome.KEEP, 0);
+
+  private final RoomForecast forecast;
+
+  RejectionRule(RoomForecast forecast) {
+    this.forecast = forecast;
+  }
+
+  /**
+   * Decides about a request.
+   *
+   * @param known whether the request was kept before, and is rejected only with a margin
+   */
+  Verdict decide(
+      QueuedRequest request, Backlog ahead, ServiceUse use, boolean known, long nowMs) {
+    if (request.need().tokens() <= use.mostFreeTokens()
+        || (use.underHalf() && ahead.requests() == 0)) {
+      return KEEP;
+    }
+    if (request.inTime(nowMs)) {
+      Optional<Double> delayMs =
+          delayMs(
+              request,
+              ahead.tokens(),
+              ahead.requests(),
+              request.need().priority(),
+              use,
+              nowMs);
+      if (delayMs.isEmpty() || startsBy(request.inTimeUntilMs(), delayMs.get(), known, nowMs)) {
+        return KEEP;
+      }
+    }
+    Optional<Double> lateMs =
+        delayMs(
+            request,
+            ahead.tokensIfLate(),
+            ahead.requestsIfLate(),
+            Integer.MAX_VALUE,
+            use,
+            nowMs);
+    if (lateMs.isEmpty()) {
+      return KEEP;
+    }
+    Outcome outcome =
+        startsBy(request.usefulUntilMs(), lateMs.get(), known, nowMs)
+            ? Outcome.KEEP_LATE
+            : Outcome.REJECT;
+    return new Verdict(outcome, lateMs.get());
+  }
+
+  private Optional<Double> delayMs(
+      QueuedRequest request,
+      double tokensAhead,
+      long requestsAhead,
+      int belowPriority,
+      ServiceUse use,
+      long nowMs) {
+    Demand demand =
+        new Demand(
+            tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
+    return forecast.delayMs(request.need().service(), demand, belowPriority, nowMs);
+  }
+
+  private static boolean startsBy(long untilMs, double delayMs, boolean known, long nowMs) {
+    double marginMs = known ? QUEUED_MARGIN_MS + QUEUED_MARGIN_FRACTION * delayMs : 0;
+    return nowMs + delayMs <= untilMs + marginMs;
+  }
+}
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -33,7 +33,7 @@
     pool = new TargetPool(random, List.of(ledger), limits);
     limitExchange = new LimitExchange(limitPeers, limits, ledger::instances);
     coordinator =
-        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
+        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random), random);
   }
 
   @Override
@@ -83,10 +83,13 @@
     if (nowMs >= limitExchange.nextMs()) {
       limitExchange.tick(nowMs);
     }
+    if (nowMs >= coordinator.nextMs()) {
+      coordinator.tick(nowMs);
+    }
   }
 
   @Override
   public long nextTickMs() {
-    return limitExchange.nextMs();
+    return Math.min(limitExchange.nextMs(), coordinator.nextMs());
   }
 }
--- a/scheduling/src/test/java/dev/caroblb/scheduling/RestartedEntryTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/RestartedEntryTest.java
@@ -39,7 +39,13 @@
   private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger), limits);
   private final ProcessSequence tickets = new ProcessSequence(new Random(1));
   private final PlacementCoordinator coordinator =
-      new PlacementCoordinator(sent::add, pool, ledger, limits, new ProcessSequence(new Random(1)));
+      new PlacementCoordinator(
+          sent::add,
+          pool,
+          ledger,
+          limits,
+          new ProcessSequence(new Random(1)),
+          new Random(1));
 
   private long request(ProcessSequence numbers) {
     long ticket = numbers.next();
