--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -138,8 +138,7 @@
 
   /** Records that a control instance has queued the request until an engine has room. */
   void queued(PeerMessage.PlacementQueued reply, long nowMs) {
-    Optional<Exchange> queued =
-        coordinator.queued(reply.ticket(), nowMs).flatMap(exchanges::find);
+    Optional<Exchange> queued = coordinator.queued(reply.ticket(), nowMs).flatMap(exchanges::find);
     queued.ifPresent(exchange -> queued(exchange, nowMs));
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingPlacementTest.java
@@ -80,6 +80,40 @@
     }
   }
 
+  @Nested
+  class Rejected {
+    /** Guards against a rejected request that waits, or is told another time to return. */
+    @Test
+    void isRefusedAsNotRunWithItsTime() {
+      requestPlacement();
+      receive(new PeerMessage.PlacementRejected(firstTicket(), 730));
+      assertEquals("refused BACKLOG_FULL", lastEvent());
+      assertEquals(730, caller.refusals.get(0).retryAfterMs());
+      advance(1_000);
+      assertEquals(List.of(), targets.sent);
+      assertEquals(1, caller.events.size());
+    }
+
+    /** Guards against a second answer to a request that was placed before the rejection arrived. */
+    @Test
+    void isIgnoredAfterTheReplyTimeout() {
+      requestPlacement();
+      advance(100);
+      receive(new PeerMessage.PlacementRejected(firstTicket(), 730));
+      assertEquals(1, targets.sent.size());
+      assertEquals(List.of(), caller.refusals);
+    }
+
+    /** Guards against a coordinator that rejects by the times of another request. */
+    @Test
+    void dependsOnTheTimesOfTheRequest() {
+      requestPlacement();
+      PlacementNeed need = ((PeerMessage.PlacementRequest) lastPlacementRequest().message()).need();
+      assertEquals(0, need.sinceArrivalMs());
+      assertTrue(need.usefulMs() >= 2_000);
+    }
+  }
+
   @Nested
   class Queued {
     /**
--- a/scheduling/src/main/java/dev/caroblb/scheduling/LearnedRoomForecast.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/LearnedRoomForecast.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Forecast from the placements that were made and the load that instances no longer report. */
 public final class LearnedRoomForecast implements RoomForecast {
@@ -51,8 +52,17 @@
     return Math.round(1_000 * perMs);
   }
 
-  void expire(long nowMs) {
-    services.values().forEach(rates -> rates.placements().expire(nowMs));
+  /** Records that an instance has load no more on a target that is gone. */
+  void lost(InstanceId instance, TargetRun run) {
+    services.values().forEach(rates -> rates.placements().lost(instance, run));
+  }
+
+  /** Forgets old placements, and those of other instances than the given ones. */
+  void expire(Set<InstanceId> instances, long nowMs) {
+    for (ServiceRates rates : services.values()) {
+      rates.placements().retain(instances);
+      rates.placements().expire(nowMs);
+    }
   }
 
   @Override
@@ -67,7 +77,8 @@
       return Optional.empty();
     }
     double all = freed.get().tokensPerMs();
-    double left = Math.max(all * MIN_RATE_FRACTION, all - of(service).demandPerMs(belowPriority, nowMs));
+    double left =
+        Math.max(all * MIN_RATE_FRACTION, all - of(service).demandPerMs(belowPriority, nowMs));
     double memoryMs = demand.tokens() / left;
     double placesMs =
         demand.placesScarce() ? demand.requests() * all / left / freed.get().requestsPerMs() : 0;
--- a/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Placements of one service whose end has not been reported. Reports name the load that is left,
@@ -62,6 +63,21 @@
     return 0;
   }
 
+  /** Forgets the placements of an instance on a target that is gone. */
+  void lost(InstanceId instance, TargetRun run) {
+    List<Placement> placements = open.remove(new Place(instance, run));
+    if (placements != null) {
+      placements.forEach(each -> holdTimes.forgotten(each.tokens()));
+    }
+  }
+
+  /** Forgets the placements of instances that are gone. */
+  void retain(Set<InstanceId> instances) {
+    List<Place> gone = new ArrayList<>(open.keySet());
+    gone.removeIf(place -> instances.contains(place.instance()));
+    gone.forEach(place -> lost(place.instance(), place.run()));
+  }
+
   /** Forgets placements whose end was not observed. */
   void expire(long nowMs) {
     for (Iterator<List<Placement>> all = open.values().iterator(); all.hasNext(); ) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -56,6 +56,7 @@
   private final LearnedRoomForecast forecast = new LearnedRoomForecast();
   private final RejectionRule rule = new RejectionRule(forecast);
   private final Rejections rejections;
+  private final Map<String, ServiceUse> use = new HashMap<>();
   private final Map<InstanceId, Long> reportSentMs = new HashMap<>();
   private int servingInstances;
   private long permits;
@@ -92,13 +93,14 @@
 
   /** Records the load of an instance and periodically reports the load of the others to it. */
   public void loadReported(InstanceId peer, PeerMessage.LoadReport report, long nowMs) {
-    List<TargetLoad> released =
-        ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
+    List<TargetLoad> released = ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
     expire(nowMs);
     forecast.observed(nowMs);
     for (TargetLoad load : released) {
       pool.serviceOf(load.run())
-          .ifPresent(service -> forecast.released(service, peer, load, nowMs));
+          .ifPresentOrElse(
+              service -> forecast.released(service, peer, load, nowMs),
+              () -> forecast.lost(peer, load.run()));
     }
     if (!released.isEmpty() || nowMs - lastPlaceMs >= PLACE_INTERVAL_MS) {
       placeQueued(nowMs);
@@ -133,7 +135,7 @@
     lastLogMs = nowMs;
     limits.expire(nowMs);
     rejections.expire(nowMs);
-    forecast.expire(nowMs);
+    forecast.expire(Set.copyOf(ledger.instances()), nowMs);
     long inTime = queue.inTime();
     LOGGER.log(
         System.Logger.Level.INFO,
@@ -173,8 +175,7 @@
     // Waiting is pointless if there is no target, or none that could ever have room.
     boolean mayWait = pool.anyUsable(need, nowMs) && pool.fitsIdleEngine(need);
     if (early && mayWait && !roomNow(need, nowMs)) {
-      send(
-          peer, rejections.rejectEarly(need, request.ticket(), earlier.orElseThrow(), nowMs));
+      send(peer, rejections.rejectEarly(need, request.ticket(), earlier.orElseThrow(), nowMs));
       return;
     }
     QueuedRequest queued = queue.arrived(peer, request.ticket(), need, earlier, nowMs);
@@ -187,7 +188,8 @@
       return;
     }
     queue.add(queued, nowMs);
-    placeQueued(nowMs);
+    queue.placeArrived(
+        queued, (each, target) -> placeStart(each, Optional.of(target), nowMs), nowMs);
     if (queue.contains(queued)) {
       queueOrReject(queued, nowMs);
     }
@@ -205,7 +207,7 @@
         rule.decide(
             queued,
             queue.of(service).ahead(queued, nowMs),
-            pool.use(service, nowMs),
+            serviceUse(service, nowMs),
             false,
             nowMs);
     if (verdict.outcome() == RejectionRule.Outcome.REJECT) {
@@ -220,20 +222,22 @@
     send(queued.instance(), new PeerMessage.PlacementQueued(queued.ticket()));
   }
 
+  /** Use of a service since there was room again; a look at all targets per request is costly. */
+  private ServiceUse serviceUse(String service, long nowMs) {
+    return use.computeIfAbsent(service, name -> pool.use(name, nowMs));
+  }
+
   /** Rejects queued requests that, by now, cannot start while a response is of use. */
   private void recheck(long nowMs) {
     if (queue.isEmpty() || nowMs - lastRecheckMs < RECHECK_MS) {
       return;
     }
     lastRecheckMs = nowMs;
-    Map<String, ServiceUse> use = new HashMap<>();
     Map<QueuedRequest.Key, Double> delays = new HashMap<>();
     List<QueuedRequest> rejected =
         queue.recheck(
             (request, ahead) -> {
-              ServiceUse current =
-                  use.computeIfAbsent(
-                      request.need().service(), service -> pool.use(service, nowMs));
+              ServiceUse current = serviceUse(request.need().service(), nowMs);
               RejectionRule.Verdict verdict = rule.decide(request, ahead, current, true, nowMs);
               delays.put(request.key(), verdict.expectedDelayMs());
               return switch (verdict.outcome()) {
@@ -291,6 +295,7 @@
    */
   public void placeQueued(long nowMs) {
     lastPlaceMs = nowMs;
+    use.clear();
     if (!queue.isEmpty()) {
       queue.place((request, target) -> placeStart(request, Optional.of(target), nowMs), nowMs);
     }
@@ -307,8 +312,7 @@
         chosen -> grant(peer, grant, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
     target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
     target.ifPresent(
-        chosen ->
-            forecast.placed(need.service(), peer, chosen.info().run(), need.tokens(), nowMs));
+        chosen -> forecast.placed(need.service(), peer, chosen.info().run(), need.tokens(), nowMs));
     backup.ifPresent(engine -> grant(peer, grant, engine, 0, need.tokens(), 0, nowMs));
     reply(peer, request.ticket(), grant, target, backup);
   }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -75,8 +75,7 @@
       Optional<RejectedCallers.Rejection> earlier,
       long nowMs) {
     long arrivedMs = nowMs - need.sinceArrivalMs();
-    long firstMs =
-        earlier.map(RejectedCallers.Rejection::firstArrivalMs).orElse(arrivedMs);
+    long firstMs = earlier.map(RejectedCallers.Rejection::firstArrivalMs).orElse(arrivedMs);
     long objectiveMs = need.objectiveMs() + need.sinceArrivalMs();
     long delayMs = Math.min(FIRST_EVENT_DELAY_MS, objectiveMs / 2);
     ServiceQueue service = of(need.service());
@@ -84,6 +83,8 @@
       service.shares().idle();
     }
     double tag = service.shares().arrived(need.workspace().orElse(""), need.tokens());
+    boolean persistent = earlier.filter(RejectedCallers.Rejection::persistent).isPresent();
+    long inTimeUntilMs = firstMs + objectiveMs - delayMs;
     return new QueuedRequest(
         instance,
         ticket,
@@ -91,9 +92,10 @@
         nowMs,
         firstMs,
         Math.min(tag, earlier.map(RejectedCallers.Rejection::startTag).orElse(tag)),
-        firstMs + objectiveMs - delayMs,
+        persistent ? Math.min(inTimeUntilMs, nowMs - 1) : inTimeUntilMs,
         nowMs + need.usefulMs() - delayMs,
-        ++sequence);
+        ++sequence,
+        earlier.map(rejection -> rejection.repeats() + 1).orElse(0));
   }
 
   void add(QueuedRequest request, long nowMs) {
@@ -150,13 +152,29 @@
     all.forEach(this::withdraw);
   }
 
-  /** Assigns targets to the requests for which there is room now. */
+  /** Assigns targets to the requests for which there is room now; targets may have more room. */
   void place(Placed placed, long nowMs) {
     for (ServiceQueue service : services.values()) {
-      service.place(pool, placed, nowMs).forEach(request -> queued.remove(request.key()));
+      service.roomChanged();
+      place(service, placed, nowMs);
     }
   }
 
+  /** Assigns a target to a request that was just queued, if there is room. */
+  void placeArrived(QueuedRequest request, Placed placed, long nowMs) {
+    ServiceQueue service = of(request.need().service());
+    if (service.size() == 1) {
+      service.roomChanged();
+    }
+    if (service.mayFit(request)) {
+      place(service, placed, nowMs);
+    }
+  }
+
+  private void place(ServiceQueue service, Placed placed, long nowMs) {
+    service.place(pool, placed, nowMs).forEach(request -> queued.remove(request.key()));
+  }
+
   /** Checks all queued requests; returns those that are not kept. */
   List<QueuedRequest> recheck(ServiceQueue.Check check, long nowMs) {
     List<QueuedRequest> rejected = new ArrayList<>();
--- a/scheduling/src/main/java/dev/caroblb/scheduling/QueueTier.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/QueueTier.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -24,6 +26,10 @@
       return new Sum(tokens + other.tokens, requests + other.requests);
     }
 
+    Sum minus(Sum other) {
+      return new Sum(tokens - other.tokens, requests - other.requests);
+    }
+
     Sum plus(QueuedRequest request, int sign) {
       return new Sum(tokens + sign * (double) request.need().tokens(), requests + sign);
     }
@@ -78,7 +84,7 @@
     return sum(byPriority);
   }
 
-  private static Sum sum(java.util.Map<Integer, Sum> sums) {
+  private static Sum sum(Map<Integer, Sum> sums) {
     Sum total = Sum.NONE;
     for (Sum each : sums.values()) {
       total = total.plus(each);
@@ -86,15 +92,33 @@
     return total;
   }
 
-  /** All requests before one in the order; O(k) for k of its priority. */
+  /**
+   * All requests before one in the order. Counts those of its priority before it or after it,
+   * whichever are fewer.
+   */
   Sum before(QueuedRequest request) {
-    Sum total = before(request.need().priority());
-    for (QueuedRequest each : requests.headSet(request, false).descendingSet()) {
-      if (each.need().priority() != request.need().priority()) {
-        break;
+    int priority = request.need().priority();
+    Iterator<QueuedRequest> before = requests.headSet(request, false).descendingIterator();
+    Iterator<QueuedRequest> after = requests.tailSet(request, true).iterator();
+    Sum sumBefore = before(priority);
+    Sum sumAfter = Sum.NONE;
+    while (true) {
+      Optional<QueuedRequest> earlier = next(before, priority);
+      if (earlier.isEmpty()) {
+        return sumBefore;
+      }
+      Optional<QueuedRequest> later = next(after, priority);
+      if (later.isEmpty()) {
+        return upTo(priority).minus(sumAfter);
       }
-      total = total.plus(each, 1);
+      sumBefore = sumBefore.plus(earlier.get(), 1);
+      sumAfter = sumAfter.plus(later.get(), 1);
     }
-    return total;
+  }
+
+  private static Optional<QueuedRequest> next(Iterator<QueuedRequest> from, int priority) {
+    return from.hasNext()
+        ? Optional.of(from.next()).filter(request -> request.need().priority() == priority)
+        : Optional.empty();
   }
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/QueuedRequest.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/QueuedRequest.java
@@ -15,6 +15,7 @@
  * @param inTimeUntilMs time until which it can start and still meet its objective
  * @param usefulUntilMs time until which it can start while a response is of any use
  * @param sequence number that increases with each request
+ * @param repeats number of times that its caller came back after a rejection
  */
 record QueuedRequest(
     InstanceId instance,
@@ -25,7 +26,8 @@
     double startTag,
     long inTimeUntilMs,
     long usefulUntilMs,
-    long sequence) {
+    long sequence,
+    int repeats) {
   /** Identifies a request. */
   record Key(InstanceId instance, long ticket) {}
 
@@ -52,6 +54,7 @@
         startTag,
         Math.min(inTimeUntilMs, nowMs - 1),
         usefulUntilMs,
-        sequence);
+        sequence,
+        repeats);
   }
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/RejectedCallers.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectedCallers.java
@@ -20,6 +20,12 @@
   /** A caller that returns this much early, in milliseconds, is taken as on time. */
   private static final long EARLY_TOLERANCE_MS = 20;
 
+  /**
+   * Number of repetitions up to which a caller keeps its place. Callers that wait return once;
+   * without a limit, those that repeat every 50 ms were served more often.
+   */
+  private static final int MAX_REPEATS = 2;
+
   private record Caller(String workspace, String fingerprint) {}
 
   /**
@@ -28,8 +34,18 @@
    * @param firstArrivalMs time of its first attempt
    * @param startTag virtual start tag of its first attempt
    * @param returnMs time at which it was told to return
+   * @param repeats number of times that it came back before
    */
-  record Rejection(long firstArrivalMs, double startTag, long returnMs) {
+  record Rejection(long firstArrivalMs, double startTag, long returnMs, int repeats) {
+    Rejection repeated() {
+      return new Rejection(firstArrivalMs, startTag, returnMs, repeats + 1);
+    }
+
+    /** Whether it repeats often, so that it gets what others leave. */
+    boolean persistent() {
+      return repeats > MAX_REPEATS;
+    }
+
     boolean early(long nowMs) {
       return nowMs < returnMs - EARLY_TOLERANCE_MS;
     }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
@@ -44,33 +44,21 @@
    *
    * @param known whether the request was kept before, and is rejected only with a margin
    */
-  Verdict decide(
-      QueuedRequest request, Backlog ahead, ServiceUse use, boolean known, long nowMs) {
+  Verdict decide(QueuedRequest request, Backlog ahead, ServiceUse use, boolean known, long nowMs) {
     if (request.need().tokens() <= use.mostFreeTokens()
         || (use.underHalf() && ahead.requests() == 0)) {
       return KEEP;
     }
     if (request.inTime(nowMs)) {
       Optional<Double> delayMs =
-          delayMs(
-              request,
-              ahead.tokens(),
-              ahead.requests(),
-              request.need().priority(),
-              use,
-              nowMs);
+          delayMs(request, ahead.tokens(), ahead.requests(), request.need().priority(), use, nowMs);
       if (delayMs.isEmpty() || startsBy(request.inTimeUntilMs(), delayMs.get(), known, nowMs)) {
         return KEEP;
       }
     }
     Optional<Double> lateMs =
         delayMs(
-            request,
-            ahead.tokensIfLate(),
-            ahead.requestsIfLate(),
-            Integer.MAX_VALUE,
-            use,
-            nowMs);
+            request, ahead.tokensIfLate(), ahead.requestsIfLate(), Integer.MAX_VALUE, use, nowMs);
     if (lateMs.isEmpty()) {
       return KEEP;
     }
@@ -89,8 +77,7 @@
       ServiceUse use,
       long nowMs) {
     Demand demand =
-        new Demand(
-            tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
+        new Demand(tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
     return forecast.delayMs(request.need().service(), demand, belowPriority, nowMs);
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
@@ -34,19 +34,17 @@
   }
 
   /** Rejects a request whose room is expected after a time. */
-  PeerMessage.PlacementRejected reject(
-      QueuedRequest request, double expectedDelayMs, long nowMs) {
+  PeerMessage.PlacementRejected reject(QueuedRequest request, double expectedDelayMs, long nowMs) {
     PlacementNeed need = request.need();
     double rate =
         forecast.rate(need.service(), nowMs).map(RoomForecast.Rate::tokensPerMs).orElse(0.0);
     double shareMs = rate > 0 ? need.tokens() / rate : 0;
     long leftMs = need.usefulMs() - (nowMs - request.queuedAtMs());
-    long retryAfterMs =
-        schedule.delayMs(need.service(), expectedDelayMs, shareMs, leftMs, nowMs);
+    long retryAfterMs = schedule.delayMs(need.service(), expectedDelayMs, shareMs, leftMs, nowMs);
     callers.remember(
         need,
         new RejectedCallers.Rejection(
-            request.firstArrivalMs(), request.startTag(), nowMs + retryAfterMs));
+            request.firstArrivalMs(), request.startTag(), nowMs + retryAfterMs, request.repeats()));
     log(need, Math.round(expectedDelayMs), retryAfterMs, false);
     return new PeerMessage.PlacementRejected(request.ticket(), retryAfterMs);
   }
@@ -54,6 +52,7 @@
   /** Rejects a caller that returned before its time, with the rest of it. */
   PeerMessage.PlacementRejected rejectEarly(
       PlacementNeed need, long ticket, RejectedCallers.Rejection earlier, long nowMs) {
+    callers.remember(need, earlier.repeated());
     long restMs = Math.max(ReturnSchedule.MIN_DELAY_MS, earlier.returnMs() - nowMs);
     log(need, restMs, restMs, true);
     return new PeerMessage.PlacementRejected(ticket, restMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
@@ -16,7 +16,9 @@
   /** Callers honour a delay up to this fraction of the time that they have left. */
   private static final int MAX_DELAY_DIVISOR = 3;
 
-  /** A return is moved by up to this fraction of its delay, so that entries' delays do not align. */
+  /**
+   * A return is moved by up to this fraction of its delay, so that entries' delays do not align.
+   */
   private static final double JITTER = 0.1;
 
   private final RandomGenerator random;
@@ -33,8 +35,7 @@
    * @param shareMs time in which room of the size of the request is freed
    * @param leftMs time that the caller has left
    */
-  long delayMs(
-      String service, double expectedDelayMs, double shareMs, long leftMs, long nowMs) {
+  long delayMs(String service, double expectedDelayMs, double shareMs, long leftMs, long nowMs) {
     double maxMs = Math.max(MIN_DELAY_MS, (double) leftMs / MAX_DELAY_DIVISOR);
     double atMs = Math.max(nowMs + expectedDelayMs, nextFreeMs.getOrDefault(service, 0.0));
     double delayMs = (atMs - nowMs) * (1 + JITTER * random.nextDouble());
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
@@ -40,6 +40,9 @@
               .thenComparingLong(QueuedRequest::sequence));
   private final TreeMap<Long, Integer> sizes = new TreeMap<>();
 
+  /** The most free memory of an engine is not above this; NaN if not known. */
+  private double roomBound = Double.NaN;
+
   FairShares shares() {
     return shares;
   }
@@ -94,35 +97,49 @@
     return new Backlog(ahead.tokens(), ahead.requests(), ifLate.tokens(), ifLate.requests());
   }
 
+  /** Records that targets may have more room than before. */
+  void roomChanged() {
+    roomBound = Double.NaN;
+  }
+
+  /** Whether a request may fit; false only if the last look at the targets rules it out. */
+  boolean mayFit(QueuedRequest request) {
+    return Double.isNaN(roomBound) || request.need().tokens() <= roomBound;
+  }
+
   /**
    * Assigns targets to the requests for which there is room now; returns them. Looks at the targets
    * once if there is no room, and once for each request that gets room or reserves an engine.
    */
-  List<QueuedRequest> place(
-      TargetPool pool, PlacementQueue.Placed placed, long nowMs) {
+  List<QueuedRequest> place(TargetPool pool, PlacementQueue.Placed placed, long nowMs) {
     advance(nowMs);
     List<QueuedRequest> done = new ArrayList<>();
     Set<TargetId> reserved = new HashSet<>();
+    // Upper bound: placements only reduce the room.
     double room = Double.NaN;
     for (Iterator<QueuedRequest> all = inOrder(); all.hasNext(); ) {
       QueuedRequest request = all.next();
       PlacementNeed need = request.need();
-      room = Double.isNaN(room) ? pool.mostFreeTokens(need, reserved, nowMs) : room;
+      if (Double.isNaN(room)) {
+        room = pool.mostFreeTokens(need, reserved, nowMs);
+        roomBound = reserved.isEmpty() ? room : roomBound;
+      }
       if (room < sizes.firstKey()) {
         break;
       }
       Optional<Target> target =
-          need.tokens() <= room
-              ? pool.chooseWithRoom(need, reserved, nowMs)
-              : Optional.empty();
+          need.tokens() <= room ? pool.chooseWithRoom(need, reserved, nowMs) : Optional.empty();
       if (target.isPresent()) {
         done.add(request);
         placed.placed(request, target.get());
-        room = Double.NaN;
-      } else if (reserved.size() < MAX_RESERVED_ENGINES) {
+        continue;
+      }
+      if (reserved.size() < MAX_RESERVED_ENGINES) {
         pool.mostFreeMemory(need, reserved, nowMs)
             .ifPresent(engine -> reserved.add(engine.info().id()));
         room = Double.NaN;
+      } else if (need.tokens() <= room && need.excluded().isEmpty()) {
+        room = Double.NaN;
       }
     }
     for (QueuedRequest request : done) {
--- a/scheduling/src/test/java/dev/caroblb/scheduling/PlacementCoordinatorTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementCoordinatorTest.java
@@ -39,12 +39,7 @@
   private final TargetPool pool = new TargetPool(new Random(1), List.of(ledger), limits);
   private final PlacementCoordinator coordinator =
       new PlacementCoordinator(
-          sent::add,
-          pool,
-          ledger,
-          limits,
-          new ProcessSequence(new Random(1)),
-          new Random(1));
+          sent::add, pool, ledger, limits, new ProcessSequence(new Random(1)), new Random(1));
   private long lastGrant;
 
   @BeforeEach
--- a/scheduling/src/test/java/dev/caroblb/scheduling/RestartedEntryTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/RestartedEntryTest.java
@@ -40,12 +40,7 @@
   private final ProcessSequence tickets = new ProcessSequence(new Random(1));
   private final PlacementCoordinator coordinator =
       new PlacementCoordinator(
-          sent::add,
-          pool,
-          ledger,
-          limits,
-          new ProcessSequence(new Random(1)),
-          new Random(1));
+          sent::add, pool, ledger, limits, new ProcessSequence(new Random(1)), new Random(1));
 
   private long request(ProcessSequence numbers) {
     long ticket = numbers.next();
