Bound Retry-After by the deadline, and expect bursts to end

Bounded by a third of the time of use, rejected callers came back within the burst and were lost. Placement requests now also name the time to the deadline; late requests are judged by the smaller demand of the last 2 s and 30 s, and callers that returned wait if room may come in half of the expected time. A new coordinator no longer takes ends of generations that a former one placed for ends of its own: it learned holding times that were too short, and rejected nothing.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -176,7 +176,8 @@
         workspace,
         call.fingerprint(),
         nowMs - arrivedMs,
-        Math.max(0, FirstEventUse.untilMs(route, arrivedMs, deadlineMs) - nowMs));
+        Math.max(0, FirstEventUse.untilMs(route, arrivedMs, deadlineMs) - nowMs),
+        Math.max(0, deadlineMs - nowMs));
   }
 
   private boolean longEnoughForBackup() {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/LearnedRoomForecast.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/LearnedRoomForecast.java
@@ -31,11 +31,12 @@
     of(service).placements().placed(instance, run, tokens, nowMs);
   }
 
-  /** Records load that an instance no longer has on a target. */
-  void released(String service, InstanceId instance, TargetLoad released, long nowMs) {
+  /** Records load that an instance no longer has on a target, and what requests it has left. */
+  void released(
+      String service, InstanceId instance, TargetLoad released, long leftRequests, long nowMs) {
     ServiceRates rates = of(service);
     rates.freed(released.tokens(), released.requests(), nowMs);
-    rates.placements().released(instance, released, nowMs);
+    rates.placements().released(instance, released, leftRequests, nowMs);
   }
 
   /** Records that an instance reported its load. */
@@ -72,13 +73,22 @@
 
   @Override
   public Optional<Double> delayMs(String service, Demand demand, int belowPriority, long nowMs) {
+    return delayMs(service, demand, of(service).demandPerMs(belowPriority, nowMs), nowMs);
+  }
+
+  @Override
+  public Optional<Double> idleDelayMs(String service, Demand demand, long nowMs) {
+    return delayMs(service, demand, of(service).lastingDemandPerMs(nowMs), nowMs);
+  }
+
+  private Optional<Double> delayMs(
+      String service, Demand demand, double newDemandPerMs, long nowMs) {
     Optional<Rate> freed = rate(service, nowMs);
     if (freed.isEmpty() || freed.get().tokensPerMs() <= 0) {
       return Optional.empty();
     }
     double all = freed.get().tokensPerMs();
-    double left =
-        Math.max(all * MIN_RATE_FRACTION, all - of(service).demandPerMs(belowPriority, nowMs));
+    double left = Math.max(all * MIN_RATE_FRACTION, all - newDemandPerMs);
     double memoryMs = demand.tokens() / left;
     double placesMs =
         demand.placesScarce() ? demand.requests() * all / left / freed.get().requestsPerMs() : 0;
--- a/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
@@ -36,14 +36,21 @@
     holdTimes.started(tokens);
   }
 
-  /** Records that an instance no longer has some load on a target. */
-  void released(InstanceId instance, TargetLoad released, long nowMs) {
+  /**
+   * Records that an instance no longer has some load on a target. Requests there that were not
+   * placed here, as before a change of the coordinator, are taken as the older ones: attributing
+   * their ends to placements made here would make these look far too short.
+   *
+   * @param leftRequests number of requests that the instance still has there
+   */
+  void released(InstanceId instance, TargetLoad released, long leftRequests, long nowMs) {
     Place place = new Place(instance, released.run());
     List<Placement> placements = open.get(place);
     if (placements == null) {
       return;
     }
-    for (long left = released.requests(); left > 0 && !placements.isEmpty(); left--) {
+    long others = Math.max(0, leftRequests + released.requests() - placements.size());
+    for (long left = released.requests() - others; left > 0 && !placements.isEmpty(); left--) {
       Placement ended =
           placements.remove(released.requests() == 1 ? index(placements, released.tokens()) : 0);
       holdTimes.ended(ended.tokens(), nowMs - ended.atMs());
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -4,6 +4,7 @@
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.TargetRun;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.targets.PlacementNeed;
 import dev.caroblb.targets.RemoteLoad;
@@ -96,12 +97,7 @@
     List<TargetLoad> released = ledger.reported(peer, report.lastGrant(), report.loads(), nowMs);
     expire(nowMs);
     forecast.observed(nowMs);
-    for (TargetLoad load : released) {
-      pool.serviceOf(load.run())
-          .ifPresentOrElse(
-              service -> forecast.released(service, peer, load, nowMs),
-              () -> forecast.lost(peer, load.run()));
-    }
+    released(peer, released, report.loads(), nowMs);
     if (!released.isEmpty() || nowMs - lastPlaceMs >= PLACE_INTERVAL_MS) {
       placeQueued(nowMs);
     }
@@ -116,6 +112,22 @@
     send(peer, new PeerMessage.RemoteLoadReport(instances, ledger.totalsWithout(peer)));
   }
 
+  private void released(
+      InstanceId peer, List<TargetLoad> released, List<TargetLoad> loads, long nowMs) {
+    if (released.isEmpty()) {
+      return;
+    }
+    Map<TargetRun, Long> left = new HashMap<>();
+    loads.forEach(load -> left.put(load.run(), load.requests()));
+    for (TargetLoad load : released) {
+      long leftRequests = left.getOrDefault(load.run(), 0L);
+      pool.serviceOf(load.run())
+          .ifPresentOrElse(
+              service -> forecast.released(service, peer, load, leftRequests, nowMs),
+              () -> forecast.lost(peer, load.run()));
+    }
+  }
+
   private void expire(long nowMs) {
     if (nowMs - lastExpireMs < EXPIRE_INTERVAL_MS) {
       return;
--- a/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
@@ -15,6 +15,12 @@
   /** The margin for queued requests grows by this fraction of their expected delay. */
   private static final double QUEUED_MARGIN_FRACTION = 0.1;
 
+  /**
+   * Fraction of the expected delay after which idle room may come already, because demand falls
+   * when a burst ends. Only callers that returned wait for that: they have no other attempt.
+   */
+  private static final double RETURNED_DELAY_FRACTION = 0.5;
+
   /** What happens to a request. */
   enum Outcome {
     KEEP,
@@ -49,36 +55,32 @@
         || (use.underHalf() && ahead.requests() == 0)) {
       return KEEP;
     }
+    String service = request.need().service();
+    int priority = request.need().priority();
     if (request.inTime(nowMs)) {
-      Optional<Double> delayMs =
-          delayMs(request, ahead.tokens(), ahead.requests(), request.need().priority(), use, nowMs);
+      Demand demand = demand(request, ahead.tokens(), ahead.requests(), use);
+      Optional<Double> delayMs = forecast.delayMs(service, demand, priority, nowMs);
       if (delayMs.isEmpty() || startsBy(request.inTimeUntilMs(), delayMs.get(), known, nowMs)) {
         return KEEP;
       }
     }
-    Optional<Double> lateMs =
-        delayMs(
-            request, ahead.tokensIfLate(), ahead.requestsIfLate(), Integer.MAX_VALUE, use, nowMs);
+    Demand ifLate = demand(request, ahead.tokensIfLate(), ahead.requestsIfLate(), use);
+    Optional<Double> lateMs = forecast.idleDelayMs(service, ifLate, nowMs);
     if (lateMs.isEmpty()) {
       return KEEP;
     }
+    boolean returned = request.repeats() > 0;
+    double shortestMs = returned ? RETURNED_DELAY_FRACTION * lateMs.get() : lateMs.get();
     Outcome outcome =
-        startsBy(request.usefulUntilMs(), lateMs.get(), known, nowMs)
+        startsBy(request.usefulUntilMs(), shortestMs, known, nowMs)
             ? Outcome.KEEP_LATE
             : Outcome.REJECT;
     return new Verdict(outcome, lateMs.get());
   }
 
-  private Optional<Double> delayMs(
-      QueuedRequest request,
-      double tokensAhead,
-      long requestsAhead,
-      int belowPriority,
-      ServiceUse use,
-      long nowMs) {
-    Demand demand =
-        new Demand(tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
-    return forecast.delayMs(request.need().service(), demand, belowPriority, nowMs);
+  private static Demand demand(
+      QueuedRequest request, double tokensAhead, long requestsAhead, ServiceUse use) {
+    return new Demand(tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
   }
 
   private static boolean startsBy(long untilMs, double delayMs, boolean known, long nowMs) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
@@ -39,7 +39,7 @@
     double rate =
         forecast.rate(need.service(), nowMs).map(RoomForecast.Rate::tokensPerMs).orElse(0.0);
     double shareMs = rate > 0 ? need.tokens() / rate : 0;
-    long leftMs = need.usefulMs() - (nowMs - request.queuedAtMs());
+    long leftMs = need.leftMs() - (nowMs - request.queuedAtMs());
     long retryAfterMs = schedule.delayMs(need.service(), expectedDelayMs, shareMs, leftMs, nowMs);
     callers.remember(
         need,
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
@@ -6,7 +6,7 @@
 
 /**
  * Times at which rejected callers return, spread at the rate at which room is freed. Where no room
- * is expected within the time that a caller accepts, its return is drawn from the second half of
+ * is expected within the time that a caller accepts, its return is drawn from the last third of
  * that time.
  */
 final class ReturnSchedule {
@@ -40,7 +40,7 @@
     double atMs = Math.max(nowMs + expectedDelayMs, nextFreeMs.getOrDefault(service, 0.0));
     double delayMs = (atMs - nowMs) * (1 + JITTER * random.nextDouble());
     if (delayMs > maxMs) {
-      return (long) Math.max(MIN_DELAY_MS, maxMs * (1 + random.nextDouble()) / 2);
+      return (long) Math.max(MIN_DELAY_MS, maxMs * (2 + random.nextDouble()) / 3);
     }
     nextFreeMs.put(service, atMs + shareMs);
     return (long) Math.max(MIN_DELAY_MS, delayMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/RoomForecast.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RoomForecast.java
@@ -30,4 +30,10 @@
    * @param belowPriority new requests with a priority before this one also take room
    */
   Optional<Double> delayMs(String service, Demand demand, int belowPriority, long nowMs);
+
+  /**
+   * Time in milliseconds until there is room that requests in time leave idle; empty if too little
+   * has been observed.
+   */
+  Optional<Double> idleDelayMs(String service, Demand demand, long nowMs);
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceRates.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceRates.java
@@ -15,6 +15,11 @@
   /** New requests count for this number of intervals: 2 s, to notice the end of a burst. */
   private static final int DEMAND_INTERVALS = 8;
 
+  private static final long LONG_INTERVAL_MS = 2_000;
+
+  /** New requests also count for this number of longer intervals: 30 s, longer than bursts. */
+  private static final int LONG_DEMAND_INTERVALS = 15;
+
   /** Time in milliseconds to observe before the first forecast. */
   private static final long MIN_OBSERVED_MS = 1_000;
 
@@ -28,6 +33,7 @@
   private final SlidingSum freedTokens = new SlidingSum(INTERVAL_MS, FREED_INTERVALS);
   private final SlidingSum freedPlaces = new SlidingSum(INTERVAL_MS, FREED_INTERVALS);
   private final TreeMap<Integer, SlidingSum> demand = new TreeMap<>();
+  private final SlidingSum longDemand = new SlidingSum(LONG_INTERVAL_MS, LONG_DEMAND_INTERVALS);
   private long sinceMs = Long.MIN_VALUE;
   private long heardMs;
 
@@ -53,6 +59,7 @@
     demand
         .computeIfAbsent(key, each -> new SlidingSum(INTERVAL_MS, DEMAND_INTERVALS))
         .add(tokens, nowMs);
+    longDemand.add(tokens, nowMs);
   }
 
   /** Tokens per millisecond that new requests before a priority need. */
@@ -61,7 +68,16 @@
     for (Map.Entry<Integer, SlidingSum> each : demand.headMap(belowPriority).entrySet()) {
       tokens += each.getValue().sum(nowMs);
     }
-    return tokens / spanMs(DEMAND_INTERVALS, nowMs);
+    return tokens / spanMs(INTERVAL_MS, DEMAND_INTERVALS, nowMs);
+  }
+
+  /**
+   * Tokens per millisecond that all new requests are expected to need while a late one waits. It
+   * waits longer than most bursts last, so demand is not taken as higher than in the last 30 s.
+   */
+  double lastingDemandPerMs(long nowMs) {
+    double lasting = longDemand.sum(nowMs) / spanMs(LONG_INTERVAL_MS, LONG_DEMAND_INTERVALS, nowMs);
+    return Math.min(lasting, demandPerMs(Integer.MAX_VALUE, nowMs));
   }
 
   /**
@@ -74,7 +90,7 @@
     if (sinceMs == Long.MIN_VALUE || nowMs - sinceMs < MIN_OBSERVED_MS || places < MIN_ENDS) {
       return Optional.empty();
     }
-    double spanMs = spanMs(FREED_INTERVALS, nowMs);
+    double spanMs = spanMs(INTERVAL_MS, FREED_INTERVALS, nowMs);
     HoldTimes held = placements.holdTimes();
     return Optional.of(
         new Rate(
@@ -82,9 +98,9 @@
             Math.max(places / spanMs, held.requestsPerMs())));
   }
 
-  private double spanMs(int intervals, long nowMs) {
+  private double spanMs(long intervalMs, int intervals, long nowMs) {
     // The current interval counts as far as it has passed.
-    long window = (intervals - 1) * INTERVAL_MS + Math.floorMod(nowMs, INTERVAL_MS);
+    long window = (intervals - 1) * intervalMs + Math.floorMod(nowMs, intervalMs);
     return Math.max(INTERVAL_MS, Math.min(window, nowMs - sinceMs));
   }
 }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -29,7 +29,7 @@
   private static final int TYPE_PLACEMENT_REJECTED = 8;
   private static final int LOAD_REPORT_FIELDS = 2;
   private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
-  private static final int PLACEMENT_REQUEST_FIELDS = 14;
+  private static final int PLACEMENT_REQUEST_FIELDS = 15;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
   private static final int PLACEMENT_REJECTED_FIELDS = 2;
@@ -119,6 +119,7 @@
     writeText(out, need.fingerprint());
     out.packLong(need.sinceArrivalMs());
     out.packLong(need.usefulMs());
+    out.packLong(need.leftMs());
   }
 
   private static void writeText(MessagePacker out, Optional<String> text) throws IOException {
@@ -206,6 +207,7 @@
         in.optional(text -> text.text(MAX_NAME_BYTES)),
         in.optional(text -> text.text(PlacementNeed.MAX_FINGERPRINT_LENGTH)),
         in.longValue(),
+        in.longValue(),
         in.longValue());
   }
 
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -23,6 +23,7 @@
  *     #MAX_FINGERPRINT_LENGTH} characters
  * @param sinceArrivalMs time in milliseconds since the request arrived at its entry
  * @param usefulMs time in milliseconds for which a first event is still of use to the caller
+ * @param leftMs time in milliseconds until the caller's deadline
  */
 public record PlacementNeed(
     Purpose purpose,
@@ -37,7 +38,8 @@
     Optional<String> workspace,
     Optional<String> fingerprint,
     long sinceArrivalMs,
-    long usefulMs) {
+    long usefulMs,
+    long leftMs) {
   /** Maximum length of a fingerprint in characters; keeps messages small. */
   public static final int MAX_FINGERPRINT_LENGTH = 64;
 
@@ -81,6 +83,7 @@
         Optional.empty(),
         Optional.empty(),
         0,
+        Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs),
         Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs));
   }
 
@@ -101,7 +104,8 @@
         workspace,
         fingerprint,
         sinceArrivalMs,
-        usefulMs);
+        usefulMs,
+        leftMs);
   }
 
   /** Returns the same requirements without excluded targets. */
@@ -119,7 +123,8 @@
         workspace,
         fingerprint,
         sinceArrivalMs,
-        usefulMs);
+        usefulMs,
+        leftMs);
   }
 
   public PlacementNeed {
