--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -52,7 +52,7 @@
     limitExchange = new LimitExchange(limitPeers, limits, ledger::instances);
     paces = new PaceAnnouncer(limitPeers, limits, ledger::instances);
     coordinator =
-        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
+        new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random), random);
   }
 
   @Override
@@ -122,10 +122,14 @@
     if (nowMs >= paces.nextMs()) {
       paces.tick(nowMs);
     }
+    if (nowMs >= coordinator.nextMs()) {
+      coordinator.tick(nowMs);
+    }
   }
 
   @Override
   public long nextTickMs() {
-    return Math.min(limitExchange.nextMs(), paces.nextMs());
+    return Math.min(
+        limitExchange.nextMs(), Math.min(paces.nextMs(), coordinator.nextMs()));
   }
 }
