Learn the speed of targets and choose them by expected times

Entries measure the time to the first event and the pauses of each attempt by load class and report them once a second. The coordinator compares targets of a service at equal load with their median, ages the observations and returns relative speeds. The choice weights load by them and passes over slow targets that are expected to miss an objective. A target of the own failure domain is preferred within a tolerance. Bytes between domains are counted.

--- a/daemon/src/main/java/dev/caroblb/daemon/CallMetricsObserver.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/CallMetricsObserver.java
@@ -32,4 +32,14 @@
   public void partGap(long gapMs) {
     metrics.recordTokenGap(gapMs);
   }
+
+  @Override
+  public void sentToOtherDomain(long bytes) {
+    metrics.countBytesToOtherDomain(bytes);
+  }
+
+  @Override
+  public void receivedFromOtherDomain(long bytes) {
+    metrics.countBytesFromOtherDomain(bytes);
+  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CallObserver.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CallObserver.java
@@ -14,4 +14,10 @@
 
   /** Records the time in milliseconds between two parts of a stream. */
   void partGap(long gapMs);
+
+  /** Counts bytes of a request to a target in another failure domain. */
+  default void sentToOtherDomain(long bytes) {}
+
+  /** Counts bytes of a response from a target in another failure domain. */
+  default void receivedFromOtherDomain(long bytes) {}
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/CoordinatorClient.java
@@ -6,6 +6,8 @@
 import dev.caroblb.scheduling.PeerMessage;
 import dev.caroblb.scheduling.ProcessSequence;
 import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.ReportedSpeeds;
+import dev.caroblb.targets.SpeedObservations;
 import dev.caroblb.targets.TargetLoad;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -41,6 +43,8 @@
   private final ProcessSequence tickets;
   private final Map<Long, Long> callByTicket = new HashMap<>();
   private List<InstanceId> controlInstances = List.of();
+  private final SpeedObservations observations = new SpeedObservations();
+  private final ReportedSpeeds speeds = new ReportedSpeeds();
   private int currentIndex;
   private int consecutiveTimeouts;
   private long lastGrant;
@@ -114,6 +118,16 @@
     return Optional.ofNullable(callByTicket.get(ticket));
   }
 
+  /** What this instance measures at targets until it is reported. */
+  SpeedObservations observations() {
+    return observations;
+  }
+
+  /** Learned speeds of targets, from the last remote load report. */
+  ReportedSpeeds speeds() {
+    return speeds;
+  }
+
   /** Processes a remote load report; returns to the first control instance if that one sent it. */
   void remoteLoadReported(InstanceId control, long nowMs) {
     boolean fromFirst = !controlInstances.isEmpty() && controlInstances.get(0).equals(control);
@@ -198,7 +212,7 @@
     }
     lastReport = loads;
     lastReportMs = nowMs;
-    send(new PeerMessage.LoadReport(lastGrant, loads));
+    send(new PeerMessage.LoadReport(lastGrant, loads, observations.take(nowMs)));
     if (Math.floorMod(currentIndex, controlInstances.size()) != 0) {
       // A reply of the first control instance shows that it is available again.
       send(controlInstances.get(0), new PeerMessage.LoadReport(0, loads));
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -49,6 +49,7 @@
   private final CallFinisher finisher;
   private final DrainAdmission drain;
   private final PromptGuard guard;
+  private final AttemptMeter meter;
   private boolean anyWaiting;
 
   Dispatcher(
@@ -72,6 +73,11 @@
     this.finisher = finisher;
     this.drain = drain;
     this.guard = guard;
+    meter = new AttemptMeter(domain, pool, coordinator.observations(), observer);
+  }
+
+  AttemptMeter meter() {
+    return meter;
   }
 
   /** Finds a target for a request. For generations, a control instance chooses it. */
@@ -321,6 +327,7 @@
     }
     coordinator.cancelPlacement(exchange);
     AttemptOrder order = exchange.startAttempt(target, memory, backup, nowMs);
+    meter.sent(exchange, memory.isEmpty(), nowMs);
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("forwarding.sent")
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -48,6 +48,7 @@
   private Optional<GenerationMove> move = Optional.empty();
   private Optional<Target> backup = Optional.empty();
   private Optional<DelayedContinuation> continuation = Optional.empty();
+  private Optional<AttemptTiming> attemptTiming = Optional.empty();
   private boolean streaming;
   private boolean targetEnded;
   private boolean waiting;
@@ -172,7 +173,8 @@
         preferredDomain,
         wantsBackup,
         priority,
-        Math.max(0, arrivedMs + route.objectiveMs() - nowMs));
+        Math.max(0, arrivedMs + route.objectiveMs() - nowMs),
+        route.eventGapObjectiveMs());
   }
 
   private boolean longEnoughForBackup() {
@@ -362,6 +364,15 @@
     return timing.recordPart(nowMs);
   }
 
+  /** Measurement of the target of the current attempt, if it runs a generation. */
+  Optional<AttemptTiming> attemptTiming() {
+    return attemptTiming;
+  }
+
+  void setAttemptTiming(Optional<AttemptTiming> current) {
+    attemptTiming = current;
+  }
+
   /** When the parts of a stream arrived. */
   StreamTiming timing() {
     return timing;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -17,6 +17,7 @@
  * @param sharedPromptParts parts of the prompt that other requests may share, in order; then the
  *     fingerprint of the request, which it shares with its repetitions
  * @param port receives the response
+ * @param bodyBytes size of the body of the request
  */
 public record ForwardCall(
     long id,
@@ -27,8 +28,33 @@
     Optional<String> key,
     Optional<GenerationSize> generationSize,
     List<PromptPart> sharedPromptParts,
-    CallerPort port) {
+    CallerPort port,
+    long bodyBytes) {
   public ForwardCall {
     sharedPromptParts = List.copyOf(sharedPromptParts);
   }
+
+  /** A request without a body. */
+  public ForwardCall(
+      long id,
+      String requestId,
+      String host,
+      String path,
+      Optional<Long> timeoutMs,
+      Optional<String> key,
+      Optional<GenerationSize> generationSize,
+      List<PromptPart> sharedPromptParts,
+      CallerPort port) {
+    this(
+        id,
+        requestId,
+        host,
+        path,
+        timeoutMs,
+        key,
+        generationSize,
+        sharedPromptParts,
+        port,
+        0);
+  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -62,8 +62,8 @@
     leaving = outlets.leaving();
     this.random = random;
     limitExchange = new LimitExchange(outlets.pacing(), limits, List::of);
-    pool = new TargetPool(random, List.of(remoteLoad), limits);
     coordinator = new CoordinatorClient(outlets.scheduling(), new ProcessSequence(random));
+    pool = new TargetPool(random, List.of(remoteLoad), limits, coordinator.speeds());
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
     finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
@@ -234,6 +234,7 @@
           .ifPresent(exchange -> placementReplied(exchange, reply, nowMs));
     } else if (message instanceof RemoteLoadReport report) {
       coordinator.remoteLoadReported(peer, nowMs);
+      coordinator.speeds().replace(report.speeds(), nowMs);
       budget.setInstances(report.instances());
       pool.setInstances(report.instances());
       limits.setShare(1, report.instances());
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -63,6 +63,7 @@
   }
 
   void body(Exchange exchange, Payload part, long nowMs) {
+    dispatcher.meter().received(exchange, part.size());
     if (exchange.streaming()) {
       relayEvents(exchange, part, nowMs);
     } else if (!exchange.bufferBody(part)) {
@@ -110,7 +111,11 @@
           .ifPresentOrElse(
               observer::partGap, () -> observer.responded(nowMs - exchange.arrivedMs()));
     }
-    if (exchange.callerStream().forward(events)) {
+    boolean relayed = exchange.callerStream().forward(events);
+    if (events.size() > 0) {
+      exchange.attemptTiming().ifPresent(timing -> timing.eventsReceived(relayed, nowMs));
+    }
+    if (relayed) {
       port.acknowledge(exchange.call().id(), exchange.attempt());
     }
   }
--- a/metrics/src/main/java/dev/caroblb/metrics/InstanceMetrics.java
+++ b/metrics/src/main/java/dev/caroblb/metrics/InstanceMetrics.java
@@ -48,6 +48,8 @@
   private final Timer betweenTokens;
   private final Counter stallSeconds;
   private final Counter preemptions;
+  private final Counter bytesToOtherDomains;
+  private final Counter bytesFromOtherDomains;
 
   /** Sources of counters, kept here because the registry holds only weak references to them. */
   private final List<LongSupplier> sources = new ArrayList<>();
@@ -81,6 +83,15 @@
         Counter.builder("caroblb.preemptions")
             .description("Preemptions reported by engines")
             .register(registry);
+    bytesToOtherDomains = domainCounter("sent");
+    bytesFromOtherDomains = domainCounter("received");
+  }
+
+  private Counter domainCounter(String direction) {
+    return Counter.builder("caroblb.bytes.between.domains")
+        .description("Bytes of bodies between this instance and targets in other failure domains")
+        .tag("direction", direction)
+        .register(registry);
   }
 
   private Timer timer(String name, String description, long[] bucketsMs) {
@@ -114,6 +125,16 @@
     }
   }
 
+  /** Counts bytes of a request to a target in another failure domain. */
+  public void countBytesToOtherDomain(long bytes) {
+    bytesToOtherDomains.increment((double) bytes);
+  }
+
+  /** Counts bytes of a response from a target in another failure domain. */
+  public void countBytesFromOtherDomain(long bytes) {
+    bytesFromOtherDomains.increment((double) bytes);
+  }
+
   /** Adds the preemptions of an engine since its previous report. */
   public void countPreemptions(long count) {
     preemptions.increment((double) count);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PeerMessage.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PeerMessage.java
@@ -2,7 +2,9 @@
 
 import dev.caroblb.core.TargetId;
 import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.SpeedObservation;
 import dev.caroblb.targets.TargetLoad;
+import dev.caroblb.targets.TargetSpeed;
 import java.util.List;
 import java.util.Optional;
 
@@ -13,10 +15,18 @@
    *
    * @param lastGrant number of the last placement reply that the loads include; 0 if none
    * @param loads one element per target with load
+   * @param observations what the sender measured at targets since its last observations
    */
-  record LoadReport(long lastGrant, List<TargetLoad> loads) implements PeerMessage {
+  record LoadReport(long lastGrant, List<TargetLoad> loads, List<SpeedObservation> observations)
+      implements PeerMessage {
     public LoadReport {
       loads = List.copyOf(loads);
+      observations = List.copyOf(observations);
+    }
+
+    /** A report without observations. */
+    public LoadReport(long lastGrant, List<TargetLoad> loads) {
+      this(lastGrant, loads, List.of());
     }
   }
 
@@ -25,10 +35,18 @@
    *
    * @param instances number of instances that serve callers, including the receiver
    * @param loads one element per target with load
+   * @param speeds learned speeds of targets
    */
-  record RemoteLoadReport(int instances, List<TargetLoad> loads) implements PeerMessage {
+  record RemoteLoadReport(int instances, List<TargetLoad> loads, List<TargetSpeed> speeds)
+      implements PeerMessage {
     public RemoteLoadReport {
       loads = List.copyOf(loads);
+      speeds = List.copyOf(speeds);
+    }
+
+    /** A report without speeds. */
+    public RemoteLoadReport(int instances, List<TargetLoad> loads) {
+      this(instances, loads, List.of());
     }
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -78,7 +78,10 @@
     logState(nowMs);
     // Instances that use another control instance share the retry budget as well.
     int instances = Math.max(servingInstances, ledger.instances().size());
-    send(peer, new PeerMessage.RemoteLoadReport(instances, ledger.totalsWithout(peer)));
+    send(
+        peer,
+        new PeerMessage.RemoteLoadReport(
+            instances, ledger.totalsWithout(peer), pool.speeds().all()));
   }
 
   private void logState(long nowMs) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -7,6 +7,7 @@
 import dev.caroblb.pacing.LimitExchange;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.SpeedTable;
 import dev.caroblb.targets.TargetPool;
 import java.util.List;
 import java.util.random.RandomGenerator;
@@ -18,6 +19,7 @@
 public final class SchedulingHandler implements DutyHandler<SchedulingMessage> {
   private final PlacementLedger ledger = new PlacementLedger(RemoteLoad.MAX_AGE_MS);
   private final TargetLimits limits = new TargetLimits();
+  private final SpeedTable speeds = new SpeedTable();
   private final TargetPool pool;
   private final LimitExchange limitExchange;
   private final PlacementCoordinator coordinator;
@@ -30,7 +32,7 @@
       Outlet<PeerEnvelope<PeerMessage>> peers,
       Outlet<PeerEnvelope<dev.caroblb.pacing.PeerMessage>> limitPeers,
       RandomGenerator random) {
-    pool = new TargetPool(random, List.of(ledger), limits);
+    pool = new TargetPool(random, List.of(ledger), limits, speeds);
     limitExchange = new LimitExchange(limitPeers, limits, ledger::instances);
     coordinator =
         new PlacementCoordinator(peers, pool, ledger, limits, new ProcessSequence(random));
@@ -50,6 +52,8 @@
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
     if (message instanceof PeerMessage.LoadReport report) {
+      speeds.update(pool.infos(), nowMs);
+      speeds.observed(peer, report.observations(), nowMs);
       coordinator.loadReported(peer, report, nowMs);
     } else if (message instanceof PeerMessage.PlacementRequest request) {
       coordinator.placementRequested(peer, request, nowMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -26,9 +26,9 @@
   private static final int TYPE_PLACEMENT_QUEUED = 5;
   private static final int TYPE_PLACEMENT_CANCELLED = 6;
   private static final int TYPE_PERMIT_REPLY = 7;
-  private static final int LOAD_REPORT_FIELDS = 2;
-  private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
-  private static final int PLACEMENT_REQUEST_FIELDS = 10;
+  private static final int LOAD_REPORT_FIELDS = 3;
+  private static final int REMOTE_LOAD_REPORT_FIELDS = 3;
+  private static final int PLACEMENT_REQUEST_FIELDS = 11;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
   private static final int TICKET_FIELDS = 1;
@@ -56,11 +56,13 @@
       out.packInt(TYPE_LOAD_REPORT);
       out.packLong(report.lastGrant());
       write(out, report.loads());
+      SpeedCodec.writeObservations(out, report.observations());
     } else if (message instanceof PeerMessage.RemoteLoadReport remote) {
       out.packArrayHeader(1 + REMOTE_LOAD_REPORT_FIELDS);
       out.packInt(TYPE_REMOTE_LOAD_REPORT);
       out.packInt(remote.instances());
       write(out, remote.loads());
+      SpeedCodec.writeSpeeds(out, remote.speeds());
     } else if (message instanceof PeerMessage.PlacementRequest request) {
       out.packArrayHeader(1 + PLACEMENT_REQUEST_FIELDS);
       out.packInt(TYPE_PLACEMENT_REQUEST);
@@ -108,6 +110,7 @@
     out.packBoolean(need.wantsBackup());
     out.packInt(need.priority());
     out.packLong(need.objectiveMs());
+    out.packLong(need.eventGapObjectiveMs());
   }
 
   private static void write(MessagePacker out, Optional<TargetId> target) throws IOException {
@@ -151,8 +154,10 @@
     @Override
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return switch (type) {
-        case TYPE_LOAD_REPORT -> new PeerMessage.LoadReport(in.longValue(), loads(in));
-        case TYPE_REMOTE_LOAD_REPORT -> new PeerMessage.RemoteLoadReport(in.intValue(), loads(in));
+        case TYPE_LOAD_REPORT ->
+            new PeerMessage.LoadReport(in.longValue(), loads(in), SpeedCodec.observations(in));
+        case TYPE_REMOTE_LOAD_REPORT ->
+            new PeerMessage.RemoteLoadReport(in.intValue(), loads(in), SpeedCodec.speeds(in));
         case TYPE_PLACEMENT_REQUEST -> new PeerMessage.PlacementRequest(in.longValue(), need(in));
         case TYPE_PLACEMENT_QUEUED -> new PeerMessage.PlacementQueued(in.longValue());
         case TYPE_PLACEMENT_CANCELLED -> new PeerMessage.PlacementCancelled(in.longValue());
@@ -181,6 +186,7 @@
         new FailureDomain(in.text(MAX_NAME_BYTES)),
         in.flag(),
         in.intValue(),
+        in.longValue(),
         in.longValue());
   }
 
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -17,6 +17,7 @@
  * @param wantsBackup whether a second engine should get a copy of its memory
  * @param priority priority of the request; 0 is the highest
  * @param objectiveMs time in milliseconds that is left to meet the latency objective
+ * @param eventGapObjectiveMs objective in milliseconds for the time between two events; 0 if none
  */
 public record PlacementNeed(
     Purpose purpose,
@@ -27,7 +28,8 @@
     FailureDomain preferredDomain,
     boolean wantsBackup,
     int priority,
-    long objectiveMs) {
+    long objectiveMs,
+    long eventGapObjectiveMs) {
   /** Purpose of a placement. */
   public enum Purpose {
     /** The request starts there; it can be queued until there is room. */
@@ -38,6 +40,30 @@
     PERMIT
   }
 
+  /** Requirements without an objective for the time between two events. */
+  public PlacementNeed(
+      Purpose purpose,
+      String service,
+      long tokens,
+      long promptTokens,
+      Set<TargetId> excluded,
+      FailureDomain preferredDomain,
+      boolean wantsBackup,
+      int priority,
+      long objectiveMs) {
+    this(
+        purpose,
+        service,
+        tokens,
+        promptTokens,
+        excluded,
+        preferredDomain,
+        wantsBackup,
+        priority,
+        objectiveMs,
+        0);
+  }
+
   /** Returns the same requirements with additional excluded targets. */
   public PlacementNeed excluding(Set<TargetId> more) {
     Set<TargetId> all = new HashSet<>(excluded);
@@ -51,7 +77,8 @@
         preferredDomain,
         wantsBackup,
         priority,
-        objectiveMs);
+        objectiveMs,
+        eventGapObjectiveMs);
   }
 
   /** Returns the same requirements without excluded targets. */
@@ -65,7 +92,8 @@
         preferredDomain,
         wantsBackup,
         priority,
-        objectiveMs);
+        objectiveMs,
+        eventGapObjectiveMs);
   }
 
   public PlacementNeed {
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -14,7 +14,7 @@
    * Weight of a prompt token whose prefill is pending, relative to a token in memory. Prefill
    * delays concurrent requests immediately, memory use only when memory is full.
    */
-  private static final double PREFILL_WEIGHT = 20;
+  static final double PREFILL_WEIGHT = 20;
 
   /**
    * Fraction of the memory of all engines of a service up to which backups are made. Backups double
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -1,6 +1,5 @@
 package dev.caroblb.targets;
 
-import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
@@ -16,12 +15,6 @@
 
 /** The known targets, and the selection of a target of a service. */
 public final class TargetPool {
-  /**
-   * Penalty, in tokens of load, for a copy to another failure domain. It takes twice as long, which
-   * pays off for a generation of usual size only if the engines nearby are much busier.
-   */
-  private static final double REMOTE_COPY_PENALTY_TOKENS = 10_000;
-
   /**
    * Fraction of an engine's memory up to which it takes backups. Backups take memory from requests
    * that would run there.
@@ -55,6 +48,7 @@
   private final Map<TargetId, Target> targets = new HashMap<>();
   private final TargetLoads loads;
   private final TargetLimits limits;
+  private final TargetChoice choice;
   private int instances = 1;
 
   /**
@@ -62,9 +56,36 @@
    * @param limits the request limits of targets
    */
   public TargetPool(RandomGenerator random, List<RemoteLoad> remoteLoads, TargetLimits limits) {
+    this(random, remoteLoads, limits, TargetSpeeds.NONE);
+  }
+
+  /**
+   * @param speeds learned speeds of targets
+   */
+  public TargetPool(
+      RandomGenerator random,
+      List<RemoteLoad> remoteLoads,
+      TargetLimits limits,
+      TargetSpeeds speeds) {
     this.random = random;
     this.loads = new TargetLoads(random, remoteLoads);
     this.limits = limits;
+    this.choice = new TargetChoice(loads, speeds);
+  }
+
+  /** Learned speeds of the targets. */
+  public TargetSpeeds speeds() {
+    return choice.speeds();
+  }
+
+  /** The known targets. */
+  public List<TargetInfo> infos() {
+    return targets.values().stream().map(Target::info).toList();
+  }
+
+  /** Load of all instances on a target, as far as this instance knows. */
+  public TargetLoad load(Target target, long nowMs) {
+    return loads.total(target, nowMs);
   }
 
   /** Adds a target or a new run of it; a repeated announcement has no effect. */
@@ -184,7 +205,7 @@
   public Optional<Target> choose(PlacementNeed need, long nowMs) {
     int count = Math.max(MIN_CANDIDATES, CANDIDATES_OF_ALL_INSTANCES / instances);
     List<Target> candidates = sample(count, permitted(need, nowMs));
-    return leastLoaded(candidates, need, need.preferredDomain(), 0, nowMs);
+    return choice.nearest(candidates, need, nowMs);
   }
 
   /**
@@ -199,14 +220,14 @@
         fitting.add(target);
       }
     }
-    return leastLoaded(fitting, need, need.preferredDomain(), 0, nowMs);
+    return choice.nearest(fitting, need, nowMs);
   }
 
   /** The target of a service with the most free memory that is not reserved for another request. */
   public Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     Optional<Target> best = Optional.empty();
     double most = Double.NEGATIVE_INFINITY;
-    for (Target target : permitted(need, nowMs)) {
+    for (Target target : choice.inTime(permitted(need, nowMs), need, nowMs)) {
       double free = loads.freeTokens(target, nowMs);
       if (!reserved.contains(target.info().id()) && free > most) {
         best = Optional.of(target);
@@ -228,12 +249,8 @@
 
   /** Chooses the destination of a move; a copy within a failure domain is faster. */
   public Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
-    return leastLoaded(
-        sample(candidates, permitted(need, nowMs)),
-        need,
-        need.preferredDomain(),
-        REMOTE_COPY_PENALTY_TOKENS,
-        nowMs);
+    return choice.copyDestination(
+        sample(candidates, permitted(need, nowMs)), need, need.preferredDomain(), nowMs);
   }
 
   /**
@@ -257,8 +274,7 @@
         candidates.add(target);
       }
     }
-    return leastLoaded(
-        candidates, need, primary.info().domain(), REMOTE_COPY_PENALTY_TOKENS, nowMs);
+    return choice.copyDestination(candidates, need, primary.info().domain(), nowMs);
   }
 
   /** Whether any target accepts a request, now or when it has a permit. */
@@ -284,7 +300,7 @@
   public Optional<Target> chooseLimited(PlacementNeed need, long nowMs) {
     List<Target> candidates = limited(need, nowMs);
     candidates.removeIf(target -> !limits.permits(target.info().run(), nowMs));
-    return leastLoaded(unpenalized(candidates, nowMs), need, need.preferredDomain(), 0, nowMs);
+    return choice.nearest(unpenalized(candidates, nowMs), need, nowMs);
   }
 
   /** Time in milliseconds until a permit for a limited target is expected; empty if none is. */
@@ -338,25 +354,4 @@
     }
     return from.subList(0, Math.min(count, from.size()));
   }
-
-  private Optional<Target> leastLoaded(
-      List<Target> candidates,
-      PlacementNeed need,
-      FailureDomain preferredDomain,
-      double remotePenaltyTokens,
-      long nowMs) {
-    Optional<Target> best = Optional.empty();
-    double bestLoad = Double.MAX_VALUE;
-    for (Target candidate : candidates) {
-      double load = loads.score(candidate, need.tokens(), nowMs);
-      if (!candidate.info().domain().equals(preferredDomain)) {
-        load += remotePenaltyTokens + 0.5;
-      }
-      if (load < bestLoad) {
-        best = Optional.of(candidate);
-        bestLoad = load;
-      }
-    }
-    return best;
-  }
 }
