--- a/forwarding/src/main/java/dev/caroblb/forwarding/AttemptMeter.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/AttemptMeter.java
@@ -35,8 +35,7 @@
             ? Optional.empty()
             : exchange
                 .target()
-                .map(
-                    target -> new AttemptTiming(observations, pool, target, wholePrompt, nowMs)));
+                .map(target -> new AttemptTiming(observations, pool, target, wholePrompt, nowMs)));
     if (crossesDomains(exchange)) {
       observer.sentToOtherDomain(exchange.call().bodyBytes());
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -45,16 +45,6 @@
       Optional<GenerationSize> generationSize,
       List<PromptPart> sharedPromptParts,
       CallerPort port) {
-    this(
-        id,
-        requestId,
-        host,
-        path,
-        timeoutMs,
-        key,
-        generationSize,
-        sharedPromptParts,
-        port,
-        0);
+    this(id, requestId, host, path, timeoutMs, key, generationSize, sharedPromptParts, port, 0);
   }
 }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -47,6 +47,7 @@
           new RecordingObserver(),
           new Random(1));
   long nowMs = 1_000;
+  long bytesFromOtherDomains;
 
   final class RecordingObserver implements CallObserver {
     @Override
@@ -62,6 +63,11 @@
 
     @Override
     public void partGap(long gapMs) {}
+
+    @Override
+    public void receivedFromOtherDomain(long bytes) {
+      bytesFromOtherDomains += bytes;
+    }
   }
 
   static Route route(String prefix, RepeatRule repeat, int attempts, boolean resumable) {
--- a/metrics/src/test/java/dev/caroblb/metrics/InstanceMetricsTest.java
+++ b/metrics/src/test/java/dev/caroblb/metrics/InstanceMetricsTest.java
@@ -37,6 +37,20 @@
     }
   }
 
+  @Nested
+  class WithSeveralFailureDomains {
+    /**
+     * Guards against a counter whose directions are swapped or whose name differs from the docs.
+     */
+    @Test
+    void bytesAreExportedByDirection() {
+      metrics.countBytesToOtherDomain(5);
+      metrics.countBytesFromOtherDomain(7);
+      assertExported("caroblb_bytes_between_domains_total{direction=\"sent\"} 5.0");
+      assertExported("caroblb_bytes_between_domains_total{direction=\"received\"} 7.0");
+    }
+  }
+
   @Nested
   class WithTokens {
     /** Guards against histograms without a bucket at a latency objective. */
--- a/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
@@ -5,9 +5,13 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.core.TargetRun;
 import dev.caroblb.scheduling.PeerMessage;
 import dev.caroblb.targets.PlacementNeed;
+import dev.caroblb.targets.SpeedObservation;
+import dev.caroblb.targets.SpeedSample;
 import dev.caroblb.targets.TargetLoad;
+import dev.caroblb.targets.TargetSpeed;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -33,11 +37,16 @@
               new FailureDomain("zone"),
               true,
               7,
-              8);
+              8,
+              9);
+      TargetRun run = new TargetRun(new TargetId("t"), 1);
+      List<SpeedObservation> observations =
+          List.of(new SpeedObservation(run, List.of(new SpeedSample(2, 3, 4))));
+      List<TargetSpeed> speeds = List.of(new TargetSpeed(run, 700, 71, List.of(5L, 6L)));
       for (PeerMessage message :
           List.of(
-              new PeerMessage.LoadReport(8, loads),
-              new PeerMessage.RemoteLoadReport(9, loads),
+              new PeerMessage.LoadReport(8, loads, observations),
+              new PeerMessage.RemoteLoadReport(9, loads, speeds),
               new PeerMessage.PlacementRequest(10, need),
               new PeerMessage.PlacementReply(
                   11, 12, Optional.of(new TargetId("t")), Optional.empty()),
--- a/targets/src/main/java/dev/caroblb/targets/ObservedTimes.java
+++ b/targets/src/main/java/dev/caroblb/targets/ObservedTimes.java
@@ -8,10 +8,10 @@
   private static final double HALF_LIFE_MS = 10_000;
 
   /**
-   * Maximum weight of one sample. A faulty instance then has no more influence on the speed of a
-   * target than a few busy ones.
+   * Maximum weight of the observations in one report. A faulty instance then has no more influence
+   * on the speed of a target than a few others that use it.
    */
-  private static final int MAX_SAMPLE_COUNT = 50;
+  private static final double MAX_REPORT_EVIDENCE = 32;
 
   /** Maximum weight of all pauses and first events, so that new observations always count. */
   private static final double MAX_EVIDENCE = 400;
@@ -28,20 +28,26 @@
     agedAtMs = nowMs;
   }
 
+  /** Adds the observations of one report; samples that cannot be true are ignored. */
   void add(List<SpeedSample> samples, long nowMs) {
     age(nowMs);
-    int remaining = LoadClass.COUNT;
-    for (SpeedSample sample : samples) {
-      if (remaining-- == 0) {
-        break;
-      }
-      if (sample.plausible()) {
-        int count = Math.min(MAX_SAMPLE_COUNT, sample.count());
-        counts[sample.loadClass()] += count;
-        totalsMs[sample.loadClass()] += count * sample.meanMs();
-      }
+    List<SpeedSample> usable =
+        samples.stream().limit(LoadClass.COUNT).filter(SpeedSample::plausible).toList();
+    double reported = 0;
+    for (SpeedSample sample : usable) {
+      reported += weight(sample.loadClass(), sample.count());
+    }
+    double scale = Math.min(1, MAX_REPORT_EVIDENCE / Math.max(1, reported));
+    for (SpeedSample sample : usable) {
+      boolean longest = LoadClass.isLongestPause(sample.loadClass());
+      double count = longest ? 1 : scale * sample.count();
+      counts[sample.loadClass()] += count;
+      totalsMs[sample.loadClass()] += count * sample.meanMs();
+    }
+    double evidence = 0;
+    for (int i = 0; i < LoadClass.LONGEST_PAUSES; i++) {
+      evidence += weight(i);
     }
-    double evidence = evidence();
     if (evidence > MAX_EVIDENCE) {
       scale(MAX_EVIDENCE / evidence);
     }
@@ -61,14 +67,6 @@
     }
   }
 
-  private double evidence() {
-    double evidence = 0;
-    for (int i = 0; i < LoadClass.LONGEST_PAUSES; i++) {
-      evidence += weight(i);
-    }
-    return evidence;
-  }
-
   double count(int loadClass) {
     return counts[loadClass];
   }
@@ -79,10 +77,14 @@
 
   /** Weight of a load class in the estimate of the speed. */
   double weight(int loadClass) {
+    return weight(loadClass, counts[loadClass]);
+  }
+
+  private static double weight(int loadClass, double count) {
     if (LoadClass.isLongestPause(loadClass)) {
       return 0;
     }
-    return counts[loadClass] * (LoadClass.isFirstEvent(loadClass) ? FIRST_EVENT_WEIGHT : 1);
+    return count * (LoadClass.isFirstEvent(loadClass) ? FIRST_EVENT_WEIGHT : 1);
   }
 
   boolean outsideBand() {
--- a/targets/src/main/java/dev/caroblb/targets/SpeedObservations.java
+++ b/targets/src/main/java/dev/caroblb/targets/SpeedObservations.java
@@ -14,6 +14,12 @@
   /** Interval in milliseconds between two reports, which keeps them small. */
   static final long REPORT_INTERVAL_MS = 1_000;
 
+  /**
+   * Time in milliseconds since the last report after which observations are discarded, because they
+   * were collected without a control instance and their age is not known.
+   */
+  private static final long MAX_INTERVAL_MS = 5_000;
+
   /** Maximum number of target runs in one report; exceeds the number that an instance uses. */
   private static final int MAX_RUNS = 512;
 
@@ -80,9 +86,11 @@
     if (nowMs - lastTakenMs < REPORT_INTERVAL_MS) {
       return List.of();
     }
-    lastTakenMs = nowMs;
     List<SpeedObservation> taken = new ArrayList<>();
-    counters.forEach((run, of) -> taken.add(new SpeedObservation(run, of.samples())));
+    if (nowMs - lastTakenMs < MAX_INTERVAL_MS) {
+      counters.forEach((run, of) -> taken.add(new SpeedObservation(run, of.samples())));
+    }
+    lastTakenMs = nowMs;
     counters.clear();
     return taken;
   }
--- a/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
+++ b/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,8 +50,10 @@
       return;
     }
     observedMs.put(peer, nowMs);
+    Set<TargetRun> added = new HashSet<>();
     for (SpeedObservation observation : observations) {
-      if (known.contains(observation.run()) && observed.size() < MAX_RUNS) {
+      boolean usable = known.contains(observation.run()) && added.add(observation.run());
+      if (usable && observed.size() < MAX_RUNS) {
         observed
             .computeIfAbsent(observation.run(), run -> new ObservedTimes(nowMs))
             .add(observation.samples(), nowMs);
@@ -85,8 +88,7 @@
     for (TargetRun run : runs) {
       ObservedTimes times = observed.get(run);
       double slowness = service.slowness(times);
-      boolean outside =
-          Math.abs(slowness - 1) > (times.outsideBand() ? RETURN_BAND : DEAD_BAND);
+      boolean outside = Math.abs(slowness - 1) > (times.outsideBand() ? RETURN_BAND : DEAD_BAND);
       int permille = outside ? (int) (TargetSpeed.USUAL / slowness) : TargetSpeed.USUAL;
       if (outside != times.outsideBand()) {
         times.setOutsideBand(outside);
@@ -102,6 +104,11 @@
     }
   }
 
+  /** Number of target runs with observations. */
+  int runs() {
+    return observed.size();
+  }
+
   private static void log(TargetRun run, int permille) {
     LOGGER.log(
         System.Logger.Level.INFO,
--- a/targets/src/main/java/dev/caroblb/targets/TargetChoice.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetChoice.java
@@ -1,6 +1,7 @@
 package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -110,19 +111,60 @@
   }
 
   /**
-   * Chooses the least loaded target; one of the preferred domain if it is hardly worse. A slow
-   * target is worse by more than the tolerance and gets no preference.
+   * Chooses the least loaded target, or one of the preferred domain that is hardly worse: by a
+   * tolerance in load, or, while it has memory to spare, by a tolerance in the expected time to the
+   * first event. A slow target is worse by more than that and gets no preference.
    */
   Optional<Target> nearest(List<Target> candidates, PlacementNeed need, long nowMs) {
-    double tolerance = domainTolerance(candidates, need, nowMs);
-    return leastLoaded(
-        candidates,
-        need,
-        target ->
-            inDomain(target, need.preferredDomain()) && slowSpeed(target, need, nowMs).isEmpty()
-                ? 0
-                : tolerance,
-        nowMs);
+    FailureDomain domain = need.preferredDomain();
+    long promptTokenMicros = promptTokenMicros(candidates, nowMs);
+    double tolerance = domainTolerance(need, promptTokenMicros);
+    Optional<Target> best =
+        leastLoaded(
+            candidates,
+            need,
+            target ->
+                inDomain(target, domain) && slowSpeed(target, need, nowMs).isEmpty()
+                    ? 0
+                    : tolerance,
+            nowMs);
+    boolean settled = best.filter(target -> !inDomain(target, domain)).isEmpty();
+    if (settled || need.tokens() == 0 || promptTokenMicros == 0) {
+      return best;
+    }
+    List<Target> spare = new ArrayList<>(candidates);
+    spare.removeIf(target -> !inDomain(target, domain) || !hasSpareMemory(target, need, nowMs));
+    Optional<Target> near = leastLoaded(spare, need, target -> 0, nowMs);
+    return near.filter(target -> asSoon(target, best.get(), need, promptTokenMicros, nowMs))
+        .or(() -> best);
+  }
+
+  /** Whether a usual target has room for a request and stays below the nearly full fraction. */
+  private boolean hasSpareMemory(Target target, PlacementNeed need, long nowMs) {
+    Optional<EngineLimits> limits = loads.limits(need.service());
+    if (limits.isEmpty() || slowSpeed(target, need, nowMs).isPresent()) {
+      return false;
+    }
+    TargetLoad load = loads.total(target, nowMs);
+    return load.requests() < limits.get().slots()
+        && load.tokens() + need.tokens()
+            <= TargetLoads.NEARLY_FULL_FRACTION * limits.get().memoryTokens();
+  }
+
+  /** Whether the first event at a target is expected hardly later than at another. */
+  private boolean asSoon(
+      Target target, Target other, PlacementNeed need, long promptTokenMicros, long nowMs) {
+    double laterMs =
+        firstEventMs(target, need, promptTokenMicros, nowMs)
+            - firstEventMs(other, need, promptTokenMicros, nowMs);
+    return laterMs <= domainToleranceMs(need);
+  }
+
+  private double firstEventMs(
+      Target target, PlacementNeed need, long promptTokenMicros, long nowMs) {
+    long promptTokens = loads.total(target, nowMs).prefillTokens() + need.promptTokens();
+    double slowness = speeds.at(target.info().run(), nowMs).map(TargetSpeed::slowness).orElse(1.0);
+    return slowness * promptTokens * promptTokenMicros / 1_000;
   }
 
   /** Chooses the destination of a copy, which is faster within a failure domain. */
@@ -140,10 +182,7 @@
   }
 
   private Optional<Target> leastLoaded(
-      List<Target> candidates,
-      PlacementNeed need,
-      ToDoubleFunction<Target> addedLoad,
-      long nowMs) {
+      List<Target> candidates, PlacementNeed need, ToDoubleFunction<Target> addedLoad, long nowMs) {
     Optional<Target> best = Optional.empty();
     double bestLoad = Double.MAX_VALUE;
     for (Target candidate : inTime(candidates, need, nowMs)) {
@@ -156,19 +195,30 @@
     return best;
   }
 
+  /** Time per prompt token at a usual target, known with any candidate; 0 if not known. */
+  private long promptTokenMicros(List<Target> candidates, long nowMs) {
+    for (Target candidate : candidates) {
+      Optional<TargetSpeed> speed = speeds.at(candidate.info().run(), nowMs);
+      if (speed.isPresent() && speed.get().promptTokenMicros() > 0) {
+        return speed.get().promptTokenMicros();
+      }
+    }
+    return 0;
+  }
+
   /** Load by which a target of the preferred domain may exceed that of a target elsewhere. */
-  private double domainTolerance(List<Target> candidates, PlacementNeed need, long nowMs) {
+  private static double domainTolerance(PlacementNeed need, long promptTokenMicros) {
     if (need.tokens() == 0) {
       return TIE;
     }
-    double toleranceMs = Math.max(MIN_DOMAIN_MS, DOMAIN_FRACTION * need.objectiveMs());
-    for (Target candidate : candidates) {
-      Optional<TargetSpeed> speed = speeds.at(candidate.info().run(), nowMs);
-      if (speed.filter(known -> known.promptTokenMicros() > 0).isPresent()) {
-        double promptTokens = 1_000 * toleranceMs / speed.get().promptTokenMicros();
-        return Math.min(MAX_DOMAIN_TOKENS, TargetLoads.PREFILL_WEIGHT * promptTokens);
-      }
+    if (promptTokenMicros == 0) {
+      return UNKNOWN_DOMAIN_TOKENS;
     }
-    return UNKNOWN_DOMAIN_TOKENS;
+    double promptTokens = 1_000 * domainToleranceMs(need) / promptTokenMicros;
+    return Math.min(MAX_DOMAIN_TOKENS, TargetLoads.PREFILL_WEIGHT * promptTokens);
+  }
+
+  private static double domainToleranceMs(PlacementNeed need) {
+    return Math.max(MIN_DOMAIN_MS, DOMAIN_FRACTION * need.objectiveMs());
   }
 }
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -26,7 +26,7 @@
    * Fraction of an engine's memory above which its load is weighted more. Expected sizes of running
    * requests are uncertain, and an engine preempts requests when its memory is full.
    */
-  private static final double NEARLY_FULL_FRACTION = 0.85;
+  static final double NEARLY_FULL_FRACTION = 0.85;
 
   private static final double NEARLY_FULL_WEIGHT = 20;
 
--- a/targets/src/main/java/dev/caroblb/targets/TargetSpeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetSpeed.java
@@ -15,7 +15,8 @@
  * @param pausesMs longest pause in milliseconds that is expected within a second, by class of the
  *     number of requests; empty for targets of usual speed
  */
-public record TargetSpeed(TargetRun run, int permille, long promptTokenMicros, List<Long> pausesMs) {
+public record TargetSpeed(
+    TargetRun run, int permille, long promptTokenMicros, List<Long> pausesMs) {
   /** Speed of a usual target, in thousandths. */
   public static final int USUAL = 1_000;
 
