--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -50,6 +50,7 @@
   private final DrainAdmission drain;
   private final PromptGuard guard;
   private final UnservableRequests unservable;
+  private final AttemptMeter meter;
   private boolean anyWaiting;
 
   Dispatcher(
@@ -74,6 +75,11 @@
     this.drain = drain;
     this.guard = guard;
     unservable = new UnservableRequests(exchanges, pool, finisher);
+    meter = new AttemptMeter(domain, pool, coordinator.observations(), observer);
+  }
+
+  AttemptMeter meter() {
+    return meter;
   }
 
   /** Finds a target for a request. For generations, a control instance chooses it. */
@@ -336,6 +342,7 @@
     }
     coordinator.cancelPlacement(exchange);
     AttemptOrder order = exchange.startAttempt(target, memory, backup, nowMs);
+    meter.sent(exchange, memory.isEmpty(), nowMs);
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("forwarding.sent")
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -18,6 +18,7 @@
  * @param sharedPromptParts parts of the prompt that other requests may share, in order; then the
  *     fingerprint of the request, which it shares with its repetitions
  * @param port receives the response
+ * @param bodyBytes size of the body of the request
  */
 public record ForwardCall(
     long id,
@@ -28,7 +29,8 @@
     Optional<String> key,
     Optional<GenerationSize> generationSize,
     List<PromptPart> sharedPromptParts,
-    CallerPort port) {
+    CallerPort port,
+    long bodyBytes) {
   public ForwardCall {
     sharedPromptParts = List.copyOf(sharedPromptParts);
   }
@@ -39,4 +41,18 @@
         ? Optional.empty()
         : RequestFingerprint.idOf(sharedPromptParts.get(sharedPromptParts.size() - 1));
   }
+
+  /** A request without a body. */
+  public ForwardCall(
+      long id,
+      String requestId,
+      String host,
+      String path,
+      Optional<Long> timeoutMs,
+      Optional<String> key,
+      Optional<GenerationSize> generationSize,
+      List<PromptPart> sharedPromptParts,
+      CallerPort port) {
+    this(id, requestId, host, path, timeoutMs, key, generationSize, sharedPromptParts, port, 0);
+  }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -61,8 +61,8 @@
     leaving = outlets.leaving();
     this.random = random;
     pacing = new TargetPacing(outlets.pacing(), random);
-    pool = new TargetPool(random, List.of(remoteLoad), pacing.limits());
     coordinator = new CoordinatorClient(outlets.scheduling(), new ProcessSequence(random));
+    pool = new TargetPool(random, List.of(remoteLoad), pacing.limits(), coordinator.speeds());
     budget =
         new RetryBudget(settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack());
     finisher = new CallFinisher(exchanges, port, observer, coordinator, drain);
@@ -221,6 +221,7 @@
           .ifPresent(exchange -> placementReplied(exchange, reply, nowMs));
     } else if (message instanceof RemoteLoadReport report) {
       coordinator.remoteLoadReported(peer, nowMs);
+      coordinator.speeds().replace(report.speeds(), nowMs);
       budget.setInstances(report.instances());
       pool.setInstances(report.instances());
       pacing.remoteLoadReported(report.instances(), nowMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -10,6 +10,7 @@
 import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.targets.RemoteLoad;
+import dev.caroblb.targets.SpeedTable;
 import dev.caroblb.targets.TargetInfo;
 import dev.caroblb.targets.TargetPool;
 import java.util.List;
@@ -23,6 +24,7 @@
 public final class SchedulingHandler implements DutyHandler<SchedulingMessage> {
   private final PlacementLedger ledger = new PlacementLedger(RemoteLoad.MAX_AGE_MS);
   private final TargetLimits limits;
+  private final SpeedTable speeds = new SpeedTable();
   private final TargetPool pool;
   private final LimitExchange limitExchange;
   private final PaceAnnouncer paces;
@@ -48,7 +50,7 @@
       boolean learnsRates) {
     limits =
         TargetLimits.ofControl(learnsRates ? Optional.of(new LearnedRates()) : Optional.empty());
-    pool = new TargetPool(random, List.of(ledger), limits);
+    pool = new TargetPool(random, List.of(ledger), limits, speeds);
     limitExchange = new LimitExchange(limitPeers, limits, ledger::instances);
     paces = new PaceAnnouncer(limitPeers, limits, ledger::instances);
     coordinator =
@@ -69,6 +71,8 @@
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
     if (message instanceof PeerMessage.LoadReport report) {
+      speeds.update(pool.infos(), nowMs);
+      speeds.observed(peer, report.observations(), nowMs);
       coordinator.loadReported(peer, report, nowMs);
     } else if (message instanceof PeerMessage.PlacementRequest request) {
       coordinator.placementRequested(peer, request, nowMs);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -27,9 +27,9 @@
   private static final int TYPE_PLACEMENT_CANCELLED = 6;
   private static final int TYPE_PERMIT_REPLY = 7;
   private static final int TYPE_PLACEMENT_REJECTED = 8;
-  private static final int LOAD_REPORT_FIELDS = 2;
-  private static final int REMOTE_LOAD_REPORT_FIELDS = 2;
-  private static final int PLACEMENT_REQUEST_FIELDS = 15;
+  private static final int LOAD_REPORT_FIELDS = 3;
+  private static final int REMOTE_LOAD_REPORT_FIELDS = 3;
+  private static final int PLACEMENT_REQUEST_FIELDS = 16;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
   private static final int PLACEMENT_REJECTED_FIELDS = 2;
@@ -58,11 +58,13 @@
       out.packInt(TYPE_LOAD_REPORT);
       out.packLong(report.lastGrant());
       write(out, report.loads());
+      SpeedCodec.writeObservations(out, report.observations());
     } else if (message instanceof PeerMessage.RemoteLoadReport remote) {
       out.packArrayHeader(1 + REMOTE_LOAD_REPORT_FIELDS);
       out.packInt(TYPE_REMOTE_LOAD_REPORT);
       out.packInt(remote.instances());
       write(out, remote.loads());
+      SpeedCodec.writeSpeeds(out, remote.speeds());
     } else if (message instanceof PeerMessage.PlacementRequest request) {
       out.packArrayHeader(1 + PLACEMENT_REQUEST_FIELDS);
       out.packInt(TYPE_PLACEMENT_REQUEST);
@@ -120,6 +122,7 @@
     out.packLong(need.sinceArrivalMs());
     out.packLong(need.usefulMs());
     out.packLong(need.leftMs());
+    out.packLong(need.eventGapObjectiveMs());
   }
 
   private static void writeText(MessagePacker out, Optional<String> text) throws IOException {
@@ -171,8 +174,10 @@
     @Override
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return switch (type) {
-        case TYPE_LOAD_REPORT -> new PeerMessage.LoadReport(in.longValue(), loads(in));
-        case TYPE_REMOTE_LOAD_REPORT -> new PeerMessage.RemoteLoadReport(in.intValue(), loads(in));
+        case TYPE_LOAD_REPORT ->
+            new PeerMessage.LoadReport(in.longValue(), loads(in), SpeedCodec.observations(in));
+        case TYPE_REMOTE_LOAD_REPORT ->
+            new PeerMessage.RemoteLoadReport(in.intValue(), loads(in), SpeedCodec.speeds(in));
         case TYPE_PLACEMENT_REQUEST -> new PeerMessage.PlacementRequest(in.longValue(), need(in));
         case TYPE_PLACEMENT_QUEUED -> new PeerMessage.PlacementQueued(in.longValue());
         case TYPE_PLACEMENT_CANCELLED -> new PeerMessage.PlacementCancelled(in.longValue());
@@ -208,6 +213,7 @@
         in.optional(text -> text.text(PlacementNeed.MAX_FINGERPRINT_LENGTH)),
         in.longValue(),
         in.longValue(),
+        in.longValue(),
         in.longValue());
   }
 
--- a/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
@@ -208,7 +208,8 @@
             Optional.of("request:" + call.id),
             sinceMs,
             Math.max(2_000, 4 * kind.objectiveMs()) - sinceMs,
-            kind.deadlineMs() - (nowMs - call.firstMs));
+            kind.deadlineMs() - (nowMs - call.firstMs),
+            0);
     InstanceId entry = new InstanceId("entry-" + call.id % ENTRIES);
     coordinator.placementRequested(entry, new PeerMessage.PlacementRequest(ticket, need), nowMs);
     deliver();
--- a/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
@@ -32,7 +32,8 @@
         Optional.of("request:" + caller),
         0,
         7_200,
-        39_000);
+        39_000,
+        0);
   }
 
   @Nested
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -24,6 +24,7 @@
  * @param sinceArrivalMs time in milliseconds since the request arrived at its entry
  * @param usefulMs time in milliseconds for which a first event is still of use to the caller
  * @param leftMs time in milliseconds until the caller's deadline
+ * @param eventGapObjectiveMs objective in milliseconds for the time between two events; 0 if none
  */
 public record PlacementNeed(
     Purpose purpose,
@@ -39,7 +40,8 @@
     Optional<String> fingerprint,
     long sinceArrivalMs,
     long usefulMs,
-    long leftMs) {
+    long leftMs,
+    long eventGapObjectiveMs) {
   /** Maximum length of a fingerprint in characters; keeps messages small. */
   public static final int MAX_FINGERPRINT_LENGTH = 64;
 
@@ -59,7 +61,7 @@
     PERMIT
   }
 
-  /** Requirements of a request that just arrived from an unknown workspace. */
+  /** The same without an objective for the time between two events. */
   public PlacementNeed(
       Purpose purpose,
       String service,
@@ -70,6 +72,31 @@
       boolean wantsBackup,
       int priority,
       long objectiveMs) {
+    this(
+        purpose,
+        service,
+        tokens,
+        promptTokens,
+        excluded,
+        preferredDomain,
+        wantsBackup,
+        priority,
+        objectiveMs,
+        0);
+  }
+
+  /** Requirements of a request that just arrived from an unknown workspace. */
+  public PlacementNeed(
+      Purpose purpose,
+      String service,
+      long tokens,
+      long promptTokens,
+      Set<TargetId> excluded,
+      FailureDomain preferredDomain,
+      boolean wantsBackup,
+      int priority,
+      long objectiveMs,
+      long eventGapObjectiveMs) {
     this(
         purpose,
         service,
@@ -84,7 +111,8 @@
         Optional.empty(),
         0,
         Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs),
-        Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs));
+        Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs),
+        eventGapObjectiveMs);
   }
 
   /** Returns the same requirements with additional excluded targets. */
@@ -105,7 +133,8 @@
         fingerprint,
         sinceArrivalMs,
         usefulMs,
-        leftMs);
+        leftMs,
+        eventGapObjectiveMs);
   }
 
   /** Returns the same requirements without excluded targets. */
@@ -124,7 +153,8 @@
         fingerprint,
         sinceArrivalMs,
         usefulMs,
-        leftMs);
+        leftMs,
+        eventGapObjectiveMs);
   }
 
   public PlacementNeed {
