Evacuate failure domains in the product's own interface

POST and DELETE /v1/evacuations/DOMAIN, with the operators' token, and `caroblb evacuate` order and withdraw an evacuation; GET /v1/status lists what the instance knows. The state shares the control group with the team files. Placement gets the new state EVACUATED of a target, which gives it no new work, is not final as LEAVING is, and lets calls be refused with no_target if no other target is known. Engines of an evacuated domain get no orders.

--- a/callers/src/main/java/dev/caroblb/callers/CallersServer.java
+++ b/callers/src/main/java/dev/caroblb/callers/CallersServer.java
@@ -39,7 +39,8 @@
                 limits.targetTokenSha256(), services.targets(), services.directory(), refusals),
             new EntriesRoute(services.directory()),
             new StatusRoute(services.status()),
-            new PublishRoute(limits.operatorTokenSha256(), services.publishes(), refusals));
+            new PublishRoute(limits.operatorTokenSha256(), services.publishes(), refusals),
+            new EvacuationRoute(limits.operatorTokenSha256(), services.evacuations(), refusals));
     listener =
         HttpListener.start(
             address,
@@ -63,7 +64,8 @@
       TargetSink targets,
       EntryDirectory directory,
       StatusSource status,
-      RefusalCounter refusals) {}
+      RefusalCounter refusals,
+      EvacuationSink evacuations) {}
 
   /** Limits and credentials of the front end. */
   public record Limits(
--- a/callers/src/test/java/dev/caroblb/callers/CallersServerTest.java
+++ b/callers/src/test/java/dev/caroblb/callers/CallersServerTest.java
@@ -138,7 +138,8 @@
             submitted::add,
             instance,
             instance,
-            refused::add);
+            refused::add,
+            new FixedEvacuations());
     CallersServer.Limits limits =
         new CallersServer.Limits(
             HttpLimits.DEFAULTS,
--- a/cli/src/main/java/dev/caroblb/cli/Caroblb.java
+++ b/cli/src/main/java/dev/caroblb/cli/Caroblb.java
@@ -35,6 +35,7 @@
         List.of(
             new PublishCommand(),
             new StatusCommand(),
+            new EvacuateCommand(),
             new LocateCommand(),
             new LoadCommand(),
             new CheckCommand(new ConfigurationChecker()));
--- a/cli/src/main/java/dev/caroblb/cli/EntryClient.java
+++ b/cli/src/main/java/dev/caroblb/cli/EntryClient.java
@@ -45,6 +45,14 @@
     return send(request, entry);
   }
 
+  /** Sends a request without a body; returns the response, or why there is none. */
+  Either<String, EntryResponse> send(String method, EntryAddress entry, String path)
+      throws InterruptedException {
+    return send(
+        HttpRequest.newBuilder(entry.uri(path)).method(method, HttpRequest.BodyPublishers.noBody()),
+        entry);
+  }
+
   private Either<String, EntryResponse> send(HttpRequest.Builder request, EntryAddress entry)
       throws InterruptedException {
     token.ifPresent(text -> request.header("Authorization", "Bearer " + text));
--- a/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
+++ b/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
@@ -34,6 +34,7 @@
             List.of(
                 new PublishCommand(),
                 new StatusCommand(),
+                new EvacuateCommand(),
                 new LocateCommand(),
                 new LoadCommand(),
                 new CheckCommand(new ConfigurationChecker())))
@@ -67,12 +68,48 @@
     @Test
     void helpNamesEverySubcommand() throws Exception {
       assertEquals(ExitCode.DONE, run("--help"));
-      for (String name : List.of("publish", "status", "locate", "load", "check", "Exit codes")) {
+      for (String name :
+          List.of("publish", "status", "evacuate", "locate", "load", "check", "Exit codes")) {
         assertTrue(out().contains(name), name);
       }
     }
   }
 
+  @Nested
+  class Evacuate {
+    private ExitCode evacuate(FakeEntry... entries) throws Exception {
+      List<String> args = new ArrayList<>(List.of("evacuate", "--domain", "domain-1", "--end"));
+      args.addAll(List.of("--token-file", file("token", "secret"), "--time-limit-ms", "300"));
+      for (FakeEntry entry : entries) {
+        args.addAll(List.of("--entry", entry.address()));
+      }
+      return run(args.toArray(String[]::new));
+    }
+
+    /** Guards against an order that ends at an instance which cannot accept it. */
+    @Test
+    void triesTheEntriesUntilOneAccepts() throws Exception {
+      String accepted = "{\"outcome\":\"accepted\",\"revision\":2,\"evacuated\":[]}";
+      try (FakeEntry silent = new FakeEntry(FakeEntry.noResponse());
+          FakeEntry follower = new FakeEntry(FakeEntry.json(503, "{\"leader\":\"r\"}"));
+          FakeEntry leader = new FakeEntry(FakeEntry.json(200, accepted))) {
+        assertEquals(ExitCode.DONE, evacuate(silent, follower, leader));
+        assertEquals(List.of("DELETE /v1/evacuations/domain-1 "), leader.received());
+        assertTrue(out().contains(accepted), out());
+        assertEquals(ExitCode.UNKNOWN, evacuate(silent, follower));
+      }
+    }
+
+    /** Guards against a refused order that exits with success or is sent again. */
+    @Test
+    void refusedOrderEnds() throws Exception {
+      try (FakeEntry entry = new FakeEntry(FakeEntry.json(400, "{}"))) {
+        assertEquals(ExitCode.REFUSED, evacuate(entry, entry));
+        assertEquals(1, entry.received().size());
+      }
+    }
+  }
+
   @Nested
   class Publish {
     private ExitCode publish(long limitMs, FakeEntry... entries) throws Exception {
--- a/daemon/src/main/java/dev/caroblb/daemon/EvacuationDuty.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/EvacuationDuty.java
@@ -39,28 +39,20 @@
   /**
    * Creates the duty.
    *
-   * @param forwarding receives each newer state; rejected ones are offered again
-   * @param scheduling receives them as well, if this is a control instance
+   * @param states receives each newer state; rejected ones are offered again
    */
   void create(
       DutyRegistry duties,
       PeerTransport transport,
       Proposer proposer,
       InstanceMetrics metrics,
-      Outlet<ForwardingMessage> forwarding,
-      Optional<? extends Outlet<SchedulingMessage>> scheduling) {
+      Outlet<EvacuationState> states) {
     PeerChannel<PeerMessage> peers =
         new PeerChannel<>(transport, Channel.EVACUATION, new PeerMessageCodec());
     Outlet<EvacuationState> installed =
         state -> {
           inForce = state;
-          boolean scheduled =
-              scheduling.isEmpty()
-                  || scheduling
-                      .get()
-                      .offer(new SchedulingMessage.EvacuationsChanged(state.domains()));
-          return scheduled
-              && forwarding.offer(new ForwardingMessage.EvacuationsChanged(state.domains()));
+          return states.offer(state);
         };
     Duty<EvacuationMessage> duty =
         duties.create(
@@ -78,6 +70,19 @@
         () -> inForce.domains().size());
   }
 
+  /** Passes states to forwarding and, on control instances, to scheduling. */
+  static Outlet<EvacuationState> toTargetChoice(
+      Outlet<ForwardingMessage> forwarding,
+      Optional<? extends Outlet<SchedulingMessage>> scheduling) {
+    return state -> {
+      boolean scheduled =
+          scheduling.isEmpty()
+              || scheduling.get().offer(new SchedulingMessage.EvacuationsChanged(state.domains()));
+      return scheduled
+          && forwarding.offer(new ForwardingMessage.EvacuationsChanged(state.domains()));
+    };
+  }
+
   @Override
   public boolean offer(EvacuationMessage message) {
     return queue.offer(message);
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -109,7 +109,12 @@
     replica = settings.hasControlReplica() ? Optional.of(openReplica()) : Optional.empty();
     createRouting(format);
     forwardingHandler = createForwarding(targets);
-    evacuation.create(duties, transport, proposer(), metrics, forwarding, scheduling);
+    evacuation.create(
+        duties,
+        transport,
+        proposer(),
+        metrics,
+        EvacuationDuty.toTargetChoice(forwarding, scheduling));
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/Instance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Instance.java
@@ -4,10 +4,12 @@
 import dev.caroblb.callers.CallersServer;
 import dev.caroblb.configuration.ConfigurationSnapshot;
 import dev.caroblb.core.Duty;
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LeaderLease;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
+import dev.caroblb.evacuation.EvacuationState;
 import dev.caroblb.http.HttpConnector;
 import dev.caroblb.http.HttpLimits;
 import dev.caroblb.idempotency.IdempotencyMessage;
@@ -34,8 +36,10 @@
 import dev.caroblb.transport.TransportCounters;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /** One running instance: creates its duties and connects their queues. */
@@ -83,6 +87,7 @@
             keys::keyDecided,
             this::replicaFailed,
             this::controlLeaseChanged,
+            this::evacuationsChanged,
             metrics);
     toIdempotency.bind(shared.idempotency());
     server = createServer(gate, clock);
@@ -163,7 +168,13 @@
             limits.backlog());
     InstanceStatus status =
         new InstanceStatus(
-            settings.instance(), gate, entries, calls.targets(), calls::running, metrics::text);
+            settings.instance(),
+            gate,
+            entries,
+            calls.targets(),
+            calls::running,
+            metrics::text,
+            shared.evacuation()::inForce);
     shared.replica().ifPresent(status::refreshFrom);
     CallersServer.InstanceServices services =
         new CallersServer.InstanceServices(
@@ -173,7 +184,8 @@
             new MembershipTargetSink(membership),
             entries,
             status,
-            metrics::countRefusal);
+            metrics::countRefusal,
+            new EvacuationOrderSink(shared.evacuation(), domains()));
     return CallersServer.start(
         services,
         new CallersServer.Limits(
@@ -185,6 +197,14 @@
         clock);
   }
 
+  /** The failure domains that the settings name. */
+  private Set<FailureDomain> domains() {
+    Set<FailureDomain> domains = new HashSet<>();
+    settings.peers().forEach(peer -> domains.add(peer.domain()));
+    domains.add(settings.domain());
+    return domains;
+  }
+
   private void createMembership() {
     PeerChannel<PeerMessage> peers =
         new PeerChannel<>(transport, Channel.MEMBERSHIP, new MembershipCodec());
@@ -217,6 +237,15 @@
     return settings.callersAddress().host() + ":" + server.address().getPort();
   }
 
+  private boolean evacuationsChanged(EvacuationState state) {
+    boolean delivered = true;
+    for (PlacementMessage message : calls.targets().setEvacuated(state.domains())) {
+      delivered &= calls.placement().offer(message);
+    }
+    orders.ifPresent(OrderBridge::enginesChanged);
+    return delivered;
+  }
+
   private boolean targetChanged(TargetChange change) {
     boolean delivered = true;
     for (PlacementMessage message : calls.targets().apply(change)) {
--- a/daemon/src/main/java/dev/caroblb/daemon/InstanceStatus.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/InstanceStatus.java
@@ -8,6 +8,7 @@
 import dev.caroblb.callers.StatusSource;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Outlet;
+import dev.caroblb.evacuation.EvacuationState;
 import dev.caroblb.membership.InstanceRecord;
 import java.util.List;
 import java.util.Locale;
@@ -22,6 +23,7 @@
   private final TargetDirectory targets;
   private final IntSupplier running;
   private final Supplier<String> metrics;
+  private final Supplier<EvacuationState> evacuations;
   private volatile Runnable refresh = () -> {};
   private volatile List<GroupStatus> groups = List.of();
 
@@ -31,13 +33,15 @@
       MembershipEntryDirectory entries,
       TargetDirectory targets,
       IntSupplier running,
-      Supplier<String> metrics) {
+      Supplier<String> metrics,
+      Supplier<EvacuationState> evacuations) {
     this.self = self;
     this.gate = gate;
     this.entries = entries;
     this.targets = targets;
     this.running = running;
     this.metrics = metrics;
+    this.evacuations = evacuations;
   }
 
   @Override
@@ -64,6 +68,9 @@
     body.put("admits", gate.admits());
     body.put("running_calls", running.getAsInt());
     body.put("targets", targets.size());
+    EvacuationState evacuated = evacuations.get();
+    body.put("evacuation_revision", evacuated.revision());
+    evacuated.names().forEach(body.putArray("evacuated")::add);
     ArrayNode instances = body.putArray("instances");
     for (InstanceRecord instance : entries.view().instances()) {
       instances
--- a/daemon/src/main/java/dev/caroblb/daemon/SharedStateDuties.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/SharedStateDuties.java
@@ -18,6 +18,7 @@
 import dev.caroblb.core.ProposalOutcome;
 import dev.caroblb.core.Proposer;
 import dev.caroblb.core.StateMachine;
+import dev.caroblb.evacuation.EvacuationState;
 import dev.caroblb.idempotency.IdempotencyHandler;
 import dev.caroblb.idempotency.IdempotencyMessage;
 import dev.caroblb.idempotency.IdempotencyOutlets;
@@ -40,6 +41,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Creates the duties that share state between instances: agreement, configuration, idempotency. */
 final class SharedStateDuties implements AutoCloseable {
@@ -50,6 +53,7 @@
   private final Outlet<LeaderLease> controlLeases;
   private final LateBoundOutlet<ConfigurationMessage> configuration = new LateBoundOutlet<>();
   private final LateBoundOutlet<IdempotencyMessage> idempotency = new LateBoundOutlet<>();
+  private final EvacuationDuty evacuation = new EvacuationDuty();
   private final Optional<ControlReplica> replica;
 
   /** Settings of the instance, and its incarnation in this run. */
@@ -63,6 +67,7 @@
       Outlet<KeyDecision> decisions,
       Outlet<ReplicaFault> faults,
       Outlet<LeaderLease> controlLeases,
+      Outlet<EvacuationState> evacuations,
       InstanceMetrics metrics)
       throws IOException {
     this.settings = run.settings();
@@ -73,6 +78,13 @@
     replica = createReplica(faults);
     createConfiguration(gate);
     createIdempotency(decisions, metrics);
+    evacuation.create(duties, transport, proposer(), metrics, evacuations);
+    // The instances are those of the settings, so that they are announced once.
+    boolean unused = evacuation.peersChanged(otherInstances(), replicas(), List.of());
+  }
+
+  private Set<InstanceId> otherInstances() {
+    return settings.otherPeers().stream().map(PeerSettings::instance).collect(Collectors.toSet());
   }
 
   private Optional<ControlReplica> createReplica(Outlet<ReplicaFault> faults) throws IOException {
@@ -97,7 +109,8 @@
 
   private Map<GroupId, StateMachine> stateMachines() {
     Map<GroupId, StateMachine> machines = new LinkedHashMap<>();
-    machines.put(GroupId.CONTROL, new ConfigurationStateMachine(configuration));
+    machines.put(
+        GroupId.CONTROL, evacuation.sharedWith(new ConfigurationStateMachine(configuration)));
     for (int bucket = 0; bucket < settings.keyGroups(); bucket++) {
       machines.put(GroupId.keys(bucket), new KeyStateMachine(KeyLimits.DEFAULT));
     }
@@ -107,6 +120,7 @@
   private boolean leaseChanged(LeaderLease lease) {
     if (lease.group().equals(GroupId.CONTROL)) {
       boolean delivered = controlLeases.offer(lease);
+      delivered &= evacuation.leaseChanged(lease);
       return configuration.offer(new ConfigurationMessage.LeaseChanged(lease)) && delivered;
     }
     return idempotency.offer(new IdempotencyMessage.Leadership(lease));
@@ -175,6 +189,10 @@
     return idempotency;
   }
 
+  EvacuationDuty evacuation() {
+    return evacuation;
+  }
+
   Optional<ControlReplica> replica() {
     return replica;
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/TargetDirectory.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetDirectory.java
@@ -1,5 +1,6 @@
 package dev.caroblb.daemon;
 
+import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
@@ -29,6 +30,7 @@
   private final Map<TargetId, TargetView> views = new ConcurrentHashMap<>();
   private final Set<TargetId> engines = ConcurrentHashMap.newKeySet();
   private final LongConsumer preemptionCounter;
+  private volatile Set<FailureDomain> evacuated = Set.of();
 
   /**
    * @param preemptionCounter receives the number of new preemptions in each report of an engine
@@ -66,7 +68,7 @@
             announcement.domain(),
             announcement.address(),
             announcement.serves(),
-            announcement.leaving() ? TargetState.LEAVING : TargetState.AVAILABLE,
+            announcement.leaving() ? TargetState.LEAVING : stateIn(announcement.domain()),
             load(announcement, aged.ageMs()));
     TargetView previous = views.put(view.target(), view);
     countPreemptions(previous, view);
@@ -81,6 +83,35 @@
     return messages;
   }
 
+  private TargetState stateIn(FailureDomain domain) {
+    return evacuated.contains(domain) ? TargetState.EVACUATED : TargetState.AVAILABLE;
+  }
+
+  /** Sets the evacuated failure domains and returns the resulting messages for placement. */
+  List<PlacementMessage> setEvacuated(Set<FailureDomain> domains) {
+    evacuated = Set.copyOf(domains);
+    List<PlacementMessage> messages = new ArrayList<>();
+    for (TargetView known : List.copyOf(views.values())) {
+      TargetView view = withState(known, stateIn(known.domain()));
+      // A target that is reported at the same time gets the new state with that report.
+      if (known.state() != TargetState.LEAVING && views.replace(known.target(), known, view)) {
+        messages.add(new PlacementMessage.TargetSeen(view));
+      }
+    }
+    return messages;
+  }
+
+  private static TargetView withState(TargetView view, TargetState state) {
+    return new TargetView(
+        view.target(),
+        view.incarnation(),
+        view.domain(),
+        view.address(),
+        view.serves(),
+        state,
+        view.load());
+  }
+
   private void countPreemptions(TargetView previous, TargetView latest) {
     if (previous == null || previous.incarnation() != latest.incarnation()) {
       return;
@@ -127,15 +158,7 @@
     if (known == null || known.incarnation() != incarnation) {
       return List.of();
     }
-    TargetView view =
-        new TargetView(
-            target,
-            incarnation,
-            known.domain(),
-            known.address(),
-            known.serves(),
-            state,
-            known.load());
+    TargetView view = withState(known, state);
     if (state == TargetState.GONE) {
       views.remove(target, known);
       engines.remove(target);
@@ -158,7 +181,7 @@
         .flatMap(view -> endpoint(target, view.incarnation()));
   }
 
-  /** Engines that are not leaving. */
+  /** Engines that are not leaving and not evacuated. */
   Set<TargetId> availableEngines() {
     Set<TargetId> available = new HashSet<>();
     for (TargetId engine : engines) {
--- a/placement/src/main/java/dev/caroblb/placement/Fleet.java
+++ b/placement/src/main/java/dev/caroblb/placement/Fleet.java
@@ -29,7 +29,7 @@
     }
     if (known != null && known.view().incarnation() == view.incarnation()) {
       // Leaving is final within an incarnation; an outdated message must not revert it.
-      if (known.view().state() == TargetState.LEAVING && view.state() == TargetState.AVAILABLE) {
+      if (known.view().state() == TargetState.LEAVING && view.state() != TargetState.LEAVING) {
         return Optional.of(known);
       }
       if (!known.view().serves().equals(view.serves())) {
@@ -81,6 +81,12 @@
     return serving == null ? List.of() : serving;
   }
 
+  /** Whether a target is known that serves a model or service and is not evacuated. */
+  boolean anyNotEvacuated(String modelOrService) {
+    return serving(modelOrService).stream()
+        .anyMatch(target -> target.view().state() != TargetState.EVACUATED);
+  }
+
   Collection<List<Target>> targetsByModelOrService() {
     return byModelOrService.values();
   }
--- a/placement/src/main/java/dev/caroblb/placement/PlacementHandler.java
+++ b/placement/src/main/java/dev/caroblb/placement/PlacementHandler.java
@@ -54,7 +54,7 @@
         policy.place(request, nowMs).flatMap(placement -> start(request, placement, nowMs));
     if (generation.isEmpty()) {
       policy.declined(request, nowMs);
-      boolean targetsKnown = !fleet.serving(request.modelOrService()).isEmpty();
+      boolean targetsKnown = fleet.anyNotEvacuated(request.modelOrService());
       emit(new PlacementOutcome.NoCapacity(request.call(), targetsKnown, RETRY_AFTER_MS));
       return;
     }
@@ -75,6 +75,10 @@
     if (target.isEmpty()) {
       return;
     }
+    if (view.state() == TargetState.EVACUATED) {
+      // Waiting calls are offered again, and refused if no other target is known.
+      reportCapacity(target.get());
+    }
     if (view.load().filter(LoadReport::inconsistent).isPresent()) {
       ejection.inconsistentReport(target.get(), nowMs);
       return;
--- a/placement/src/test/java/dev/caroblb/placement/PlacementHandlerTest.java
+++ b/placement/src/test/java/dev/caroblb/placement/PlacementHandlerTest.java
@@ -43,6 +43,50 @@
     assertEquals(30, answers.size());
   }
 
+  @Nested
+  class WhileAllTargetsAreEvacuated {
+    private final PlacementHandler handler = handler(PolicyKind.PREDICTIVE);
+
+    private void see(TargetState state) {
+      handler.handle(
+          new PlacementMessage.TargetSeen(
+              PlacementSamples.view(1, 1, state, PlacementSamples.available(1, 0, 0).load().get())),
+          0);
+    }
+
+    private PlacementOutcome place(long call) {
+      handler.handle(new PlacementMessage.PlaceCall(PlacementSamples.request(call, 50, 0)), 0);
+      return outcomes.get(outcomes.size() - 1);
+    }
+
+    /** Guards against calls that wait for a target, and against a withdrawal without effect. */
+    @Test
+    void callsGetNoTargetUntilTheWithdrawal() {
+      see(TargetState.EVACUATED);
+      assertEquals(false, ((PlacementOutcome.NoCapacity) place(1)).targetsKnown());
+      see(TargetState.AVAILABLE);
+      assertTrue(place(2) instanceof PlacementOutcome.Placed);
+    }
+
+    /** Guards against waiting calls that are not offered again, and are never refused. */
+    @Test
+    void waitingCallsAreOfferedAgain() {
+      see(TargetState.AVAILABLE);
+      outcomes.clear();
+      see(TargetState.EVACUATED);
+      assertTrue(outcomes.get(0) instanceof PlacementOutcome.CapacityReported);
+    }
+
+    /** Guards against a leaving target that gets work again after an evacuation. */
+    @Test
+    void leavingTargetsStayLeaving() {
+      see(TargetState.LEAVING);
+      see(TargetState.EVACUATED);
+      see(TargetState.AVAILABLE);
+      assertTrue(place(3) instanceof PlacementOutcome.NoCapacity);
+    }
+  }
+
   @Nested
   class WhenTheOutletIsFull {
     /** Guards against an answer that is lost because the outlet is full. */
