--- a/http/src/main/java/dev/caroblb/http/HttpConnector.java
+++ b/http/src/main/java/dev/caroblb/http/HttpConnector.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.StrictConnPool;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 
 /** HTTP client that sends each request on a connection of its own, without automatic retries. */
@@ -109,6 +110,11 @@
     return exchange;
   }
 
+  /** Whether all threads run; false after a close, or if a thread ended by an error. */
+  public boolean running() {
+    return requester.getStatus() == IOReactorStatus.ACTIVE;
+  }
+
   @Override
   public void close() {
     requester.close(CloseMode.IMMEDIATE);
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -118,6 +119,11 @@
         System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
   }
 
+  /** Whether all threads run; false after a close, or if a thread ended by an error. */
+  public boolean running() {
+    return server.getStatus() == IOReactorStatus.ACTIVE;
+  }
+
   /** The bound address, with the actual port. */
   public InetSocketAddress address() {
     return address;
