Bound the memory of request bodies and slow callers of a process

Cause: each connection could hold a body of 4 MiB and 256 KiB of output, and complete responses for callers that do not read had no bound at all; together they exceeded the heap of 110 MB.

Change: MemoryAccount (core) counts request bodies from their arrival to the end of their response, and output that is not written. At three quarters of the bound a new request with a body is rejected as not run (503 memory_limit with Retry-After), at the bound one without a body, too. A body that has begun is not read on until memory is free, for at most 5 s, then rejected. Streams get no further output at the bound, so that the response of the target is not read. Complete responses are taken beyond it; above twice the bound the largest one is failed. Callers have a fifth of the heap, operators and targets a sixteenth; bodies of up to 16 KiB there are exempt, so that announcements of targets arrive during a storm of configurations. A body is copied once instead of three times.

--- a/core/src/main/java/dev/caroblb/core/RefusalReason.java
+++ b/core/src/main/java/dev/caroblb/core/RefusalReason.java
@@ -23,6 +23,7 @@
   BACKLOG_FULL(RefusalKind.NOT_RUN, 503, "send the call again after the time given"),
   WORKSPACE_LIMIT(RefusalKind.NOT_RUN, 429, "send fewer calls at once"),
   STREAM_LIMIT(RefusalKind.NOT_RUN, 503, "use another entry instance"),
+  MEMORY_LIMIT(RefusalKind.NOT_RUN, 503, "send the call again after the time given"),
   RING_FULL(RefusalKind.NOT_RUN, 503, "send the call again after the time given"),
   NO_TARGET(RefusalKind.NOT_RUN, 503, "send the call again when a target has announced itself"),
   DEADLINE_BEFORE_START(RefusalKind.NOT_RUN, 504, "allow a later deadline"),
--- /dev/null
+++ b/core/src/test/java/dev/caroblb/core/MemoryAccountTest.java
@@ -0,0 +1,72 @@
+package dev.caroblb.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class MemoryAccountTest {
+  private static final long LIMIT = 1 << 20;
+
+  private final MemoryAccount account = new MemoryAccount(LIMIT, Runnable::run);
+  private final List<String> run = new ArrayList<>();
+
+  @Nested
+  class AtTheBound {
+    /** Guards against work that is begun with the memory that is needed to complete other work. */
+    @Test
+    void newWorkStopsFirst() {
+      account.take(LIMIT / 4 * 3);
+      assertFalse(account.admitsNew());
+      assertFalse(account.full());
+      assertTrue(account.reserve(LIMIT / 4));
+      assertTrue(account.full());
+      assertFalse(account.reserve(1));
+    }
+
+    /** Guards against memory that stays counted after a refused reservation. */
+    @Test
+    void aRefusedReservationTakesNothing() {
+      assertFalse(account.reserve(LIMIT + 1));
+      assertEquals(0, account.usedBytes());
+    }
+  }
+
+  @Nested
+  class WaitingActions {
+    /** Guards against actions that all continue at once and take many times the bound. */
+    @Test
+    void continueInTheirOrderAsMemoryIsFreed() {
+      account.take(LIMIT);
+      for (String name : List.of("a", "b", "c")) {
+        account.whenFree(() -> run.add(name));
+      }
+      account.release(65_536);
+      assertEquals(List.of("a"), run);
+      account.release(65_536);
+      assertEquals(List.of("a", "b", "c"), run);
+    }
+
+    /** Guards against an action that waits although memory was freed before it was added. */
+    @Test
+    void runAtOnceWhileMemoryIsFree() {
+      account.whenFree(() -> run.add("a"));
+      assertEquals(List.of("a"), run);
+    }
+
+    /** Guards against an action that runs for a closed connection. */
+    @Test
+    void doNotRunAfterTheirRemoval() {
+      account.take(LIMIT);
+      Runnable action = () -> run.add("a");
+      account.whenFree(action);
+      account.remove(action);
+      account.release(LIMIT);
+      assertEquals(List.of(), run);
+    }
+  }
+}
--- a/http/src/main/java/dev/caroblb/http/HttpLimits.java
+++ b/http/src/main/java/dev/caroblb/http/HttpLimits.java
@@ -24,7 +24,7 @@
       new HttpLimits(16_384, 64, 1_048_576, 30_000, 65_536, 2, 256);
 
   /** The limits that apply to requests as long as no others are set. */
-  RequestLimits requestLimits() {
+  public RequestLimits requestLimits() {
     return new RequestLimits(maxLineBytes * maxHeaders, maxBodyBytes, idleTimeoutMs, idleTimeoutMs);
   }
 }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -54,6 +54,24 @@
       RequestHandler handler,
       ListenerObserver observer)
       throws IOException {
+    return start(
+        address, limits, requestLimits, handler, observer, ListenerMemory.unbounded());
+  }
+
+  /**
+   * Starts listening; port 0 selects a free port.
+   *
+   * @param requestLimits the limits in force, read for each request
+   * @param memory bounds what request bodies and slow callers use together
+   */
+  public static HttpListener start(
+      InetSocketAddress address,
+      HttpLimits limits,
+      Supplier<RequestLimits> requestLimits,
+      RequestHandler handler,
+      ListenerObserver observer,
+      ListenerMemory memory)
+      throws IOException {
     OpenExchanges openExchanges = new OpenExchanges();
     HttpAsyncServer server =
         create(
@@ -66,7 +84,8 @@
                     limits.maxOutputBytes(),
                     handler,
                     observer,
-                    openExchanges));
+                    openExchanges,
+                    memory));
     server.start();
     try {
       ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
@@ -90,6 +109,7 @@
         Http1Config.custom()
             .setMaxLineLength(limits.maxLineBytes())
             .setMaxHeaderCount(limits.maxHeaders())
+            .setInitialWindowSize(1)
             .build();
     CallerConnections connections =
         new CallerConnections(
--- a/http/src/main/java/dev/caroblb/http/OpenExchanges.java
+++ b/http/src/main/java/dev/caroblb/http/OpenExchanges.java
@@ -1,5 +1,8 @@
 package dev.caroblb.http;
 
+import dev.caroblb.core.MemoryAccount;
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.core5.http.ConnectionClosedException;
@@ -23,6 +26,21 @@
     exchanges.remove(exchange);
   }
 
+  /**
+   * Fails the exchanges with most output while the memory in use is above the limit of responses.
+   * Complete responses are taken also beyond the bound of the account, but not without end.
+   */
+  void freeMemory(MemoryAccount account) {
+    while (account.exceeded()) {
+      Optional<ServerExchange> largest =
+          exchanges.stream().max(Comparator.comparingInt(ServerExchange::outputBytes));
+      if (largest.isEmpty() || largest.get().outputBytes() == 0) {
+        return;
+      }
+      largest.get().dropOutput();
+    }
+  }
+
   int size() {
     return exchanges.size();
   }
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -2,7 +2,6 @@
 
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.Payload;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -32,6 +31,7 @@
   private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
 
   /**
    * Bytes of a rejected body that are read. Closing the connection earlier would reset it, and the
@@ -39,14 +39,13 @@
    */
   private static final long MAX_DISCARDED_BYTES = 8 << 20;
 
-  private static final Map<String, String> CLOSE_HEADER = Map.of(HttpHeaders.CONNECTION, "close");
-
   private final int maxBodyBytes;
   private final int maxOutputBytes;
   private final RequestHandler handler;
   private final ListenerObserver observer;
   private final OpenExchanges openExchanges;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ListenerMemory memory;
+  private final RequestBody body;
   private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
 
   private IncomingRequest head;
@@ -55,7 +54,7 @@
   private DataStreamChannel channel;
   private long discardedBytes;
   private int outputBytes;
-  private boolean rejected;
+  private volatile boolean rejected;
   private boolean aborted;
   private boolean dispatched;
   private boolean ended;
@@ -75,12 +74,15 @@
       int maxOutputBytes,
       RequestHandler handler,
       ListenerObserver observer,
-      OpenExchanges openExchanges) {
+      OpenExchanges openExchanges,
+      ListenerMemory memory) {
     this.maxBodyBytes = maxBodyBytes;
     this.maxOutputBytes = maxOutputBytes;
     this.handler = handler;
     this.observer = observer;
     this.openExchanges = openExchanges;
+    this.memory = memory;
+    this.body = new RequestBody(memory, this::rejectForMemory);
   }
 
   @Override
@@ -99,29 +101,53 @@
       rejectLargeBody();
       return;
     }
+    if (!memory.admits(entity != null, entity == null ? 0 : entity.getContentLength())) {
+      rejectForMemory();
+      return;
+    }
     if (entity == null) {
       dispatch();
+      return;
     }
+    body.declare(entity.getContentLength());
   }
 
-  private void rejectLargeBody() {
-    reject(BODY_TOO_LARGE, "the body is longer than " + maxBodyBytes + " bytes");
+  /** Rejects a request that was not handled because the process has no memory for it. */
+  private void rejectForMemory() {
+    if (startRejection(UNAVAILABLE)) {
+      handler.rejectForMemory(head, this);
+    }
   }
 
   /**
-   * Rejects a request before its body is read and closes the connection, since the unread body
-   * cannot be distinguished from a next request.
+   * Rejects a request before its body is read; the connection is closed, since the unread body
+   * cannot be distinguished from a next request. Returns false if the request was handled or
+   * rejected already.
    */
-  private void reject(int status, String message) {
-    rejected = true;
-    dispatched = true;
+  private boolean startRejection(int status) {
+    synchronized (this) {
+      if (dispatched) {
+        return false;
+      }
+      rejected = true;
+      dispatched = true;
+    }
     observer.rejected(status);
-    send(status, "text/plain", Payload.ofText(message), CLOSE_HEADER);
+    body.release();
+    body.openWindow();
+    return true;
+  }
+
+  private void rejectLargeBody() {
+    if (startRejection(BODY_TOO_LARGE)) {
+      String message = "the body is longer than " + maxBodyBytes + " bytes";
+      send(BODY_TOO_LARGE, "text/plain", Payload.ofText(message), Map.of());
+    }
   }
 
   @Override
   public void updateCapacity(CapacityChannel capacity) throws IOException {
-    capacity.update(Integer.MAX_VALUE);
+    body.attach(capacity);
   }
 
   @Override
@@ -133,9 +159,7 @@
       discard(source);
       return;
     }
-    byte[] bytes = new byte[source.remaining()];
-    source.get(bytes);
-    body.write(bytes, 0, bytes.length);
+    body.add(source);
   }
 
   /** Discards a part of a rejected body, so that the caller can read the response meanwhile. */
@@ -155,10 +179,15 @@
   }
 
   private void dispatch() {
-    dispatched = true;
+    synchronized (this) {
+      if (dispatched) {
+        return;
+      }
+      dispatched = true;
+    }
     IncomingRequest request =
         new IncomingRequest(
-            head.method(), head.requestTarget(), head.fields(), Payload.copyOf(body.toByteArray()));
+            head.method(), head.requestTarget(), head.fields(), body.complete());
     try {
       handler.handle(request, this);
     } catch (RuntimeException | StackOverflowError | LinkageError e) {
@@ -200,10 +229,27 @@
 
   private void addOutput(Payload content) {
     synchronized (this) {
-      output.add(content.buffer());
-      outputBytes += content.size();
+      queue(content);
       ended = true;
     }
+    openExchanges.freeMemory(memory.account());
+  }
+
+  /** Response bytes that are not written yet. */
+  synchronized int outputBytes() {
+    return outputBytes;
+  }
+
+  /** Gives up a response that is not written yet, to free its memory. */
+  void dropOutput() {
+    failed(new IOException("the responses of slow callers use too much memory"));
+    abort();
+  }
+
+  private void queue(Payload part) {
+    output.add(part.buffer());
+    outputBytes += part.size();
+    memory.account().take(part.size());
   }
 
   @Override
@@ -217,6 +263,9 @@
     for (HeaderField field : fields) {
       response.addHeader(field.name(), field.value());
     }
+    if (rejected) {
+      response.setHeader(HttpHeaders.CONNECTION, "close");
+    }
     EntityDetails details =
         new BasicEntityDetails(length, contentType.map(ContentType::parse).orElse(null));
     try {
@@ -233,12 +282,12 @@
       if (disconnected) {
         return true;
       }
-      if (outputBytes > 0 && outputBytes + chunk.size() > maxOutputBytes) {
+      boolean full = outputBytes + chunk.size() > maxOutputBytes || memory.account().full();
+      if (outputBytes > 0 && full) {
         wasFull = true;
         return false;
       }
-      output.add(chunk.buffer());
-      outputBytes += chunk.size();
+      queue(chunk);
       current = channel;
     }
     requestOutput(current);
@@ -250,8 +299,7 @@
     DataStreamChannel current;
     synchronized (this) {
       for (Payload part : disconnected ? List.<Payload>of() : lastParts) {
-        output.add(part.buffer());
-        outputBytes += part.size();
+        queue(part);
       }
       ended = true;
       current = channel;
@@ -282,6 +330,7 @@
       if (ended && output.isEmpty() && !endSent) {
         endSent = true;
         openExchanges.remove(this);
+        body.release();
         channel.endStream(null);
       }
       ready = wasFull && outputBytes <= maxOutputBytes / 2 ? onWritable : Optional.empty();
@@ -295,7 +344,9 @@
   private void writeOutput(DataStreamChannel channel) throws IOException {
     while (!output.isEmpty()) {
       ByteBuffer next = output.peekFirst();
-      outputBytes -= channel.write(next);
+      int written = channel.write(next);
+      outputBytes -= written;
+      memory.account().release(written);
       if (next.hasRemaining()) {
         channel.requestOutput();
         return;
@@ -334,9 +385,11 @@
       }
       disconnected = true;
       output.clear();
+      memory.account().release(outputBytes);
       outputBytes = 0;
       action = onDisconnect;
       openExchanges.remove(this);
+      body.release();
     }
     action.ifPresent(Runnable::run);
   }
