Encode a configuration once for all peers and bound the queue of a peer

Cause: an accepted document was encoded anew, with five copies, for each of eleven peers, and again for each peer that reported an older number; a queue of 4,096 frames had no bound in bytes.

Change: routing sends one message object, PeerChannel keeps the last long frame (softly referenced), the queues of peers share its bytes.

--- a/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
@@ -7,13 +7,23 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.transport.Channel;
 import dev.caroblb.transport.PeerTransport;
+import java.lang.ref.SoftReference;
+import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.atomic.LongAdder;
 
 /** Sends and receives the messages of one module over the transport. */
 final class PeerChannel<M> implements Outlet<PeerEnvelope<M>> {
+  private static final int MIN_SHARED_BYTES = 16_384;
+
+  private record LongFrame(Object message, ByteBuffer frame) {}
+
   private final PeerTransport transport;
   private final Channel channel;
   private final MessageCodec<M> codec;
+  /** Is given up when memory is short. */
+  private volatile SoftReference<LongFrame> lastFrame = new SoftReference<>(null);
+
   private final LongAdder malformed = new LongAdder();
 
   PeerChannel(PeerTransport transport, Channel channel, MessageCodec<M> codec) {
@@ -24,7 +34,23 @@
 
   @Override
   public boolean offer(PeerEnvelope<M> message) {
-    return transport.send(message.peer(), channel, codec.encode(message.message()));
+    return transport.send(message.peer(), frameOf(message.message()));
+  }
+
+  /** Encodes a message; a long one that is sent to several peers in turn is encoded once. */
+  private ByteBuffer frameOf(M message) {
+    Optional<ByteBuffer> known =
+        Optional.ofNullable(lastFrame.get())
+            .filter(last -> last.message() == message)
+            .map(LongFrame::frame);
+    if (known.isPresent()) {
+      return known.get();
+    }
+    ByteBuffer frame = PeerTransport.encode(channel, codec.encode(message));
+    if (frame.remaining() >= MIN_SHARED_BYTES) {
+      lastFrame = new SoftReference<>(new LongFrame(message, frame));
+    }
+    return frame;
   }
 
   /**
--- a/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
@@ -48,6 +48,7 @@
   private final List<Outlet<ReadOutcome>> queuedReads = new ArrayList<>();
   private Set<InstanceId> peers = Set.of();
   private Optional<RoutingDocument> accepted = Optional.empty();
+  private Optional<PeerMessage.Accepted> lastSent = Optional.empty();
   private Optional<RoutingDocument> latestApplied = Optional.empty();
   private Optional<RoutingTable> undeliveredTable = Optional.empty();
   private Optional<InstanceId> leader = Optional.empty();
@@ -215,7 +216,7 @@
     } else if (message instanceof PeerMessage.ActiveNumber active) {
       accepted
           .filter(document -> document.number() > active.number())
-          .ifPresent(document -> send(peer, new PeerMessage.Accepted(document)));
+          .ifPresent(document -> send(peer, acceptedMessage(document)));
     }
   }
 
@@ -245,11 +246,21 @@
     deliverTable();
     if (distribute) {
       for (InstanceId peer : peers) {
-        send(peer, new PeerMessage.Accepted(document));
+        send(peer, acceptedMessage(document));
       }
     }
   }
 
+  /** One message for all peers, so that a long document is encoded once. */
+  private PeerMessage acceptedMessage(RoutingDocument document) {
+    PeerMessage.Accepted message =
+        lastSent
+            .filter(sent -> sent.document() == document)
+            .orElseGet(() -> new PeerMessage.Accepted(document));
+    lastSent = Optional.of(message);
+    return message;
+  }
+
   private void deliverTable() {
     if (undeliveredTable.isPresent() && outlets.tables().offer(undeliveredTable.get())) {
       undeliveredTable = Optional.empty();
--- a/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
+++ b/transport/src/main/java/dev/caroblb/transport/OutboundPeer.java
@@ -10,10 +10,18 @@
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Dialed connection to another instance, with a bounded send queue. */
 final class OutboundPeer {
   private static final int MAX_QUEUED_FRAMES = 4_096;
+
+  /**
+   * Two frames of the maximum size. Frames of a peer that reads slowly are dropped above it, since
+   * a few thousand long frames exceed the memory of the process.
+   */
+  static final long MAX_QUEUED_BYTES = 2L * FrameCodec.MAX_FRAME_BYTES;
+
   private static final long MIN_BACKOFF_MS = 50;
   private static final long MAX_BACKOFF_MS = 1_000;
 
@@ -37,6 +45,7 @@
   private final TransportCounters counters;
   private final ArrayBlockingQueue<ByteBuffer> queue = new ArrayBlockingQueue<>(MAX_QUEUED_FRAMES);
 
+  private final AtomicLong queuedBytes = new AtomicLong();
   private final ByteBuffer acknowledgements = ByteBuffer.allocate(64);
   private SocketChannel channel;
   private SelectionKey key;
@@ -76,12 +85,15 @@
     return peer;
   }
 
-  /** Queues a frame; returns false if the queue is full. May be called from any thread. */
+  /** Queues a frame; returns false if the queue is too long. May be called from any thread. */
   boolean enqueue(ByteBuffer frame) {
     lastUsedMs = clock.nowMs();
-    if (queue.offer(frame)) {
+    int bytes = frame.remaining();
+    boolean fits = queuedBytes.addAndGet(bytes) <= MAX_QUEUED_BYTES;
+    if (fits && queue.offer(frame)) {
       return true;
     }
+    queuedBytes.addAndGet(-bytes);
     counters.countDropped();
     return false;
   }
@@ -172,7 +184,7 @@
   private void write() throws IOException {
     while (true) {
       if (writing == null) {
-        writing = queue.poll();
+        writing = poll();
       }
       if (writing == null) {
         key.interestOps(SelectionKey.OP_READ);
@@ -207,8 +219,17 @@
 
   /** Frames queued for a lost connection are stale; the modules resend what is still needed. */
   private void dropQueued() {
-    while (queue.poll() != null) {
+    while (poll() != null) {
       counters.countDropped();
     }
   }
+
+  /** The next frame, or null. */
+  private ByteBuffer poll() {
+    ByteBuffer frame = queue.poll();
+    if (frame != null) {
+      queuedBytes.addAndGet(-frame.remaining());
+    }
+    return frame;
+  }
 }
--- a/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
+++ b/transport/src/main/java/dev/caroblb/transport/PeerTransport.java
@@ -109,16 +109,28 @@
    * the message is too large.
    */
   public boolean send(InstanceId to, Channel channel, Payload body) {
+    return send(to, encode(channel, body));
+  }
+
+  /** Encodes a message that is sent to several peers; its bytes are shared by their queues. */
+  public static ByteBuffer encode(Channel channel, Payload body) {
+    return FrameCodec.encode(new Frame(channel, body)).asReadOnlyBuffer();
+  }
+
+  /**
+   * Queues an encoded message without blocking; returns false if the peer is unknown, its queue is
+   * full or the message is too large.
+   */
+  public boolean send(InstanceId to, ByteBuffer frame) {
     Optional<OutboundPeer> peer = peer(to);
     if (peer.isEmpty()) {
       return false;
     }
-    ByteBuffer frame = FrameCodec.encode(new Frame(channel, body));
     if (frame.remaining() > FrameCodec.MAX_FRAME_BYTES) {
       counters.countDropped();
       return false;
     }
-    boolean queued = peer.get().enqueue(frame);
+    boolean queued = peer.get().enqueue(frame.duplicate());
     if (wakeupPending.compareAndSet(false, true)) {
       selector.wakeup();
     }
--- a/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
+++ b/transport/src/test/java/dev/caroblb/transport/PeerTransportTest.java
@@ -209,4 +209,29 @@
       assertEquals(1, receiver.counters().malformedFrames());
     }
   }
+
+  @Nested
+  class LongFrames {
+    private static final int FRAME_BYTES = 1 << 20;
+
+    /** Guards against queued configurations that exceed the memory of the process. */
+    @Test
+    void ofAPeerThatIsNotReachedAreBounded() throws IOException {
+      try (PeerTransport transport =
+          new PeerTransport(
+              hello(A),
+              loopback(0),
+              PeerDirectory.fixed(Map.of(B, loopback(1))),
+              new ManualMillisClock(0))) {
+        ByteBuffer frame =
+            PeerTransport.encode(Channel.MEMBERSHIP, Payload.copyOf(new byte[FRAME_BYTES]));
+        int queued = 0;
+        while (queued < 100 && transport.send(B, frame)) {
+          queued++;
+        }
+        assertEquals(OutboundPeer.MAX_QUEUED_BYTES / FRAME_BYTES - 1, queued);
+        assertTrue(transport.send(B, Channel.MEMBERSHIP, Payload.ofText("short")));
+      }
+    }
+  }
 }
