--- a/core/src/main/java/dev/caroblb/core/FatalErrors.java
+++ b/core/src/main/java/dev/caroblb/core/FatalErrors.java
@@ -4,9 +4,9 @@
 import java.util.function.Consumer;
 
 /**
- * Ends the process when a part of it has ended for good: a thread by an uncaught error, or a reactor
- * by itself. A process without a thread of a duty or a listener would keep running and serve
- * nothing; its supervisor restarts a process that has ended.
+ * Ends the process when a part of it has ended for good: a thread by an uncaught error, or a
+ * reactor by itself. A process without a thread of a duty or a listener would keep running and
+ * serve nothing; its supervisor restarts a process that has ended.
  */
 public final class FatalErrors implements Thread.UncaughtExceptionHandler {
   private final Consumer<String> log;
@@ -36,8 +36,7 @@
   public void report(String part, Throwable cause) {
     try {
       if (reported.compareAndSet(false, true)) {
-        log.accept(
-            LogLine.of("process.failed").with("part", part).with("cause", cause).toString());
+        log.accept(LogLine.of("process.failed").with("part", part).with("cause", cause).toString());
       }
     } finally {
       // Reached also if no memory is left for the log line.
--- a/core/src/main/java/dev/caroblb/core/MemoryAccount.java
+++ b/core/src/main/java/dev/caroblb/core/MemoryAccount.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 
 /**
@@ -13,14 +14,15 @@
   /** Each action that continues is expected to use this much memory soon. */
   private static final long BYTES_PER_ACTION = 65_536;
 
-  /** New work gets three quarters, so that what has begun can be completed with the rest. */
-  private static final long NEW_WORK_NUMERATOR = 3;
+  /** New work gets seven eighths, so that what has begun can be completed with the rest. */
+  private static final long NEW_WORK_NUMERATOR = 7;
 
-  private static final long NEW_WORK_DENOMINATOR = 4;
+  private static final long NEW_WORK_DENOMINATOR = 8;
 
   private final long limitBytes;
   private final Executor executor;
   private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  private Optional<Object> exceeding = Optional.empty();
   private long usedBytes;
 
   /**
@@ -46,9 +48,33 @@
     return usedBytes >= limitBytes;
   }
 
-  /** Whether what was taken beyond the bound is as large as the bound. */
+  /** Whether half of the bound was taken beyond it. */
   public synchronized boolean exceeded() {
-    return usedBytes - limitBytes > limitBytes;
+    return usedBytes - limitBytes > limitBytes / 2;
+  }
+
+  /**
+   * Whether a holder of memory may take more at the bound. One may, until it is finished: otherwise
+   * holders that all need more to be finished would wait for each other.
+   */
+  public synchronized boolean mayExceed(Object holder) {
+    if (exceeding.isEmpty()) {
+      exceeding = Optional.of(holder);
+    }
+    return exceeding.get() == holder;
+  }
+
+  /** Lets another holder take memory at the bound, after this one gave back its own. */
+  public void finished(Object holder) {
+    Optional<Runnable> next;
+    synchronized (this) {
+      if (exceeding.isEmpty() || exceeding.get() != holder) {
+        return;
+      }
+      exceeding = Optional.empty();
+      next = Optional.ofNullable(waiting.pollFirst());
+    }
+    next.ifPresent(executor::execute);
   }
 
   /** Memory in use, in bytes. */
--- a/daemon/src/main/java/dev/caroblb/daemon/Caroblbd.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/Caroblbd.java
@@ -29,7 +29,7 @@
           caroblbd --settings entry-1.toml --check
 
         Exit codes: 0 stopped as planned or settings valid, 2 invalid command line,
-        3 invalid settings, 4 the instance could not start or its durable state failed.""";
+        3 invalid settings, 4 the instance could not start, or its durable state or a thread failed.""";
 
   @Parameter(names = "--settings", description = "TOML file with the settings of this instance")
   private String settings = "";
@@ -87,6 +87,7 @@
 
   private static int serve(InstanceSettings settings) {
     LogFormat.install(settings.logLevel());
+    ProcessFailure.install(System.err, EXIT_START);
     try (Instance instance = Instance.start(settings, new SystemMillisClock())) {
       instance.awaitStop();
       return instance.failed() ? EXIT_START : EXIT_OK;
--- a/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
@@ -21,6 +21,7 @@
   private final PeerTransport transport;
   private final Channel channel;
   private final MessageCodec<M> codec;
+
   /** Is given up when memory is short. */
   private volatile SoftReference<LongFrame> lastFrame = new SoftReference<>(null);
 
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -54,8 +54,7 @@
       RequestHandler handler,
       ListenerObserver observer)
       throws IOException {
-    return start(
-        address, limits, requestLimits, handler, observer, ListenerMemory.unbounded());
+    return start(address, limits, requestLimits, handler, observer, ListenerMemory.unbounded());
   }
 
   /**
@@ -113,11 +112,7 @@
             .build();
     CallerConnections connections =
         new CallerConnections(
-            config,
-            requestLimits,
-            observer,
-            exchanges,
-            HttpListener::onException);
+            config, requestLimits, observer, exchanges, HttpListener::onException);
     IOReactorConfig reactor =
         IOReactorConfig.custom()
             .setIoThreadCount(limits.ioThreads())
--- a/http/src/main/java/dev/caroblb/http/RequestBody.java
+++ b/http/src/main/java/dev/caroblb/http/RequestBody.java
@@ -30,7 +30,7 @@
   private int size;
   private int closedWindowBytes;
   private boolean paused;
-  private int pauses;
+  private boolean expires;
   private boolean released;
 
   /**
@@ -75,11 +75,10 @@
       parts.add(ByteBuffer.wrap(bytes));
       size += bytes.length;
       memory.account().take(bytes.length);
-      pause = !exempt && memory.account().full();
-      if (pause && !paused) {
+      pause = !exempt && memory.account().full() && !memory.account().mayExceed(this);
+      if (pause) {
         paused = true;
-        pauses++;
-        expireLater(pauses);
+        expireLater();
       }
     }
     if (pause) {
@@ -90,17 +89,20 @@
     reopenWindow();
   }
 
-  private void expireLater(int pause) {
-    if (memory.pauseTimeoutMs() == Long.MAX_VALUE) {
+  /** Starts the timeout of a pause; pauses that follow each other closely count as one. */
+  private void expireLater() {
+    if (expires || memory.pauseTimeoutMs() == Long.MAX_VALUE) {
       return;
     }
+    expires = true;
     CompletableFuture.delayedExecutor(memory.pauseTimeoutMs(), TimeUnit.MILLISECONDS)
-        .execute(() -> expire(pause));
+        .execute(this::expire);
   }
 
-  private void expire(int pause) {
+  private void expire() {
     synchronized (this) {
-      if (!paused || pauses != pause || released) {
+      expires = false;
+      if (!paused || released) {
         return;
       }
     }
@@ -151,6 +153,7 @@
     }
     memory.account().remove(resume);
     memory.account().release(bytes);
+    memory.account().finished(this);
   }
 
   /** Lets the caller send the rest of a body that is discarded. */
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -186,8 +186,7 @@
       dispatched = true;
     }
     IncomingRequest request =
-        new IncomingRequest(
-            head.method(), head.requestTarget(), head.fields(), body.complete());
+        new IncomingRequest(head.method(), head.requestTarget(), head.fields(), body.complete());
     try {
       handler.handle(request, this);
     } catch (RuntimeException | StackOverflowError | LinkageError e) {
