--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -1,23 +1,16 @@
 package dev.caroblb.http;
 
 import dev.caroblb.core.LogLine;
-import dev.caroblb.core.SystemMillisClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
-import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.nio.support.BasicAsyncServerExpectationDecorator;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -29,9 +22,13 @@
   private final HttpAsyncServer server;
   private final InetSocketAddress address;
 
-  private HttpListener(HttpAsyncServer server, InetSocketAddress address) {
+  private final OpenExchanges openExchanges;
+
+  private HttpListener(
+      HttpAsyncServer server, InetSocketAddress address, OpenExchanges openExchanges) {
     this.server = server;
     this.address = address;
+    this.openExchanges = openExchanges;
   }
 
   /** Starts listening with limits that do not change; port 0 selects a free port. */
@@ -57,11 +54,41 @@
       RequestHandler handler,
       ListenerObserver observer)
       throws IOException {
-    HttpAsyncServer server = create(limits, requestLimits, handler, observer);
+    return start(address, limits, requestLimits, handler, observer, ListenerMemory.unbounded());
+  }
+
+  /**
+   * Starts listening; port 0 selects a free port.
+   *
+   * @param requestLimits the limits in force, read for each request
+   * @param memory bounds what request bodies and slow callers use together
+   */
+  public static HttpListener start(
+      InetSocketAddress address,
+      HttpLimits limits,
+      Supplier<RequestLimits> requestLimits,
+      RequestHandler handler,
+      ListenerObserver observer,
+      ListenerMemory memory)
+      throws IOException {
+    OpenExchanges openExchanges = new OpenExchanges();
+    HttpAsyncServer server =
+        create(
+            limits,
+            requestLimits,
+            observer,
+            () ->
+                new ServerExchange(
+                    requestLimits.get().maxBodyBytes(),
+                    limits.maxOutputBytes(),
+                    handler,
+                    observer,
+                    openExchanges,
+                    memory));
     server.start();
     try {
       ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
-      return new HttpListener(server, (InetSocketAddress) endpoint.getAddress());
+      return new HttpListener(server, (InetSocketAddress) endpoint.getAddress(), openExchanges);
     } catch (ExecutionException e) {
       server.close(CloseMode.IMMEDIATE);
       throw new IOException(
@@ -75,31 +102,17 @@
   private static HttpAsyncServer create(
       HttpLimits limits,
       Supplier<RequestLimits> requestLimits,
-      RequestHandler handler,
-      ListenerObserver observer) {
+      ListenerObserver observer,
+      Supplier<ServerExchange> exchanges) {
     Http1Config config =
         Http1Config.custom()
             .setMaxLineLength(limits.maxLineBytes())
             .setMaxHeaderCount(limits.maxHeaders())
+            .setInitialWindowSize(1)
             .build();
-    ServerHttp1StreamDuplexerFactory connections =
-        new ServerHttp1StreamDuplexerFactory(
-            HttpProcessors.server(),
-            (request, context) ->
-                new BasicAsyncServerExpectationDecorator(
-                    new ServerExchange(
-                        requestLimits.get().maxBodyBytes(),
-                        limits.maxOutputBytes(),
-                        handler,
-                        observer),
-                    HttpListener::onException),
-            config,
-            CharCodingConfig.DEFAULT,
-            DefaultConnectionReuseStrategy.INSTANCE,
-            () -> new StrictRequestParser(config, requestLimits, new SystemMillisClock()),
-            DefaultHttpResponseWriterFactory.INSTANCE,
-            new ExchangeMonitor(observer, requestLimits),
-            HttpListener::onException);
+    CallerConnections connections =
+        new CallerConnections(
+            config, requestLimits, observer, exchanges, HttpListener::onException);
     IOReactorConfig reactor =
         IOReactorConfig.custom()
             .setIoThreadCount(limits.ioThreads())
@@ -109,7 +122,7 @@
             .setBacklogSize(limits.backlog())
             .build();
     return new HttpAsyncServer(
-        new ServerHttp1IOEventHandlerFactory(connections, null, null),
+        connections,
         reactor,
         session -> new CallerSession(session, requestLimits),
         HttpListener::onException,
@@ -121,6 +134,11 @@
         System.Logger.Level.DEBUG, LogLine.of("http.exception").with("cause", cause).toString());
   }
 
+  /** Whether all threads run; false after a close, or if a thread ended by an error. */
+  public boolean running() {
+    return server.getStatus() == IOReactorStatus.ACTIVE;
+  }
+
   /** The bound address, with the actual port. */
   public InetSocketAddress address() {
     return address;
@@ -138,11 +156,12 @@
       Thread.currentThread().interrupt();
     }
     // HttpCore's graceful close would wait for another five seconds.
-    server.close(CloseMode.IMMEDIATE);
+    close();
   }
 
   @Override
   public void close() {
     server.close(CloseMode.IMMEDIATE);
+    openExchanges.close();
   }
 }
