--- a/scheduling/src/main/java/dev/caroblb/scheduling/HoldTimes.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/HoldTimes.java
@@ -19,7 +19,7 @@
   private final long[] openRequests = new long[CLASSES];
 
   static int sizeClass(long tokens) {
-    double halves = 2 * Math.log(Math.max(1, tokens)) / Math.log(2);
+    double halves = 2 * Math.log((double) Math.max(1, tokens)) / Math.log(2);
     return Math.min(CLASSES - 1, (int) halves);
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SlidingSum.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SlidingSum.java
@@ -11,7 +11,7 @@
     sums = new double[intervals];
   }
 
-  void add(double value, long nowMs) {
+  void add(long value, long nowMs) {
     advance(nowMs);
     sums[Math.floorMod(interval, sums.length)] += value;
   }
