Tell callers apart only by fingerprints that identify one

Callers that send the same contents at once would be taken for one that repeats early, and be held back together.

--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -196,13 +196,16 @@
     }
     if (!mayWait || queue.isFull()) {
       queue.servedAtOnce(queued);
+      rejections.accepted(need, nowMs);
       placeStart(queued, pool.choose(need, nowMs), nowMs);
       return;
     }
     queue.add(queued, nowMs);
     queue.placeArrived(
         queued, (each, target) -> placeStart(each, Optional.of(target), nowMs), nowMs);
-    if (queue.contains(queued)) {
+    if (!queue.contains(queued)) {
+      rejections.accepted(need, nowMs);
+    } else {
       queueOrReject(queued, nowMs);
     }
   }
@@ -230,7 +233,7 @@
     if (verdict.outcome() == RejectionRule.Outcome.KEEP_LATE) {
       queue.replace(queued, queued.asLate(nowMs), nowMs);
     }
-    rejections.accepted(queued.need());
+    rejections.accepted(queued.need(), nowMs);
     send(queued.instance(), new PeerMessage.PlacementQueued(queued.ticket()));
   }
 
@@ -315,7 +318,6 @@
   }
 
   private void placeStart(QueuedRequest request, Optional<Target> target, long nowMs) {
-    rejections.accepted(request.need());
     PlacementNeed need = request.need();
     Optional<Target> backup = target.flatMap(chosen -> pool.chooseBackup(need, chosen, nowMs));
     InstanceId peer = request.instance();
--- a/scheduling/src/main/java/dev/caroblb/scheduling/RejectedCallers.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectedCallers.java
@@ -7,8 +7,8 @@
 
 /**
  * Callers that were rejected and told when to return. One that returns then keeps the place of its
- * first arrival; one that returns earlier gains nothing. Requests without a fingerprint are not
- * remembered.
+ * first arrival; one that returns earlier gains nothing. Requests without a fingerprint, or with
+ * one that several callers use, are not remembered.
  */
 final class RejectedCallers {
   /** Maximum number of callers; the one rejected first is forgotten. Some 2 MB. */
@@ -51,6 +51,7 @@
     }
   }
 
+  private final CommonRequests<Caller> common = new CommonRequests<>();
   private final Map<Caller, Rejection> rejections =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -67,6 +68,7 @@
 
   Optional<Rejection> find(PlacementNeed need, long nowMs) {
     return caller(need)
+        .filter(caller -> !common.contains(caller, nowMs))
         .map(rejections::get)
         .filter(rejection -> nowMs < rejection.returnMs() + KEEP_MS);
   }
@@ -75,17 +77,23 @@
     caller(need)
         .ifPresent(
             caller -> {
+              common.rejected(caller);
               rejections.remove(caller);
               rejections.put(caller, rejection);
             });
   }
 
-  /** Forgets a caller that is queued or placed again. */
-  void forget(PlacementNeed need) {
+  /** Forgets the rejection of a caller whose request was placed or queued when it arrived. */
+  void accepted(PlacementNeed need, long nowMs) {
     caller(need).ifPresent(rejections::remove);
+    // An entry asks again for a request that failed at its target or at another coordinator.
+    if (need.sinceArrivalMs() == 0) {
+      caller(need).ifPresent(caller -> common.accepted(caller, nowMs));
+    }
   }
 
   void expire(long nowMs) {
+    common.expire(nowMs);
     rejections.values().removeIf(rejection -> nowMs >= rejection.returnMs() + KEEP_MS);
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/Rejections.java
@@ -29,8 +29,8 @@
   }
 
   /** Forgets the rejection of a caller that is queued or placed again. */
-  void accepted(PlacementNeed need) {
-    callers.forget(need);
+  void accepted(PlacementNeed need, long nowMs) {
+    callers.accepted(need, nowMs);
   }
 
   /** Rejects a request whose room is expected after a time. */
@@ -53,7 +53,7 @@
   PeerMessage.PlacementRejected rejectEarly(
       PlacementNeed need, long ticket, RejectedCallers.Rejection earlier, long nowMs) {
     callers.remember(need, earlier.repeated());
-    long restMs = Math.max(ReturnSchedule.MIN_DELAY_MS, earlier.returnMs() - nowMs);
+    long restMs = schedule.restMs(earlier.returnMs(), need.leftMs(), nowMs);
     log(need, restMs, restMs, true);
     return new PeerMessage.PlacementRejected(ticket, restMs);
   }
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ReturnSchedule.java
@@ -45,4 +45,13 @@
     nextFreeMs.put(service, atMs + shareMs);
     return (long) Math.max(MIN_DELAY_MS, delayMs);
   }
+
+  /**
+   * Returns the rest of the delay of a caller that returned early. It varies as well, because other
+   * callers may have sent the same contents.
+   */
+  long restMs(long returnMs, long leftMs, long nowMs) {
+    double restMs = (returnMs - nowMs) * (1 + JITTER * random.nextDouble());
+    return (long) Math.max(MIN_DELAY_MS, Math.min(restMs, (double) leftMs / MAX_DELAY_DIVISOR));
+  }
 }
--- a/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
@@ -81,6 +81,20 @@
       assertEquals(0, callers.size());
     }
 
+    /** Guards against callers taken for one that repeats, because they send the same contents. */
+    @Test
+    void areNotToldApartByCommonContents() {
+      callers.accepted(need(1), 500);
+      callers.accepted(need(1), 600);
+      callers.remember(need(1), new RejectedCallers.Rejection(0, 0, 5_000, 0));
+      assertTrue(callers.find(need(1), 1_000).isEmpty());
+      callers.accepted(need(2), 500);
+      callers.remember(need(2), new RejectedCallers.Rejection(0, 0, 5_000, 0));
+      callers.accepted(need(2), 700);
+      callers.remember(need(2), new RejectedCallers.Rejection(0, 0, 5_000, 0));
+      assertTrue(callers.find(need(2), 1_000).isPresent());
+    }
+
     /** Guards against a place that is kept for a caller long gone. */
     @Test
     void areForgottenAfterTheirTime() {
