Convert times of the simulated engines explicitly

Error Prone rejects the implicit conversion of long to double. test-compile of targets, scheduling, forwarding, metrics, daemon and platform with the modules that they need: build success.

--- a/scheduling/src/test/java/dev/caroblb/scheduling/SimulatedGroup.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/SimulatedGroup.java
@@ -80,7 +80,9 @@
       lastGrant = reply.grant();
       TargetId target = reply.target().orElseThrow();
       chosen.add(target);
-      engines.get(target).start(arrivals.remove(reply.ticket()), nowMs, PROMPT, OUTPUT);
+      engines
+          .get(target)
+          .start((double) arrivals.remove(reply.ticket()), (double) nowMs, PROMPT, OUTPUT);
     } else if (message instanceof PeerMessage.RemoteLoadReport report) {
       lastReport = report;
     }
@@ -91,7 +93,7 @@
   void run(long durationMs, double requestsPerSecond) {
     for (long endMs = nowMs + durationMs; nowMs < endMs; nowMs += TICK_MS) {
       for (SimulatedEngine engine : engines.values()) {
-        ended.addAll(engine.run(nowMs, observations, pauses));
+        ended.addAll(engine.run((double) nowMs, observations, pauses));
       }
       if (nowMs % REPORT_MS == 0) {
         report(ENTRY, withheld ? List.of() : observations.take(nowMs));
