Follow losses of paced targets more closely and describe pacing

Cause: a search ended as soon as the rate had grown by a factor of 16, before the losses at that rate were reported, and a simulated target was flooded; near the rate of the last loss the rate grew as fast as far below it. Change: the highest rate must be taken for a while; a window in which most requests are lost lowers the rate further and sooner; the rate grows slowly near the rate of the last loss and by a factor beyond it.

--- a/pacing/src/main/java/dev/caroblb/pacing/PaceSearch.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/PaceSearch.java
@@ -2,9 +2,9 @@
 
 /**
  * Finds the rate that a target takes from what happens to its requests. The rate starts low, grows
- * by a factor while the target answers all that it gets, is halved when requests are lost, and then
- * grows in small steps, as a congestion window does. It ends when the target takes all the requests
- * that there are.
+ * by a factor while the target answers all that it gets, is lowered when requests are lost, and
+ * then grows in steps, small ones near the rate of the last loss, as a congestion window does. It
+ * ends when the target takes all the requests that there are.
  */
 final class PaceSearch {
   /** Interval in milliseconds between two decisions; answers of the interval decide. */
@@ -14,28 +14,52 @@
   private static final double GROWTH = 1.5;
 
   /** Factor of the rate after a loss. */
-  private static final double BACK_OFF = 0.5;
+  private static final double BACK_OFF = 0.6;
 
   /** Factor of the rate in a window in which answers have been slow for a long time. */
   private static final double SLOW_BACK_OFF = 0.85;
 
+  /** Factor of the rate after a window in which most requests were lost. */
+  private static final double MOSTLY_LOST_BACK_OFF = 0.4;
+
   /** Growth after a loss in each window, as a fraction of the first rate. */
   private static final double STEP = 0.2;
 
+  /** Growth in each window near the rate of the last loss, as a fraction of the first rate. */
+  private static final double NEAR_LOSS_STEP = 0.05;
+
+  /** Fraction of the rate of the last loss from which the rate is near it. */
+  private static final double NEAR_LOSS = 0.8;
+
+  /** Multiple of the rate of the last loss from which that loss says nothing any more. */
+  private static final double BEYOND_LOSS = 1.25;
+
+  /** Factor of the rate in each window beyond the rate of the last loss. */
+  private static final double GROWTH_BEYOND_LOSS = 1.1;
+
   /** Fraction of lost requests from which the rate is lowered. */
   private static final double MAX_LOST = 0.1;
 
   /**
    * Time in milliseconds after a back-off in which further losses do not count, because they belong
-   * to earlier requests. With 500 ms a simulated target that fails above a rate per second got 58%
-   * of it.
+   * to earlier requests.
    */
-  private static final long REACTION_MS = 1_000;
+  private static final long REACTION_MS = 1_500;
+
+  /** The same for a target that loses most of its requests. */
+  private static final long MOSTLY_LOST_REACTION_MS = 500;
+
+  /** Time in milliseconds after a back-off in which a further one belongs to the same loss. */
+  private static final long SAME_LOSS_MS = 3_000;
 
   /** Number of windows with mostly slow answers after which the rate is lowered. */
   private static final int MAX_SLOW_WINDOWS = 10;
 
-  /** Multiple of the first rate from which a target without a loss needs no pace. */
+  /**
+   * Multiple of the first rate that a target without a loss must take for a while. Ending a search
+   * as soon as the rate was reached flooded a simulated target, since its losses were not reported
+   * yet.
+   */
   private static final double MAX_GROWTH = 16;
 
   /** Lowest rate, as a fraction of the first rate. */
@@ -56,6 +80,8 @@
   private int slowWindows;
   private long windowEndMs;
   private long lossMs = Long.MIN_VALUE / 2;
+  private long highestSinceMs = Long.MAX_VALUE;
+  private double lossRate = Double.POSITIVE_INFINITY;
   private long unboundSinceMs;
   private boolean ended;
 
@@ -125,28 +151,45 @@
     boolean mostlySlow = slow * 2 > total;
     slowWindows = mostlySlow ? slowWindows + 1 : 0;
     if (lost > MAX_LOST * total) {
-      backOff(nowMs);
+      backOff(lost * 2 > total, nowMs);
     } else if (held || total == 0) {
       return;
     } else if (mostlySlow) {
       rate = slowWindows < MAX_SLOW_WINDOWS ? rate : Math.max(firstRate, SLOW_BACK_OFF * rate);
     } else if (binding) {
-      rate = lossSeen ? rate + STEP * firstRate : rate * GROWTH;
+      rate = grown();
     }
   }
 
-  private void backOff(long nowMs) {
+  private double grown() {
+    if (!lossSeen) {
+      return Math.min(MAX_GROWTH * firstRate, rate * GROWTH);
+    }
+    if (rate < NEAR_LOSS * lossRate) {
+      return rate + STEP * firstRate;
+    }
+    return rate < BEYOND_LOSS * lossRate
+        ? rate + NEAR_LOSS_STEP * firstRate
+        : rate * GROWTH_BEYOND_LOSS;
+  }
+
+  private void backOff(boolean mostlyLost, long nowMs) {
     lossSeen = true;
-    if (nowMs - lossMs >= REACTION_MS) {
-      lossMs = nowMs;
-      rate = Math.max(MIN_FRACTION * firstRate, BACK_OFF * rate);
+    if (nowMs - lossMs < (mostlyLost ? MOSTLY_LOST_REACTION_MS : REACTION_MS)) {
+      return;
     }
+    lossRate = nowMs - lossMs >= SAME_LOSS_MS ? rate : lossRate;
+    lossMs = nowMs;
+    double factor = mostlyLost ? MOSTLY_LOST_BACK_OFF : BACK_OFF;
+    rate = Math.max(MIN_FRACTION * firstRate, factor * rate);
   }
 
   private void endIfTaken(long nowMs) {
     long unboundMs = nowMs - unboundSinceMs;
+    boolean highest = !lossSeen && rate >= MAX_GROWTH * firstRate;
+    highestSinceMs = highest ? Math.min(highestSinceMs, nowMs) : Long.MAX_VALUE;
     ended =
-        (!lossSeen && rate >= MAX_GROWTH * firstRate)
+        (highest && nowMs - highestSinceMs >= satisfiedMs)
             || (unboundMs >= satisfiedMs && answeredSince)
             || unboundMs >= Math.max(IDLE_END_MS, satisfiedMs);
   }
