--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -4,7 +4,6 @@
 import dev.caroblb.agreement.ReplicaFault;
 import dev.caroblb.core.Duty;
 import dev.caroblb.core.GroupId;
-import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.LeaderLease;
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.MillisClock;
@@ -21,7 +20,6 @@
 import dev.caroblb.membership.AllTargets;
 import dev.caroblb.membership.ContactTopology;
 import dev.caroblb.membership.DrainProgress;
-import dev.caroblb.membership.InstanceRecord;
 import dev.caroblb.membership.InstanceView;
 import dev.caroblb.membership.LocalInstance;
 import dev.caroblb.membership.MembershipHandler;
@@ -46,8 +44,6 @@
 import dev.caroblb.transport.Hello;
 import dev.caroblb.transport.PeerTransport;
 import java.io.IOException;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -78,10 +74,9 @@
   private final EvacuationDuty evacuation = new EvacuationDuty();
   private final Optional<ControlReplica> replica;
   private final ForwardingHandler forwardingHandler;
+  private final MembersBridge members;
   private final CountDownLatch immediateStop = new CountDownLatch(1);
   private final CountDownLatch stopStarted = new CountDownLatch(1);
-  private volatile InstanceView view = new InstanceView(List.of(), List.of());
-  private InstanceView offeredMembers = view;
   private volatile Optional<RoutingTable> table = Optional.empty();
   private volatile Optional<DrainProgress> drain = Optional.empty();
   private volatile boolean failed;
@@ -117,6 +112,7 @@
         proposer(),
         metrics,
         EvacuationDuty.toTargetChoice(forwarding, scheduling));
+    members = new MembersBridge(settings, routing, forwarding, scheduling);
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
@@ -248,7 +244,7 @@
             new MembershipOutlets(
                 peers,
                 new TargetChangeBridge(forwarding, scheduling),
-                this::viewChanged,
+                members,
                 this::drainProgressed));
     Duty<MembershipMessage> duty = duties.create("membership", handler);
     membership.bind(duty);
@@ -259,47 +255,6 @@
     return membership.offer(new MembershipMessage.LeavingObserved(run.target(), run.incarnation()));
   }
 
-  /**
-   * Routing tables are exchanged with the same instances as the tables of targets. The resources of
-   * instances change often and matter only to look-ups, which read the view.
-   */
-  private boolean viewChanged(InstanceView latest) {
-    view = latest;
-    InstanceView members = latest.withoutResources();
-    if (members.equals(offeredMembers)) {
-      return true;
-    }
-    boolean offered = membersChanged(members);
-    if (offered) {
-      offeredMembers = members;
-    }
-    return offered;
-  }
-
-  private boolean membersChanged(InstanceView latest) {
-    Set<InstanceId> peers = new HashSet<>(settings.seeds());
-    for (InstanceRecord known : latest.instances()) {
-      peers.add(known.id());
-    }
-    peers.remove(settings.instance());
-    List<InstanceId> controlInstances =
-        latest.instances().stream()
-            .filter(known -> known.address().isEmpty())
-            .map(InstanceRecord::id)
-            .filter(id -> !id.equals(settings.instance()))
-            .toList();
-    long servingInstances =
-        latest.instances().stream().filter(known -> !known.address().isEmpty()).count();
-    scheduling.ifPresent(
-        outlet ->
-            outlet.offer(new SchedulingMessage.ServingInstancesChanged((int) servingInstances)));
-    forwarding.offer(
-        new ForwardingMessage.ControlInstancesChanged(
-            settings.hasControlReplica() ? List.of() : controlInstances));
-    boolean known = evacuation.peersChanged(peers, settings.seeds(), controlInstances);
-    return routing.offer(new RoutingMessage.PeersChanged(peers)) && known;
-  }
-
   private boolean drainProgressed(DrainProgress progress) {
     drain = Optional.of(progress);
     stopStarted.countDown();
@@ -388,7 +343,7 @@
   }
 
   public InstanceView view() {
-    return view;
+    return members.view();
   }
 
   public Optional<RoutingTable> table() {
