--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -112,7 +112,7 @@
         proposer(),
         metrics,
         EvacuationDuty.toTargetChoice(forwarding, scheduling));
-    members = new MembersBridge(settings, routing, forwarding, scheduling);
+    members = new MembersBridge(settings, routing, forwarding, scheduling, evacuation);
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
--- a/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
@@ -21,6 +21,7 @@
   private final Outlet<RoutingMessage> routing;
   private final Outlet<ForwardingMessage> forwarding;
   private final Optional<LateBoundOutlet<SchedulingMessage>> scheduling;
+  private final EvacuationDuty evacuation;
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
   private InstanceView offeredMembers = view;
 
@@ -28,11 +29,13 @@
       ForwardingInstanceSettings settings,
       Outlet<RoutingMessage> routing,
       Outlet<ForwardingMessage> forwarding,
-      Optional<LateBoundOutlet<SchedulingMessage>> scheduling) {
+      Optional<LateBoundOutlet<SchedulingMessage>> scheduling,
+      EvacuationDuty evacuation) {
     this.settings = settings;
     this.routing = routing;
     this.forwarding = forwarding;
     this.scheduling = scheduling;
+    this.evacuation = evacuation;
   }
 
   /** The latest view; may be read from any thread. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -21,15 +21,6 @@
   /** Number of sends of one request, including those that the target refused. */
   private static final int MAX_SENDS = 4;
 
-  /** A request waits for a target up to its latency objective divided by this. */
-  private static final int TARGET_WAIT_DIVISOR = 8;
-
-  /**
-   * Time that a request stays queued for an engine, in multiples of its latency objective. A late
-   * response is of little use: callers disconnect after four objectives without an event.
-   */
-  private static final int MAX_QUEUED_OBJECTIVES = 3;
-
   /**
    * Time in milliseconds after which a control instance is asked for a permit again that did not
    * reply, or does not know the limit yet.
@@ -153,13 +144,7 @@
   private void queued(Exchange exchange, long nowMs) {
     log("forwarding.queued", exchange);
     exchange.setQueued();
-    exchanges.wakeAt(exchange, Math.min(nowMs + RECHECK_MS, queuedUntilMs(exchange)));
-  }
-
-  private static long queuedUntilMs(Exchange exchange) {
-    return Math.min(
-        exchange.deadlineMs(),
-        exchange.arrivedMs() + MAX_QUEUED_OBJECTIVES * exchange.route().objectiveMs());
+    exchanges.wakeAt(exchange, Math.min(nowMs + RECHECK_MS, WaitLimits.queuedUntilMs(exchange)));
   }
 
   /** Sends a request to the target that a control instance chose, if it still accepts requests. */
@@ -185,10 +170,11 @@
       return;
     }
     if (coordinator.isQueued(exchange, nowMs)) {
-      if (nowMs >= queuedUntilMs(exchange)) {
+      if (nowMs >= WaitLimits.queuedUntilMs(exchange)) {
         finisher.fail(exchange, RefusalReason.BACKLOG_FULL, "no room at any engine", nowMs);
       } else {
-        exchanges.wakeAt(exchange, Math.min(nowMs + RECHECK_MS, queuedUntilMs(exchange)));
+        exchanges.wakeAt(
+            exchange, Math.min(nowMs + RECHECK_MS, WaitLimits.queuedUntilMs(exchange)));
       }
       return;
     }
@@ -254,7 +240,7 @@
       send(exchange, target.get(), Optional.empty(), nowMs);
       return;
     }
-    long waitUntilMs = waitUntilMs(exchange);
+    long waitUntilMs = WaitLimits.waitUntilMs(exchange);
     Optional<Long> acceptingMs = pool.nextAcceptingMs(need, nowMs);
     if (nowMs >= waitUntilMs || acceptingMs.filter(ms -> ms > waitUntilMs).isPresent()) {
       failWithoutTarget(
@@ -283,12 +269,6 @@
     finisher.fail(exchange, Refusal.of(reason, cause).retryAfter(retryAfterMs), cause, nowMs);
   }
 
-  private static long waitUntilMs(Exchange exchange) {
-    return Math.min(
-        exchange.deadlineMs(),
-        exchange.arrivedMs() + exchange.route().objectiveMs() / TARGET_WAIT_DIVISOR);
-  }
-
   /** Retries the placement of waiting requests after a change of the targets. */
   void placeWaiting(long nowMs) {
     if (!anyWaiting) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -15,12 +15,6 @@
   /** A response that is not a stream is buffered until it is complete, up to this size. */
   private static final int MAX_BUFFERED_BODY_BYTES = 4 << 20;
 
-  /**
-   * Minimum number of expected output tokens for a backup. Shorter generations mostly end within
-   * the notice period of a leaving engine.
-   */
-  private static final long MIN_BACKUP_OUTPUT_TOKENS = 200;
-
   private final ForwardCall call;
   private final Route route;
   private final String service;
@@ -173,7 +167,8 @@
   PlacementNeed placementNeed(
       PlacementNeed.Purpose purpose, FailureDomain preferredDomain, long nowMs) {
     // Resumable streams need no backup: they are sent again and resume after their last event.
-    boolean wantsBackup = !route.resumable() && longEnoughForBackup();
+    boolean wantsBackup =
+        !route.resumable() && call.generationSize().filter(GenerationSize::worthBackup).isPresent();
     return new PlacementNeed(
         purpose,
         service,
@@ -192,12 +187,6 @@
         route.eventGapObjectiveMs());
   }
 
-  private boolean longEnoughForBackup() {
-    return call.generationSize()
-        .filter(size -> size.expectedOutputTokens() >= MIN_BACKUP_OUTPUT_TOKENS)
-        .isPresent();
-  }
-
   private long promptTokens() {
     return call.generationSize().map(GenerationSize::promptTokens).orElse(0L);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -185,17 +185,7 @@
     exchange.tried().add(destination.get().info().id());
     log(exchange, "forwarding.move", "to " + destination.get().info().id());
     exchange.setMove(GenerationMove.to(destination.get()));
-    port.move(order(exchange, source, destination.get(), false));
-  }
-
-  private static MoveOrder order(
-      Exchange exchange, Target source, Target destination, boolean finalCopy) {
-    return new MoveOrder(
-        exchange.call(),
-        exchange.attempt(),
-        source.info().address(),
-        destination.info().address(),
-        finalCopy);
+    port.move(MoveOrder.of(exchange, source, destination.get(), false));
   }
 
   /** Handles the result of a copy. */
@@ -274,7 +264,7 @@
   /** Continues, or ends, a silent generation of which there is no complete copy. */
   private void checkSilence(Exchange exchange, Target source, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
-    long silentMs = Math.min(nowMs - exchange.sentMs(), silentForMs(exchange, nowMs));
+    long silentMs = exchange.timing().silentMs(exchange.sentMs(), nowMs);
     if (!exchange.streaming() || silentMs < SILENCE_TIMEOUT_MS) {
       return;
     }
@@ -294,10 +284,6 @@
     }
   }
 
-  private static long silentForMs(Exchange exchange, long nowMs) {
-    return exchange.timing().begun() ? exchange.timing().sinceLastPartMs(nowMs) : nowMs;
-  }
-
   private void checkCopied(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
     if (move.destination().evacuated() && !move.updating()) {
@@ -312,7 +298,7 @@
       stop(exchange, source, move, "silent for " + silentMs + " ms", nowMs);
     } else if (!move.updating() && nowMs - move.copiedAtMs() >= REFRESH_MS) {
       exchange.setMove(move.updateOrdered());
-      port.move(order(exchange, source, move.destination(), false));
+      port.move(MoveOrder.of(exchange, source, move.destination(), false));
     }
   }
 
@@ -321,7 +307,7 @@
       continuation.abandon(exchange, "the engine did not confirm in time that it stopped", nowMs);
     } else if (move.stopRetryMs().filter(retryMs -> nowMs >= retryMs).isPresent()) {
       exchange.setMove(move.stopping(move.stopByMs()));
-      port.move(order(exchange, source, move.destination(), true));
+      port.move(MoveOrder.of(exchange, source, move.destination(), true));
     }
   }
 
@@ -332,7 +318,7 @@
     coordinator.cancelPlacement(exchange);
     exchange.setMove(move.stopping(nowMs + STOP_TIMEOUT_MS));
     exchanges.wakeAt(exchange, nowMs + STOP_TIMEOUT_MS);
-    port.move(order(exchange, source, move.destination(), true));
+    port.move(MoveOrder.of(exchange, source, move.destination(), true));
   }
 
   /**
--- a/forwarding/src/main/java/dev/caroblb/forwarding/StreamTiming.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/StreamTiming.java
@@ -31,6 +31,11 @@
     return firstPartMs.orElse(0L);
   }
 
+  /** Time in milliseconds since the last part, or since an attempt was sent that has none yet. */
+  long silentMs(long sentMs, long nowMs) {
+    return nowMs - (begun() ? Math.max(sentMs, lastPartMs) : sentMs);
+  }
+
   /** Time in milliseconds since the last part. */
   long sinceLastPartMs(long nowMs) {
     return nowMs - lastPartMs;
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -133,7 +133,6 @@
 
   @Override
   public long nextTickMs() {
-    return Math.min(
-        limitExchange.nextMs(), Math.min(paces.nextMs(), coordinator.nextMs()));
+    return Math.min(limitExchange.nextMs(), Math.min(paces.nextMs(), coordinator.nextMs()));
   }
 }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -17,12 +17,6 @@
 
 /** The known targets, and the selection of a target of a service. */
 public final class TargetPool {
-  /**
-   * Fraction of an engine's memory up to which it takes backups. Backups take memory from requests
-   * that would run there.
-   */
-  private static final double MAX_BACKUP_ENGINE_FRACTION = 0.7;
-
   /** Maximum number of targets excluded by a placement request, to keep the message small. */
   private static final int MAX_EXCLUDED = 32;
 
@@ -51,6 +45,7 @@
   private final TargetLoads loads;
   private final TargetLimits limits;
   private final TargetChoice choice;
+  private final BackupChoice backups;
   private int instances = 1;
   private Set<FailureDomain> evacuated = Set.of();
 
@@ -74,6 +69,7 @@
     this.loads = new TargetLoads(random, remoteLoads);
     this.limits = limits;
     this.choice = new TargetChoice(loads, speeds);
+    this.backups = new BackupChoice(loads, limits, choice);
   }
 
   /** Learned speeds of the targets. */
@@ -318,23 +314,8 @@
    * generation can continue there if its engine fails.
    */
   public Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
-    Optional<EngineLimits> engine = loads.limits(need.service()).filter(EngineLimits::backups);
-    if (engine.isEmpty()
-        || !need.wantsBackup()
-        || !loads.roomForBackups(targets.values(), need, engine.get(), nowMs)) {
-      return Optional.empty();
-    }
-    long room = (long) (MAX_BACKUP_ENGINE_FRACTION * engine.get().memoryTokens()) - need.tokens();
-    List<Target> candidates = new ArrayList<>();
     List<Target> others = accepting(need.service(), Set.of(primary.info().id()), nowMs);
-    for (Target target : unpenalized(others, nowMs)) {
-      // All generations with this backup may continue there at the same time.
-      boolean limited = limits.limited(target.info().run(), nowMs);
-      if (!limited && loads.total(target, nowMs).tokens() <= room) {
-        candidates.add(target);
-      }
-    }
-    return choice.copyDestination(candidates, need, primary.info().domain(), nowMs);
+    return backups.choose(need, primary, unpenalized(others, nowMs), targets.values(), nowMs);
   }
 
   /** Whether any target accepts a request, now or when it has a permit. */
