Correct queue order, shares and forecasts after a review

Late requests of a higher priority went before less urgent ones in time, one virtual time for all priorities let an urgent request of a bursting workspace move the others behind its backlog, engines without a permit counted as room and prevented rejections, load that left a leaving or evacuated engine counted as freed room, and an entry with a busy processor alone was avoided as if it were full.

--- a/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
@@ -72,13 +72,16 @@
             .toList();
     long servingInstances =
         latest.instances().stream().filter(known -> !known.address().isEmpty()).count();
-    scheduling.ifPresent(
-        outlet ->
-            outlet.offer(new SchedulingMessage.ServingInstancesChanged((int) servingInstances)));
-    forwarding.offer(
-        new ForwardingMessage.ControlInstancesChanged(
-            settings.hasControlReplica() ? List.of() : controlInstances));
+    boolean offered =
+        scheduling.isEmpty()
+            || scheduling
+                .get()
+                .offer(new SchedulingMessage.ServingInstancesChanged((int) servingInstances));
+    offered &=
+        forwarding.offer(
+            new ForwardingMessage.ControlInstancesChanged(
+                settings.hasControlReplica() ? List.of() : controlInstances));
     boolean known = evacuation.peersChanged(peers, settings.seeds(), controlInstances);
-    return routing.offer(new RoutingMessage.PeersChanged(peers)) && known;
+    return routing.offer(new RoutingMessage.PeersChanged(peers)) && known && offered;
   }
 }
--- a/entryselection/src/main/java/dev/caroblb/entryselection/CapacitySelection.java
+++ b/entryselection/src/main/java/dev/caroblb/entryselection/CapacitySelection.java
@@ -63,7 +63,9 @@
 
   private static List<Draw> preferDomain(
       List<Draw> draws, List<InstanceRecord> entries, Optional<FailureDomain> callerDomain) {
-    if (callerDomain.isEmpty()) {
+    boolean measured = entries.stream().anyMatch(entry -> entry.resources().isPresent());
+    if (callerDomain.isEmpty() || !measured) {
+      // Without reports, a domain with too little room would not be noticed.
       return draws;
     }
     FailureDomain own = callerDomain.get();
--- a/entryselection/src/main/java/dev/caroblb/entryselection/MeasuredResources.java
+++ b/entryselection/src/main/java/dev/caroblb/entryselection/MeasuredResources.java
@@ -27,6 +27,12 @@
 
   private static final double MAX_PERCENT = 100;
 
+  /**
+   * Part of the link or of the connections in use from which an entry counts as full. A busy
+   * processor alone does not make an entry full: all entries would be avoided in turn.
+   */
+  private static final double FULL_FRACTION = 0.99;
+
   /** One kbit/s is one bit in a millisecond. */
   private static final double BITS_PER_BYTE = 8;
 
@@ -84,12 +90,19 @@
 
   private void report() {
     double connectionsUsed = (double) usage.connections() / Math.max(1, limits.connections());
+    boolean full = Math.max(connectionsUsed, linkUsed) >= FULL_FRACTION;
     double used = Math.max(connectionsUsed, Math.max(processorUsed, linkUsed));
     double free = Math.max(0, Math.min(MAX_PERCENT, MAX_PERCENT * (1 - used)));
-    if (Math.abs(free - reportedPercent) < HYSTERESIS_PERCENT) {
+    boolean wasFull = reportedPercent == 0;
+    if (full == wasFull && Math.abs(free - reportedPercent) < HYSTERESIS_PERCENT) {
+      return;
+    }
+    int steps = (int) Math.round(free / STEP_PERCENT) * STEP_PERCENT;
+    int percent = full ? 0 : Math.max(STEP_PERCENT, steps);
+    if (percent == reportedPercent) {
       return;
     }
-    reportedPercent = (int) Math.round(free / STEP_PERCENT) * STEP_PERCENT;
+    reportedPercent = percent;
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("instance.resources")
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -182,7 +182,7 @@
         workspace,
         call.fingerprint(),
         nowMs - arrivedMs,
-        Math.max(0, FirstEventUse.untilMs(route, arrivedMs, deadlineMs) - nowMs),
+        Math.max(0, WaitLimits.queuedUntilMs(this) - nowMs),
         Math.max(0, deadlineMs - nowMs),
         route.eventGapObjectiveMs());
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -265,11 +265,15 @@
   private void checkSilence(Exchange exchange, Target source, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
     long silentMs = exchange.timing().silentMs(exchange.sentMs(), nowMs);
-    if (!exchange.streaming() || silentMs < SILENCE_TIMEOUT_MS) {
+    boolean begun = exchange.streaming() || exchange.callerStream().begun();
+    if (!begun || silentMs < SILENCE_TIMEOUT_MS) {
       return;
     }
     if (silentMs >= ABANDON_TIMEOUT_MS) {
       continuation.abandon(exchange, "the engine is gone and no other one can continue", nowMs);
+    } else if (!exchange.streaming()) {
+      // The engine has not begun to continue the stream, so it has nothing to be moved.
+      return;
     } else if (exchange.move().isPresent()) {
       stopUnlessEvacuated(exchange, source, exchange.move().get(), silentMs, nowMs);
     } else if (!sourceLost(exchange, nowMs) && !exchange.route().resumable()) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/WaitLimits.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WaitLimits.java
@@ -6,17 +6,19 @@
   private static final int TARGET_WAIT_DIVISOR = 8;
 
   /**
-   * Time that a request stays queued for an engine, in multiples of its latency objective. A late
-   * response is of little use: callers disconnect after four objectives without an event.
+   * Time that a request stays queued for an engine, in multiples of its latency objective. Callers
+   * disconnect after four objectives without an event, and the first one takes time after the start.
    */
   private static final int MAX_QUEUED_OBJECTIVES = 3;
 
   private WaitLimits() {}
 
-  /** Time until which a request stays queued at a control instance. */
+  /** Time until which a request stays queued at a control instance, unless that rejects it. */
   static long queuedUntilMs(Exchange exchange) {
+    long usefulUntilMs =
+        FirstEventUse.untilMs(exchange.route(), exchange.arrivedMs(), exchange.deadlineMs());
     return Math.min(
-        exchange.deadlineMs(),
+        usefulUntilMs,
         exchange.arrivedMs() + MAX_QUEUED_OBJECTIVES * exchange.route().objectiveMs());
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/OpenPlacements.java
@@ -19,6 +19,12 @@
   /** Time in milliseconds after which a placement is forgotten; exceeds deadlines. */
   private static final long MAX_AGE_MS = 120_000;
 
+  /**
+   * Minimum time in milliseconds that a placement is held for its end to count. An entry that got a
+   * reply too late has sent its request elsewhere and reports no load for the placement.
+   */
+  private static final long MIN_HELD_MS = 100;
+
   private record Place(InstanceId instance, TargetRun run) {}
 
   private record Placement(long tokens, long atMs) {}
@@ -53,7 +59,12 @@
     for (long left = released.requests() - others; left > 0 && !placements.isEmpty(); left--) {
       Placement ended =
           placements.remove(released.requests() == 1 ? index(placements, released.tokens()) : 0);
-      holdTimes.ended(ended.tokens(), nowMs - ended.atMs());
+      long heldMs = nowMs - ended.atMs();
+      if (heldMs < MIN_HELD_MS) {
+        holdTimes.forgotten(ended.tokens());
+      } else {
+        holdTimes.ended(ended.tokens(), heldMs);
+      }
     }
     if (placements.isEmpty()) {
       open.remove(place);
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -124,7 +124,7 @@
     loads.forEach(load -> left.put(load.run(), load.requests()));
     for (TargetLoad load : released) {
       long leftRequests = left.getOrDefault(load.run(), 0L);
-      pool.serviceOf(load.run())
+      pool.servingServiceOf(load.run())
           .ifPresentOrElse(
               service -> forecast.released(service, peer, load, leftRequests, nowMs),
               () -> forecast.lost(peer, load.run()));
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -80,9 +80,9 @@
     long delayMs = Math.min(FIRST_EVENT_DELAY_MS, objectiveMs / 2);
     ServiceQueue service = of(need.service());
     if (service.size() == 0) {
-      service.shares().idle();
+      service.idle();
     }
-    double tag = service.shares().arrived(need.workspace().orElse(""), need.tokens());
+    double tag = service.shares(need.priority()).arrived(need.workspace().orElse(""), need.tokens());
     boolean persistent = earlier.filter(RejectedCallers.Rejection::persistent).isPresent();
     long inTimeUntilMs = firstMs + objectiveMs - delayMs;
     return new QueuedRequest(
@@ -105,14 +105,20 @@
 
   /** Records that a request got a target without being queued. */
   void servedAtOnce(QueuedRequest request) {
-    of(request.need().service()).shares().served(request.startTag());
+    PlacementNeed need = request.need();
+    ServiceQueue service = of(need.service());
+    if (service.size() == 0) {
+      service.shares(need.priority()).served(request.startTag());
+    }
   }
 
   /** Removes a request that gets no room. */
   void withdraw(QueuedRequest request) {
     ServiceQueue service = of(request.need().service());
     Optional.ofNullable(queued.remove(request.key())).ifPresent(service::remove);
-    service.shares().withdrawn(request.workspace(), request.need().tokens());
+    service
+        .shares(request.need().priority())
+        .withdrawn(request.workspace(), request.need().tokens());
   }
 
   /** Replaces a request by one that comes later in the order. */
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -71,7 +71,7 @@
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
     if (message instanceof PeerMessage.LoadReport report) {
-      speeds.update(pool.infos(), nowMs);
+      speeds.update(pool::infos, nowMs);
       speeds.observed(peer, report.observations(), nowMs);
       coordinator.loadReported(peer, report, nowMs);
     } else if (message instanceof PeerMessage.PlacementRequest request) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
@@ -6,17 +6,20 @@
 import dev.caroblb.targets.TargetPool;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
- * Queued requests of one service, ordered by priority, then by whether they can still meet their
- * objective, then by fair shares of the workspaces, then by arrival.
+ * Queued requests of one service. Those that can still meet their objective come first, so that
+ * late ones get only room that would stay idle; each kind is ordered by priority, then by fair
+ * shares of the workspaces, then by arrival.
  */
 final class ServiceQueue {
   /**
@@ -25,13 +28,18 @@
    */
   private static final int MAX_RESERVED_ENGINES = 4;
 
+  /** Lowest priority with shares of its own; bounds the number of them. */
+  private static final int MAX_PRIORITY = 15;
+
   /** Decides whether a request stays queued. */
   interface Check {
     /** Returns the request as it is to be queued; empty if it is not to be queued. */
     Optional<QueuedRequest> keep(QueuedRequest request, Backlog ahead);
   }
 
-  private final FairShares shares = new FairShares();
+  /** Shares of each priority: tags of urgent requests would overtake those of other ones. */
+  private final Map<Integer, FairShares> shares = new HashMap<>();
+
   private final QueueTier inTime = new QueueTier();
   private final QueueTier late = new QueueTier();
   private final TreeSet<QueuedRequest> byObjective =
@@ -43,8 +51,14 @@
   /** The most free memory of an engine is not above this; NaN if not known. */
   private double roomBound = Double.NaN;
 
-  FairShares shares() {
-    return shares;
+  FairShares shares(int priority) {
+    return shares.computeIfAbsent(
+        Math.max(0, Math.min(MAX_PRIORITY, priority)), each -> new FairShares());
+  }
+
+  /** Starts shares anew after a time without queued requests, in which they do not matter. */
+  void idle() {
+    shares.values().forEach(FairShares::idle);
   }
 
   int size() {
@@ -84,12 +98,9 @@
 
   /** What gets room before a queued request. */
   Backlog ahead(QueuedRequest request, long nowMs) {
-    int priority = request.need().priority();
     boolean timely = request.inTime(nowMs);
     QueueTier.Sum ahead =
-        timely
-            ? inTime.before(request).plus(late.before(priority))
-            : inTime.upTo(priority).plus(late.before(request));
+        timely ? inTime.before(request) : inTime.all().plus(late.before(request));
     QueueTier.Sum ifLate = inTime.all().plus(late.before(request));
     if (timely) {
       ifLate = ifLate.plus(request, -1);
@@ -144,7 +155,7 @@
     }
     for (QueuedRequest request : done) {
       remove(request);
-      shares.served(request.startTag());
+      shares(request.need().priority()).served(request.startTag());
     }
     return done;
   }
@@ -183,37 +194,19 @@
     return rejected;
   }
 
-  /** All requests, merged from both tiers by priority. */
+  /** All requests, those in time first. */
   private Iterator<QueuedRequest> inOrder() {
+    Iterator<QueuedRequest> timely = inTime.iterator();
+    Iterator<QueuedRequest> tardy = late.iterator();
     return new Iterator<>() {
-      private final Iterator<QueuedRequest> timely = inTime.iterator();
-      private final Iterator<QueuedRequest> tardy = late.iterator();
-      private Optional<QueuedRequest> nextTimely = next(timely);
-      private Optional<QueuedRequest> nextTardy = next(tardy);
-
-      private Optional<QueuedRequest> next(Iterator<QueuedRequest> from) {
-        return from.hasNext() ? Optional.of(from.next()) : Optional.empty();
-      }
-
       @Override
       public boolean hasNext() {
-        return nextTimely.isPresent() || nextTardy.isPresent();
+        return timely.hasNext() || tardy.hasNext();
       }
 
       @Override
       public QueuedRequest next() {
-        boolean takeTimely =
-            nextTardy.isEmpty()
-                || nextTimely
-                    .filter(r -> r.need().priority() <= nextTardy.get().need().priority())
-                    .isPresent();
-        QueuedRequest taken = (takeTimely ? nextTimely : nextTardy).orElseThrow();
-        if (takeTimely) {
-          nextTimely = next(timely);
-        } else {
-          nextTardy = next(tardy);
-        }
-        return taken;
+        return timely.hasNext() ? timely.next() : tardy.next();
       }
     };
   }
--- a/targets/src/main/java/dev/caroblb/targets/ServiceUse.java
+++ b/targets/src/main/java/dev/caroblb/targets/ServiceUse.java
@@ -5,8 +5,8 @@
  *
  * @param places requests that can run at once on all engines
  * @param requests requests that run or wait there
- * @param mostFreeTokens free memory, in tokens, of the engine with most of it, whether or not it
- *     has permits or is reserved
+ * @param mostFreeTokens free memory, in tokens, of the engine with most of it that may get a
+ *     request now, whether or not it is reserved
  */
 public record ServiceUse(long places, long requests, double mostFreeTokens) {
   /** Fraction of places in use from which a lack of places, not of memory, delays requests. */
--- a/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
+++ b/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
@@ -4,10 +4,10 @@
 import dev.caroblb.core.LogLine;
 import dev.caroblb.core.TargetRun;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -62,11 +62,12 @@
   }
 
   /** Computes the speeds anew if they are due, and forgets runs that ended. */
-  public void update(Collection<TargetInfo> targets, long nowMs) {
+  public void update(Supplier<List<TargetInfo>> knownTargets, long nowMs) {
     if (nowMs - updatedMs < UPDATE_INTERVAL_MS) {
       return;
     }
     updatedMs = nowMs;
+    List<TargetInfo> targets = knownTargets.get();
     known = targets.stream().map(TargetInfo::run).collect(Collectors.toUnmodifiableSet());
     observed.keySet().retainAll(known);
     observedMs.values().removeIf(ms -> nowMs - ms >= RemoteLoad.MAX_AGE_MS);
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /** The load of targets, from all instances as far as this one knows, and the room that is left. */
@@ -109,7 +110,11 @@
   }
 
   /** The places and requests on all targets of a service that do not leave. */
-  ServiceUse use(String service, Collection<Target> targets, long nowMs) {
+  ServiceUse use(
+      String service,
+      Collection<Target> targets,
+      Predicate<Target> mayGetRequest,
+      long nowMs) {
     long places = 0;
     long requests = 0;
     double mostFree = 0;
@@ -118,7 +123,8 @@
       if (target.info().service().equals(service) && !target.leaving()) {
         places += slots;
         requests += total(target, nowMs).requests();
-        mostFree = target.accepts(nowMs) ? Math.max(mostFree, freeTokens(target, nowMs)) : mostFree;
+        mostFree =
+            mayGetRequest.test(target) ? Math.max(mostFree, freeTokens(target, nowMs)) : mostFree;
       }
     }
     return new ServiceUse(places, requests, mostFree);
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -261,9 +261,11 @@
   public Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
     Optional<Target> best = Optional.empty();
     double most = Double.NEGATIVE_INFINITY;
-    for (Target target : choice.inTime(permitted(need, nowMs), need, nowMs)) {
+    List<Target> unreserved = permitted(need, nowMs);
+    unreserved.removeIf(target -> reserved.contains(target.info().id()));
+    for (Target target : choice.inTime(unreserved, need, nowMs)) {
       double free = loads.freeTokens(target, nowMs);
-      if (!reserved.contains(target.info().id()) && free > most) {
+      if (free > most) {
         best = Optional.of(target);
         most = free;
       }
@@ -273,24 +275,35 @@
 
   /**
    * Free memory, in tokens, of the engine with most of it that is not reserved, whatever targets
-   * the request excludes; negative if there is none.
+   * the request excludes or would be slow for it; negative if there is none.
    */
   public double mostFreeTokens(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
-    return mostFreeMemory(need.withoutExclusions(), reserved, nowMs)
-        .map(engine -> loads.freeTokens(engine, nowMs))
-        .orElse(-1.0);
+    double most = -1;
+    for (Target target : permitted(need.withoutExclusions(), nowMs)) {
+      if (!reserved.contains(target.info().id())) {
+        most = Math.max(most, loads.freeTokens(target, nowMs));
+      }
+    }
+    return most;
   }
 
-  /** The service of a run of a target; empty if this run is not known, or not any more. */
-  public Optional<String> serviceOf(TargetRun run) {
+  /**
+   * The service of a run of a target that may get requests; empty if it leaves, is evacuated, or is
+   * not known. The room that requests leave there is of no use.
+   */
+  public Optional<String> servingServiceOf(TargetRun run) {
     return Optional.ofNullable(targets.get(run.target()))
-        .filter(target -> target.info().incarnation() == run.incarnation())
+        .filter(target -> target.info().incarnation() == run.incarnation() && target.serves())
         .map(target -> target.info().service());
   }
 
   /** The places and requests on all targets of a service that do not leave. */
   public ServiceUse use(String service, long nowMs) {
-    return loads.use(service, targets.values(), nowMs);
+    return loads.use(
+        service,
+        targets.values(),
+        target -> target.accepts(nowMs) && limits.permits(target.info().run(), nowMs),
+        nowMs);
   }
 
   /** Total memory, in tokens, that may be assigned to requests on all available engines. */
--- a/targets/src/test/java/dev/caroblb/targets/TargetChoiceTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/TargetChoiceTest.java
@@ -90,13 +90,13 @@
       SpeedTable table = new SpeedTable();
       TargetInfo known = new TargetInfo(SLOW.target(), 1, "service", "10.0.0.1:80", HERE);
       List<SpeedSample> samples = List.of(new SpeedSample(0, 1, 50));
-      table.update(List.of(known), 0);
+      table.update(() -> List.of(known), 0);
       table.observed(
           new InstanceId("entry"),
           List.of(new SpeedObservation(SLOW, samples), new SpeedObservation(run("x"), samples)),
           0);
       assertEquals(1, table.runs());
-      table.update(List.of(), 1_000);
+      table.update(List::of, 1_000);
       assertEquals(0, table.runs());
     }
   }
