Test evacuation orders while real processes are killed

A service whose only target is in the evacuated domain refuses calls with no_target, through the loss of the leader and a restart of all instances, until the order is withdrawn.

--- a/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
+++ b/systemtests/src/main/java/dev/caroblb/systemtests/TestCaller.java
@@ -120,6 +120,16 @@
             .build());
   }
 
+  /** Orders the evacuation of a failure domain, or withdraws the order. */
+  Response evacuate(String address, String domain, boolean begin)
+      throws IOException, InterruptedException {
+    return send(
+        request(address, "/v1/evacuations/" + domain)
+            .header("Authorization", "Bearer " + TestCluster.OPERATOR_TOKEN)
+            .method(begin ? "POST" : "DELETE", HttpRequest.BodyPublishers.noBody())
+            .build());
+  }
+
   private static HttpRequest.Builder callRequest(String address, String workspace, String call) {
     return request(address, "/v1/workspaces/" + workspace + "/calls/" + call)
         .header("Authorization", "Bearer example-token-" + workspace);
