--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -197,6 +197,13 @@
     cutOff.remove(new InstanceId(name));
   }
 
+  /** Tells one instance which failure domains are evacuated. */
+  void evacuate(String name, FailureDomain... domains) {
+    Instance instance = instances.get(new InstanceId(name));
+    instance.scheduling.handle(new SchedulingMessage.EvacuationsChanged(Set.of(domains)), nowMs);
+    instance.handle(new ForwardingMessage.EvacuationsChanged(Set.of(domains)));
+  }
+
   void in(long delayMs, Runnable action) {
     events.add(new Event(nowMs + delayMs, nextEvent++, action));
   }
