Do not count ordered stops as failures of a target

Cause: a generation that is stopped because it continues elsewhere ended its attempt like a broken connection and counted as a failure of its engine. Instances whose services name no warm-up looked through all observations for each request. Change: attempts that were ordered to stop are not counted; without a warm-up in the configuration there is nothing to look through.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/TargetPacing.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TargetPacing.java
@@ -81,10 +81,13 @@
     }
   }
 
-  /** Counts a request that its target has failed or not answered in time. */
+  /**
+   * Counts a request that its target has failed or not answered in time; not one that it was told
+   * to stop.
+   */
   void failed(Exchange exchange) {
     Optional<Target> target = exchange.target();
-    if (target.isPresent()) {
+    if (target.isPresent() && !exchange.stopOrdered()) {
       outcomes(exchange).ifPresent(counter -> counter.failed(target.get().info().run()));
     }
   }
--- a/pacing/src/main/java/dev/caroblb/pacing/WarmUps.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/WarmUps.java
@@ -128,6 +128,9 @@
 
   /** Whether a target is cold and its service names a rate for cold targets. */
   boolean cold(TargetRun run, long nowMs) {
+    if (warmUps.isEmpty()) {
+      return false;
+    }
     Observation observation = latest.get(run);
     return observation != null && nowMs < observation.untilMs() && warmUp(run).isPresent();
   }
@@ -139,12 +142,12 @@
 
   @Override
   public boolean limitsAny(long nowMs) {
-    return latest.keySet().stream().anyMatch(run -> cold(run, nowMs));
+    return count(nowMs) > 0;
   }
 
   /** Number of targets that are cold. */
   long count(long nowMs) {
-    return latest.keySet().stream().filter(run -> cold(run, nowMs)).count();
+    return warmUps.isEmpty() ? 0 : latest.keySet().stream().filter(run -> cold(run, nowMs)).count();
   }
 
   /** The latest observation of a target that is still cold by it. */
