Keep slow answers from raising the rate of a paced target, and from pacing it for ever

A target whose rate was below its first rate after losses jumped to the first rate when its answers were slow, and one that is slow by nature stayed paced as long as there was demand. A continuation that needs a new destination now takes a permit there.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ContinuationChooser.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ContinuationChooser.java
@@ -35,8 +35,10 @@
     }
     PlacementNeed need =
         exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.info().domain(), nowMs);
-    return pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs)
-        .map(GenerationMove::to);
+    Optional<Target> destination =
+        pool.chooseDestination(need, TargetPool.OWN_MOVE_CANDIDATES, nowMs);
+    destination.ifPresent(engine -> pool.takePermit(engine, nowMs));
+    return destination.map(GenerationMove::to);
   }
 
   private static CopiedMemory backupOf(Exchange exchange, Target engine) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -269,25 +269,19 @@
     if (!begun || silentMs < SILENCE_TIMEOUT_MS) {
       return;
     }
+    Optional<GenerationMove> move = exchange.move();
+    boolean evacuated = move.filter(to -> to.destination().evacuated()).isPresent();
     if (silentMs >= ABANDON_TIMEOUT_MS) {
       continuation.abandon(exchange, "the engine is gone and no other one can continue", nowMs);
-    } else if (!exchange.streaming()) {
-      // The engine has not begun to continue the stream, so it has nothing to be moved.
+    } else if (!exchange.streaming() || evacuated) {
       return;
-    } else if (exchange.move().isPresent()) {
-      stopUnlessEvacuated(exchange, source, exchange.move().get(), silentMs, nowMs);
+    } else if (move.isPresent()) {
+      stop(exchange, source, move.get(), "silent for " + silentMs + " ms", nowMs);
     } else if (!sourceLost(exchange, nowMs) && !exchange.route().resumable()) {
       start(exchange, source, nowMs);
     }
   }
 
-  private void stopUnlessEvacuated(
-      Exchange exchange, Target source, GenerationMove move, long silentMs, long nowMs) {
-    if (!move.destination().evacuated()) {
-      stop(exchange, source, move, "silent for " + silentMs + " ms", nowMs);
-    }
-  }
-
   private void checkCopied(Exchange exchange, Target source, GenerationMove move, long nowMs) {
     exchanges.wakeAt(exchange, nowMs + RECHECK_MS);
     if (move.destination().evacuated() && !move.updating()) {
--- a/pacing/src/main/java/dev/caroblb/pacing/PaceSearch.java
+++ b/pacing/src/main/java/dev/caroblb/pacing/PaceSearch.java
@@ -55,6 +55,12 @@
   /** Number of windows with mostly slow answers after which the rate is lowered. */
   private static final int MAX_SLOW_WINDOWS = 10;
 
+  /**
+   * Number of windows with mostly slow answers after which the target counts as slow by nature, and
+   * its rate grows in small steps. It would stay paced as long as there is demand otherwise.
+   */
+  private static final int MAX_HELD_SLOW_WINDOWS = 50;
+
   /**
    * Multiple of the first rate that a target without a loss must take for a while. Ending a search
    * as soon as the rate was reached flooded a simulated target, since its losses were not reported
@@ -154,10 +160,11 @@
       backOff(lost * 2 > total, nowMs);
     } else if (held || total == 0) {
       return;
-    } else if (mostlySlow) {
-      rate = slowWindows < MAX_SLOW_WINDOWS ? rate : Math.max(firstRate, SLOW_BACK_OFF * rate);
+    } else if (mostlySlow && slowWindows < MAX_HELD_SLOW_WINDOWS) {
+      boolean lowered = slowWindows >= MAX_SLOW_WINDOWS && rate > firstRate;
+      rate = lowered ? Math.max(firstRate, SLOW_BACK_OFF * rate) : rate;
     } else if (binding) {
-      rate = grown();
+      rate = mostlySlow ? rate + NEAR_LOSS_STEP * firstRate : grown();
     }
   }
 
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -6,7 +6,6 @@
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,16 +19,6 @@
   /** Maximum number of targets excluded by a placement request, to keep the message small. */
   private static final int MAX_EXCLUDED = 32;
 
-  /**
-   * Number of candidates sampled for a request by all instances together. Load that others added in
-   * the last tenths of a second is not known yet, so with many instances the least loaded target
-   * would get the requests of all of them. With few instances, a choice among all targets causes
-   * fewer preemptions.
-   */
-  private static final int CANDIDATES_OF_ALL_INSTANCES = 300;
-
-  private static final int MIN_CANDIDATES = 4;
-
   /**
    * Number of candidates sampled for a move that an instance places itself. All generations of an
    * engine are moved at the same time by instances that do not know of each other's moves; the
@@ -40,13 +29,12 @@
   /** Number of candidates for a move that a control instance places, which knows all moves. */
   public static final int ALL_MOVE_CANDIDATES = Integer.MAX_VALUE;
 
-  private final RandomGenerator random;
+  private final CandidateSample sample;
   private final Map<TargetId, Target> targets = new HashMap<>();
   private final TargetLoads loads;
   private final TargetLimits limits;
   private final TargetChoice choice;
   private final BackupChoice backups;
-  private int instances = 1;
   private Set<FailureDomain> evacuated = Set.of();
 
   /**
@@ -65,7 +53,7 @@
       List<RemoteLoad> remoteLoads,
       TargetLimits limits,
       TargetSpeeds speeds) {
-    this.random = random;
+    this.sample = new CandidateSample(random);
     this.loads = new TargetLoads(random, remoteLoads);
     this.limits = limits;
     this.choice = new TargetChoice(loads, speeds);
@@ -170,7 +158,7 @@
 
   /** Sets the number of instances that choose targets, including this one. */
   public void setInstances(int count) {
-    instances = Math.max(1, count);
+    sample.setInstances(count);
   }
 
   /** Sets the limits of the engines of each service. */
@@ -237,9 +225,7 @@
    * failure domain, then to a random target. Penalized targets are used only if no other is left.
    */
   public Optional<Target> choose(PlacementNeed need, long nowMs) {
-    int count = Math.max(MIN_CANDIDATES, CANDIDATES_OF_ALL_INSTANCES / instances);
-    List<Target> candidates = sample(count, permitted(need, nowMs));
-    return choice.nearest(candidates, need, nowMs);
+    return choice.nearest(sample.draw(permitted(need, nowMs)), need, nowMs);
   }
 
   /**
@@ -319,7 +305,7 @@
   /** Chooses the destination of a move; a copy within a failure domain is faster. */
   public Optional<Target> chooseDestination(PlacementNeed need, int candidates, long nowMs) {
     return choice.copyDestination(
-        sample(candidates, permitted(need, nowMs)), need, need.preferredDomain(), nowMs);
+        sample.draw(candidates, permitted(need, nowMs)), need, need.preferredDomain(), nowMs);
   }
 
   /**
@@ -401,11 +387,4 @@
     unpenalized.removeIf(target -> target.penalized(nowMs));
     return unpenalized.isEmpty() ? from : unpenalized;
   }
-
-  private List<Target> sample(int count, List<Target> from) {
-    for (int i = from.size() - 1; i > 0; i--) {
-      Collections.swap(from, i, random.nextInt(i + 1));
-    }
-    return from.subList(0, Math.min(count, from.size()));
-  }
 }
