--- a/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/PeerChannel.java
@@ -42,7 +42,7 @@
   private ByteBuffer frameOf(M message) {
     Optional<ByteBuffer> known =
         Optional.ofNullable(lastFrame.get())
-            .filter(last -> last.message() == message)
+            .filter(last -> last.message().equals(message))
             .map(LongFrame::frame);
     if (known.isPresent()) {
       return known.get();
--- a/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
+++ b/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ForkJoinPool;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -181,11 +182,12 @@
           awaitUsed((i + 1L) * PART);
         }
         for (Socket socket : sockets) {
-          senders.submit(
-              () -> {
-                sendBody(socket, PART);
-                return socket;
-              });
+          Future<?> unused =
+              senders.submit(
+                  () -> {
+                    sendBody(socket, PART);
+                    return socket;
+                  });
         }
         for (int i = 0; i < SENDERS; i++) {
           nextHandled().reply().send(200, List.of(), Payload.empty());
@@ -235,6 +237,7 @@
           assertTrue(account.usedBytes() - LIMIT <= PART, "output was queued beyond the bound");
         }
         assertEquals(1_000, refused, "output was queued without end");
+        assertTrue(socket.isConnected());
       }
       awaitUsed(LIMIT);
     }
@@ -251,6 +254,7 @@
         large.send(200, List.of(), Payload.copyOf(new byte[4 * LIMIT]));
         small.send(200, List.of(), Payload.copyOf(new byte[PART]));
         assertEquals(large, nextHandled().reply());
+        assertTrue(first.isConnected() && second.isConnected());
       }
       awaitUsed(0);
     }
--- a/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
+++ b/routing/src/main/java/dev/caroblb/routing/RoutingHandler.java
@@ -255,7 +255,7 @@
   private PeerMessage acceptedMessage(RoutingDocument document) {
     PeerMessage.Accepted message =
         lastSent
-            .filter(sent -> sent.document() == document)
+            .filter(sent -> sent.document().equals(document))
             .orElseGet(() -> new PeerMessage.Accepted(document));
     lastSent = Optional.of(message);
     return message;
