Release the memory of responses to callers that are gone

A response that was sent after its caller had disconnected stayed counted in the memory account for good, so that in the end every request was refused. Output that was dropped ends with an error, not as a complete response.

BoundedMemoryTest has a test for the response; the tests of http pass.

--- a/core/src/main/java/dev/caroblb/core/MemoryAccount.java
+++ b/core/src/main/java/dev/caroblb/core/MemoryAccount.java
@@ -82,15 +82,6 @@
     return usedBytes;
   }
 
-  /** Takes memory if the bound permits; returns false and takes nothing otherwise. */
-  public synchronized boolean reserve(long bytes) {
-    if (usedBytes + bytes > limitBytes) {
-      return false;
-    }
-    usedBytes += bytes;
-    return true;
-  }
-
   /** Counts memory that is in use already, also beyond the bound. */
   public synchronized void take(long bytes) {
     usedBytes += bytes;
--- a/http/src/main/java/dev/caroblb/http/RequestBody.java
+++ b/http/src/main/java/dev/caroblb/http/RequestBody.java
@@ -84,11 +84,19 @@
     if (pause) {
       memory.account().remove(resume);
       memory.account().whenFree(resume);
+      forgetUnlessPaused();
       return;
     }
     reopenWindow();
   }
 
+  /** Removes the waiting action of a body that ended meanwhile; it would use up a wake-up. */
+  private synchronized void forgetUnlessPaused() {
+    if (released || !paused) {
+      memory.account().remove(resume);
+    }
+  }
+
   /** Starts the timeout of a pause; pauses that follow each other closely count as one. */
   private void expireLater() {
     if (expires || memory.pauseTimeoutMs() == Long.MAX_VALUE) {
@@ -115,7 +123,7 @@
     }
     try {
       reopenWindow();
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
       // The connection is closed; the exchange is told so.
     }
   }
@@ -134,6 +142,10 @@
   /** The complete body. Its memory stays counted. */
   synchronized Payload complete() {
     paused = false;
+    memory.account().remove(resume);
+    if (!memory.account().exceeded()) {
+      memory.account().finished(this);
+    }
     Payload body = Payload.concat(parts);
     parts.clear();
     return body;
@@ -162,7 +174,7 @@
       if (capacity.isPresent()) {
         capacity.get().update(DISCARD_WINDOW_BYTES);
       }
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
       // The connection is closed; the exchange is told so.
     }
   }
--- a/http/src/main/java/dev/caroblb/http/ServerExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ServerExchange.java
@@ -4,7 +4,6 @@
 import dev.caroblb.core.Payload;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -46,14 +44,13 @@
   private final OpenExchanges openExchanges;
   private final ListenerMemory memory;
   private final RequestBody body;
-  private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+  private final OutputQueue output;
 
   private IncomingRequest head;
   private ResponseChannel responses;
   private HttpContext context;
   private DataStreamChannel channel;
   private long discardedBytes;
-  private int outputBytes;
   private volatile boolean rejected;
   private boolean aborted;
   private boolean dispatched;
@@ -82,6 +79,7 @@
     this.observer = observer;
     this.openExchanges = openExchanges;
     this.memory = memory;
+    this.output = new OutputQueue(memory.account());
     this.body = new RequestBody(memory, this::rejectForMemory);
   }
 
@@ -115,7 +113,7 @@
   /** Rejects a request that was not handled because the process has no memory for it. */
   private void rejectForMemory() {
     if (startRejection(UNAVAILABLE)) {
-      handler.rejectForMemory(head, this);
+      guarded(() -> handler.rejectForMemory(head, this));
     }
   }
 
@@ -187,13 +185,17 @@
     }
     IncomingRequest request =
         new IncomingRequest(head.method(), head.requestTarget(), head.fields(), body.complete());
+    guarded(() -> handler.handle(request, this));
+  }
+
+  /** An error that reached the reactor, or a timer, would end the process for all callers. */
+  private void guarded(Runnable action) {
     try {
-      handler.handle(request, this);
+      action.run();
     } catch (RuntimeException | StackOverflowError | LinkageError e) {
-      // An error that reached the reactor would end the listener for all callers.
       LOGGER.log(
           System.Logger.Level.ERROR,
-          LogLine.of("http.fault").with("path", request.path()).with("error", e).toString());
+          LogLine.of("http.fault").with("path", head.path()).with("error", e).toString());
       observer.rejected(INTERNAL_ERROR);
       send(INTERNAL_ERROR, "text/plain", Payload.ofText("internal error"), Map.of());
     }
@@ -201,8 +203,9 @@
 
   @Override
   public void send(int status, List<HeaderField> fields, Payload content) {
-    addOutput(content);
-    respond(status, Optional.empty(), content.size(), fields);
+    if (addOutput(content)) {
+      respond(status, Optional.empty(), content.size(), fields);
+    }
   }
 
   @Override
@@ -222,21 +225,27 @@
 
   @Override
   public void send(int status, String contentType, Payload content, Map<String, String> headers) {
-    addOutput(content);
-    respond(status, Optional.of(contentType), content.size(), HeaderField.of(headers));
+    if (addOutput(content)) {
+      respond(status, Optional.of(contentType), content.size(), HeaderField.of(headers));
+    }
   }
 
-  private void addOutput(Payload content) {
+  /** Queues a whole response; false if the caller is gone, which already released its memory. */
+  private boolean addOutput(Payload content) {
     synchronized (this) {
-      queue(content);
+      if (disconnected) {
+        return false;
+      }
+      output.add(content);
       ended = true;
     }
     openExchanges.freeMemory(memory.account());
+    return true;
   }
 
   /** Response bytes that are not written yet. */
   synchronized int outputBytes() {
-    return outputBytes;
+    return output.bytes();
   }
 
   /** Gives up a response that is not written yet, to free its memory. */
@@ -245,12 +254,6 @@
     abort();
   }
 
-  private void queue(Payload part) {
-    output.add(part.buffer());
-    outputBytes += part.size();
-    memory.account().take(part.size());
-  }
-
   @Override
   public void startStream(int status, String contentType, Map<String, String> headers) {
     respond(status, Optional.of(contentType), -1, HeaderField.of(headers));
@@ -258,13 +261,7 @@
 
   private void respond(
       int status, Optional<String> contentType, long length, List<HeaderField> fields) {
-    ExchangeResponse response = new ExchangeResponse(status);
-    for (HeaderField field : fields) {
-      response.addHeader(field.name(), field.value());
-    }
-    if (rejected) {
-      response.setHeader(HttpHeaders.CONNECTION, "close");
-    }
+    ExchangeResponse response = ExchangeResponse.of(status, fields, rejected);
     EntityDetails details =
         new BasicEntityDetails(length, contentType.map(ContentType::parse).orElse(null));
     try {
@@ -281,12 +278,12 @@
       if (disconnected) {
         return true;
       }
-      boolean full = outputBytes + chunk.size() > maxOutputBytes || memory.account().full();
-      if (outputBytes > 0 && full) {
+      boolean full = output.bytes() + chunk.size() > maxOutputBytes || memory.account().full();
+      if (output.bytes() > 0 && full) {
         wasFull = true;
         return false;
       }
-      queue(chunk);
+      output.add(chunk);
       current = channel;
     }
     requestOutput(current);
@@ -298,7 +295,7 @@
     DataStreamChannel current;
     synchronized (this) {
       for (Payload part : disconnected ? List.<Payload>of() : lastParts) {
-        queue(part);
+        output.add(part);
       }
       ended = true;
       current = channel;
@@ -314,7 +311,7 @@
 
   @Override
   public synchronized int available() {
-    return aborted || (ended && outputBytes == 0) ? 1 : outputBytes;
+    return aborted || (ended && output.bytes() == 0) ? 1 : output.bytes();
   }
 
   @Override
@@ -322,17 +319,18 @@
     Optional<Runnable> ready;
     synchronized (this) {
       this.channel = channel;
-      if (aborted) {
+      // A response whose output was dropped must not end as if it were complete.
+      if (aborted || disconnected) {
         throw new IOException("the response was aborted");
       }
-      writeOutput(channel);
+      output.writeTo(channel);
       if (ended && output.isEmpty() && !endSent) {
         endSent = true;
         openExchanges.remove(this);
         body.release();
         channel.endStream(null);
       }
-      ready = wasFull && outputBytes <= maxOutputBytes / 2 ? onWritable : Optional.empty();
+      ready = wasFull && output.bytes() <= maxOutputBytes / 2 ? onWritable : Optional.empty();
       if (ready.isPresent()) {
         wasFull = false;
       }
@@ -340,20 +338,6 @@
     ready.ifPresent(Runnable::run);
   }
 
-  private void writeOutput(DataStreamChannel channel) throws IOException {
-    while (!output.isEmpty()) {
-      ByteBuffer next = output.peekFirst();
-      int written = channel.write(next);
-      outputBytes -= written;
-      memory.account().release(written);
-      if (next.hasRemaining()) {
-        channel.requestOutput();
-        return;
-      }
-      output.removeFirst();
-    }
-  }
-
   @Override
   public synchronized void onWritable(Runnable action) {
     onWritable = Optional.of(action);
@@ -384,8 +368,6 @@
       }
       disconnected = true;
       output.clear();
-      memory.account().release(outputBytes);
-      outputBytes = 0;
       action = onDisconnect;
       openExchanges.remove(this);
       body.release();
--- a/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
+++ b/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
@@ -242,6 +242,21 @@
       awaitUsed(LIMIT);
     }
 
+    /** Guards against memory that stays counted for a response to a caller that is gone. */
+    @Test
+    void thatIsGoneGetsNoResponse() throws Exception {
+      listen(WAIT_MS);
+      Reply reply;
+      try (Socket unused = send("GET /x", 0)) {
+        reply = nextHandled().reply();
+        Reply gone = reply;
+        reply.onDisconnect(() -> handled.add(new Handled(null, gone)));
+      }
+      assertEquals(reply, nextHandled().reply());
+      reply.send(200, List.of(), Payload.copyOf(new byte[PART]));
+      assertEquals(0, account.usedBytes());
+    }
+
     /** Guards against complete responses for slow callers that fill the heap. */
     @Test
     void losesTheLargestResponseAboveTheBound() throws Exception {
