--- a/forwarding/src/main/java/dev/caroblb/forwarding/WaitLimits.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/WaitLimits.java
@@ -7,7 +7,8 @@
 
   /**
    * Time that a request stays queued for an engine, in multiples of its latency objective. Callers
-   * disconnect after four objectives without an event, and the first one takes time after the start.
+   * disconnect after four objectives without an event, and the first one takes time after the
+   * start.
    */
   private static final int MAX_QUEUED_OBJECTIVES = 3;
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -82,7 +82,8 @@
     if (service.size() == 0) {
       service.idle();
     }
-    double tag = service.shares(need.priority()).arrived(need.workspace().orElse(""), need.tokens());
+    double tag =
+        service.shares(need.priority()).arrived(need.workspace().orElse(""), need.tokens());
     boolean persistent = earlier.filter(RejectedCallers.Rejection::persistent).isPresent();
     long inTimeUntilMs = firstMs + objectiveMs - delayMs;
     return new QueuedRequest(
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
@@ -99,8 +99,7 @@
   /** What gets room before a queued request. */
   Backlog ahead(QueuedRequest request, long nowMs) {
     boolean timely = request.inTime(nowMs);
-    QueueTier.Sum ahead =
-        timely ? inTime.before(request) : inTime.all().plus(late.before(request));
+    QueueTier.Sum ahead = timely ? inTime.before(request) : inTime.all().plus(late.before(request));
     QueueTier.Sum ifLate = inTime.all().plus(late.before(request));
     if (timely) {
       ifLate = ifLate.plus(request, -1);
--- a/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
+++ b/targets/src/main/java/dev/caroblb/targets/SpeedTable.java
@@ -7,10 +7,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.function.Supplier;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
--- a/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetLoads.java
@@ -111,10 +111,7 @@
 
   /** The places and requests on all targets of a service that do not leave. */
   ServiceUse use(
-      String service,
-      Collection<Target> targets,
-      Predicate<Target> mayGetRequest,
-      long nowMs) {
+      String service, Collection<Target> targets, Predicate<Target> mayGetRequest, long nowMs) {
     long places = 0;
     long requests = 0;
     double mostFree = 0;
