--- a/entryselection/src/main/java/dev/caroblb/entryselection/EntryWeights.java
+++ b/entryselection/src/main/java/dev/caroblb/entryselection/EntryWeights.java
@@ -46,7 +46,8 @@
     for (InstanceRecord entry : entries) {
       if (entry.resources().isPresent()) {
         InstanceResources resources = entry.resources().get();
-        max = Math.max(max, cores ? resources.milliCores() : resources.linkKbps());
+        long size = cores ? resources.milliCores() : resources.linkKbps();
+        max = Math.max(max, (double) size);
       }
     }
     return max;
--- a/entryselection/src/test/java/dev/caroblb/entryselection/CapacitySelectionTest.java
+++ b/entryselection/src/test/java/dev/caroblb/entryselection/CapacitySelectionTest.java
@@ -92,7 +92,7 @@
   class UnevenEntries {
     /** Guards against small entries that get as many callers as large ones. */
     @Test
-    void getCallersInProportionToTheirSize() {
+    void areNamedInProportionToTheirSize() {
       add(35, size(270, 5_250, 100));
       add(35, size(900, 17_500, 100));
       Map<InstanceRecord, Double> shares = shares(Optional.empty());
@@ -170,7 +170,7 @@
 
     /** Guards against too few addresses where a domain has few entries. */
     @Test
-    void getAllEntriesOfASmallSystem() {
+    void areSentToAllEntriesOfASmallSystem() {
       add(9, size(750, 1_000_000, 100));
       assertEquals(9, selection.choose(entries, domain, random).size());
     }
--- a/http/src/main/java/dev/caroblb/http/ListenerMemory.java
+++ b/http/src/main/java/dev/caroblb/http/ListenerMemory.java
@@ -20,7 +20,7 @@
   /** Whether a request may begin, given its declared length; negative if it is not declared. */
   boolean admits(boolean hasBody, long declaredBytes) {
     if (!hasBody) {
-      return exempt(0) && exemptBodyBytes > 0 || !account.full();
+      return exemptBodyBytes > 0 || !account.full();
     }
     return exempt(declaredBytes) || account.admitsNew();
   }
--- a/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
+++ b/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
@@ -247,7 +247,8 @@
     void thatIsGoneGetsNoResponse() throws Exception {
       listen(WAIT_MS);
       Reply reply;
-      try (Socket unused = send("GET /x", 0)) {
+      try (Socket socket = send("GET /x", 0)) {
+        assertTrue(socket.isConnected());
         reply = nextHandled().reply();
         Reply gone = reply;
         reply.onDisconnect(() -> handled.add(new Handled(null, gone)));
