Check routing documents and team files by rules before they are sent

Cause: faults that instances accept, such as a route behind another one or a warm-up without a rate, were found only in service.

--- a/cli/src/main/java/dev/caroblb/cli/TeamFileChecker.java
+++ b/cli/src/main/java/dev/caroblb/cli/TeamFileChecker.java
@@ -1,10 +1,13 @@
 package dev.caroblb.cli;
 
+import dev.caroblb.configcheck.Finding;
+import dev.caroblb.configuration.teamfile.TeamFile;
+import io.vavr.control.Either;
 import java.util.List;
 
 /** Validates a team file by the rules of a publish. */
 @FunctionalInterface
 interface TeamFileChecker {
-  /** Returns all errors in the file, each with its position and remedy; empty when it is valid. */
-  List<String> errors(String name, String text);
+  /** Returns the content of a valid file, or all of its errors. */
+  Either<List<Finding>, TeamFile> read(String name, String text);
 }
--- /dev/null
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/report/package-info.java
@@ -0,0 +1,2 @@
+/** Text and JSON output of findings. */
+package dev.caroblb.configcheck.report;
--- /dev/null
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/routes/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for routing documents. */
+package dev.caroblb.configcheck.routes;
--- /dev/null
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/teams/package-info.java
@@ -0,0 +1,2 @@
+/** Rules for team files. */
+package dev.caroblb.configcheck.teams;
