--- a/cli/src/main/java/dev/caroblb/cli/CheckCommand.java
+++ b/cli/src/main/java/dev/caroblb/cli/CheckCommand.java
@@ -52,8 +52,7 @@
   private static boolean valid(String file, List<Finding> findings) {
     String name = TeamFilesCheck.name(file);
     return findings.stream()
-        .noneMatch(
-            finding -> finding.severity() == Severity.ERROR && finding.file().equals(name));
+        .noneMatch(finding -> finding.severity() == Severity.ERROR && finding.file().equals(name));
   }
 
   private static ExitCode exitCode(Verdict verdict) {
--- a/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
+++ b/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
@@ -293,5 +293,25 @@
       assertTrue(out().contains("valid " + good), out());
       assertTrue(out().contains("wrong.toml:1: unknown:"), out());
     }
+
+    /** Guards against warnings that give the code for success or for an invalid file. */
+    @Test
+    void warningsGiveTheirOwnCodeAndJson() throws Exception {
+      String text = Files.readString(Path.of("../examples/teams/receipts.toml"));
+      String low =
+          file("receipts.toml", text.replace("max_concurrent = 400", "max_concurrent = 5"));
+      assertEquals(ExitCode.WARNINGS, run("check", "--json", low));
+      assertEquals(1, Json.parseObject(out()).orElseThrow().path("warnings").asInt(), out());
+    }
+
+    /** Guards against differences that are missed or that fail the check. */
+    @Test
+    void differencesFromTheFileInForceAreReported() throws Exception {
+      String good = "../examples/teams/receipts.toml";
+      String text = Files.readString(Path.of(good));
+      String next = file("receipts.toml", text.replace("share = 60", "share = 61"));
+      assertEquals(ExitCode.DONE, run("check", "--in-force", good, next));
+      assertTrue(out().contains("share changed from 60 to 61"), out());
+    }
   }
 }
--- a/configcheck/src/main/java/dev/caroblb/configcheck/routes/DuplicateRoute.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/routes/DuplicateRoute.java
@@ -20,7 +20,12 @@
         findings.add(
             Finding.error(
                 Places.of(route),
-                "host " + route.host() + " and prefix " + route.prefix() + " of " + Places.of(other),
+                "host "
+                    + route.host()
+                    + " and prefix "
+                    + route.prefix()
+                    + " of "
+                    + Places.of(other),
                 "change the host or the prefix of one of them"));
       }
     }
--- a/configcheck/src/main/java/dev/caroblb/configcheck/routes/HiddenRoute.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/routes/HiddenRoute.java
@@ -10,8 +10,9 @@
 import java.util.Map;
 
 /**
- * Two routes of one host stay different after normalization. Entries compare hosts and paths as they are
- * sent, and callers send them in normal form, so only one of two such routes gets requests.
+ * Two routes of one host stay different after normalization. Entries compare hosts and paths as
+ * they are sent, and callers send them in normal form, so only one of two such routes gets
+ * requests.
  */
 final class HiddenRoute implements ConfigurationRule<RoutingDraft> {
   @Override
@@ -20,8 +21,7 @@
     Map<List<String>, Route> first = new HashMap<>();
     for (Route route : document.routes()) {
       List<String> normalized =
-          List.of(
-              route.host().toLowerCase(Locale.ROOT), NormalizedPrefix.of(route.prefix()));
+          List.of(route.host().toLowerCase(Locale.ROOT), NormalizedPrefix.of(route.prefix()));
       Route other = first.putIfAbsent(normalized, route);
       if (other != null) {
         findings.add(
--- a/configcheck/src/main/java/dev/caroblb/configcheck/routes/ObjectiveAboveTimeout.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/routes/ObjectiveAboveTimeout.java
@@ -16,7 +16,11 @@
         findings.add(
             Finding.contradiction(
                 Places.of(route),
-                "objective " + route.objectiveMs() + " ms above timeout " + route.timeoutMs() + " ms",
+                "objective "
+                    + route.objectiveMs()
+                    + " ms above timeout "
+                    + route.timeoutMs()
+                    + " ms",
                 "lower the objective or raise the timeout"));
       }
     }
--- a/configcheck/src/main/java/dev/caroblb/configcheck/routes/PauseAboveObjective.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/routes/PauseAboveObjective.java
@@ -13,7 +13,8 @@
   public List<Finding> findings(RoutingDraft document) {
     List<Finding> findings = new ArrayList<>();
     for (Route route : document.routes()) {
-      if (route.repeat() == RepeatRule.STREAM && route.eventGapObjectiveMs() > route.objectiveMs()) {
+      if (route.repeat() == RepeatRule.STREAM
+          && route.eventGapObjectiveMs() > route.objectiveMs()) {
         findings.add(
             Finding.contradiction(
                 Places.of(route),
--- a/configcheck/src/main/java/dev/caroblb/configcheck/teams/TeamComparison.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/teams/TeamComparison.java
@@ -37,8 +37,7 @@
               Setting.of("max_concurrent", workspace.maxConcurrent())));
     }
     for (ModelDemand demand : file.models()) {
-      entries.put(
-          "models " + demand.model(), List.of(Setting.of("replicas", demand.replicas())));
+      entries.put("models " + demand.model(), List.of(Setting.of("replicas", demand.replicas())));
     }
     new TreeMap<>(file.calls())
         .forEach((name, call) -> entries.put("calls." + name, settings(call)));
--- a/configcheck/src/main/java/dev/caroblb/configcheck/teams/TeamOfTwoFiles.java
+++ b/configcheck/src/main/java/dev/caroblb/configcheck/teams/TeamOfTwoFiles.java
@@ -14,8 +14,7 @@
     List<Finding> findings = new ArrayList<>();
     Map<String, String> owners = new HashMap<>();
     for (NamedTeamFile file : files) {
-      List<String> names =
-          List.of(file.content().team());
+      List<String> names = List.of(file.content().team());
       for (String name : names) {
         String owner = owners.putIfAbsent(name, file.name());
         if (owner != null) {
