--- a/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
+++ b/cli/src/test/java/dev/caroblb/cli/CaroblbTest.java
@@ -304,6 +304,17 @@
       assertEquals(1, Json.parseObject(out()).orElseThrow().path("warnings").asInt(), out());
     }
 
+    /** Guards against a workspace that a file in force, which the publish keeps, defines, too. */
+    @Test
+    void workspacesOfFilesThatStayInForceAreErrors() throws Exception {
+      String good = "../examples/teams/receipts.toml";
+      String text = Files.readString(Path.of(good));
+      String other = file("other.toml", text.replace("team = \"receipts\"", "team = \"other\""));
+      assertEquals(ExitCode.REFUSED, run("check", "--in-force", good, other));
+      assertTrue(out().contains("other.toml:workspaces receipts-mart: found"), out());
+      assertTrue(out().contains("invalid " + other), out());
+    }
+
     /** Guards against differences that are missed or that fail the check. */
     @Test
     void differencesFromTheFileInForceAreReported() throws Exception {
