Log the size of requests and their way through the queue

The logs could not tell why large requests of a kind are served less often than small ones: whether they are rejected or demoted by the forecast, wait behind reservations, are cancelled, or run and are lost. forwarding.ended had no size and no route, and the coordinator logged rejections only.

The tests of scheduling and forwarding pass.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -142,7 +142,12 @@
   }
 
   private void queued(Exchange exchange, long nowMs) {
-    log("forwarding.queued", exchange);
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogLine.of("forwarding.queued")
+            .with("request", exchange.call().requestId())
+            .with("ticket", exchange.pendingPlacement().map(PendingPlacement::ticket).orElse(0L))
+            .toString());
     exchange.setQueued();
     exchanges.wakeAt(exchange, Math.min(nowMs + RECHECK_MS, WaitLimits.queuedUntilMs(exchange)));
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -1,7 +1,6 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.FailureDomain;
-import dev.caroblb.core.Payload;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
 import dev.caroblb.targets.PlacementNeed;
@@ -12,9 +11,6 @@
 
 /** State of one request from its arrival to its final response. */
 final class Exchange {
-  /** A response that is not a stream is buffered until it is complete, up to this size. */
-  private static final int MAX_BUFFERED_BODY_BYTES = 4 << 20;
-
   private final ForwardCall call;
   private final Route route;
   private final String service;
@@ -34,6 +30,7 @@
   private int moveAttempts;
   private boolean continuesFromCopy;
   private long sentMs;
+  private Optional<Long> firstSentMs = Optional.empty();
   private AttemptProgress progress = AttemptProgress.NONE;
   private long prefillTokens;
   private Optional<Target> target = Optional.empty();
@@ -187,7 +184,13 @@
         route.eventGapObjectiveMs());
   }
 
-  private long promptTokens() {
+  /** Priority of the request; 0 is the highest. */
+  int priority() {
+    return priority;
+  }
+
+  /** Tokens of the prompt; 0 if not a generation. */
+  long promptTokens() {
     return call.generationSize().map(GenerationSize::promptTokens).orElse(0L);
   }
 
@@ -250,6 +253,11 @@
     return sentMs;
   }
 
+  /** Time in milliseconds from the arrival until the request was first sent, or until now. */
+  long unplacedMs(long nowMs) {
+    return firstSentMs.orElse(nowMs) - arrivedMs;
+  }
+
   /** How far the response to the current attempt has come. */
   AttemptProgress progress() {
     return progress;
@@ -269,6 +277,7 @@
     possibleRuns += continuesFromCopy ? 0 : 1;
     waiting = false;
     sentMs = nowMs;
+    firstSentMs = firstSentMs.or(() -> Optional.of(nowMs));
     progress = AttemptProgress.NONE;
     target = Optional.of(chosen);
     backup = chosenBackup;
@@ -341,14 +350,9 @@
     return framing.hasPartialEvent() || (streaming && !timing.begun());
   }
 
-  /** Buffers a part of a response that is not a stream; returns false if it grew too large. */
-  boolean bufferBody(Payload part) {
-    bufferedBody.add(part);
-    return bufferedBody.size() <= MAX_BUFFERED_BODY_BYTES;
-  }
-
-  Payload bufferedBody() {
-    return bufferedBody.contents();
+  /** The response as far as it is buffered, because it is not a stream. */
+  ResponseBuffer bufferedBody() {
+    return bufferedBody;
   }
 
   /** Number of bytes of memory that the parts of the response use which are not relayed yet. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseBuffer.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseBuffer.java
@@ -7,6 +7,9 @@
 
 /** Body of a response that is not complete yet. Grows without copies of what it holds. */
 final class ResponseBuffer {
+  /** Maximum size of a response that is buffered until it is complete. */
+  private static final int MAX_BYTES = 4 << 20;
+
   private static final int MIN_BLOCK_BYTES = 1_024;
   private static final int MAX_BLOCK_BYTES = 65_536;
 
@@ -14,7 +17,8 @@
   private int size;
   private int capacity;
 
-  void add(Payload part) {
+  /** Appends a part; returns false if the response grew too large. */
+  boolean add(Payload part) {
     ByteBuffer bytes = part.buffer();
     while (bytes.hasRemaining()) {
       ByteBuffer block = writableBlock();
@@ -23,6 +27,7 @@
       bytes.position(bytes.position() + count);
       size += count;
     }
+    return size <= MAX_BYTES;
   }
 
   private ByteBuffer writableBlock() {
@@ -36,10 +41,6 @@
     return block;
   }
 
-  int size() {
-    return size;
-  }
-
   /** Number of bytes of memory that the buffer uses. */
   int capacity() {
     return capacity;
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -66,7 +66,7 @@
     dispatcher.meter().received(exchange, part.size());
     if (exchange.streaming()) {
       relayEvents(exchange, part, nowMs);
-    } else if (!exchange.bufferBody(part)) {
+    } else if (!exchange.bufferedBody().add(part)) {
       targetFailed(exchange, "response too large", nowMs);
     } else {
       exchange.setProgress(AttemptProgress.CONTENT);
@@ -186,7 +186,7 @@
       guard.answered(exchange, nowMs);
     }
     observer.responded(nowMs - exchange.arrivedMs());
-    exchange.call().port().respond(head, exchange.bufferedBody());
+    exchange.call().port().respond(head, exchange.bufferedBody().contents());
     finisher.finish(exchange, "answered", "status " + head.status(), nowMs);
   }
 
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementCoordinator.java
@@ -57,6 +57,7 @@
   private final LearnedRoomForecast forecast = new LearnedRoomForecast();
   private final RejectionRule rule = new RejectionRule(forecast);
   private final Rejections rejections;
+  private final PlacementLog log = new PlacementLog();
   private final Map<String, ServiceUse> use = new HashMap<>();
   private final Map<InstanceId, Long> reportSentMs = new HashMap<>();
   private int servingInstances;
@@ -221,13 +222,9 @@
 
   private void queueOrReject(QueuedRequest queued, long nowMs) {
     String service = queued.need().service();
-    RejectionRule.Verdict verdict =
-        rule.decide(
-            queued,
-            queue.of(service).ahead(queued, nowMs),
-            serviceUse(service, nowMs),
-            false,
-            nowMs);
+    Backlog ahead = queue.of(service).ahead(queued, nowMs);
+    ServiceUse current = serviceUse(service, nowMs);
+    RejectionRule.Verdict verdict = rule.decide(queued, ahead, current, false, nowMs);
     if (verdict.outcome() == RejectionRule.Outcome.REJECT) {
       queue.withdraw(queued);
       send(queued.instance(), rejections.reject(queued, verdict.expectedDelayMs(), nowMs));
@@ -236,6 +233,7 @@
     if (verdict.outcome() == RejectionRule.Outcome.KEEP_LATE) {
       queue.replace(queued, queued.asLate(nowMs), nowMs);
     }
+    log.queued(queued, verdict, ahead, current);
     rejections.accepted(queued.need(), nowMs);
     send(queued.instance(), new PeerMessage.PlacementQueued(queued.ticket()));
   }
@@ -307,8 +305,8 @@
   }
 
   /** Removes a queued request that its instance cancelled. */
-  public void placementCancelled(InstanceId peer, long ticket) {
-    queue.remove(peer, ticket);
+  public void placementCancelled(InstanceId peer, long ticket, long nowMs) {
+    queue.remove(peer, ticket).ifPresent(request -> log.removed(request, nowMs));
   }
 
   /**
@@ -336,6 +334,7 @@
     target.ifPresent(
         chosen -> grant(peer, grant, chosen, 1, need.tokens(), need.promptTokens(), nowMs));
     target.ifPresent(chosen -> pool.takePermit(chosen, nowMs));
+    target.ifPresent(chosen -> log.placed(request, chosen, nowMs));
     target.ifPresent(
         chosen -> forecast.placed(need.service(), peer, chosen.info().run(), need.tokens(), nowMs));
     backup.ifPresent(engine -> grant(peer, grant, engine, 0, need.tokens(), 0, nowMs));
--- a/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/PlacementQueue.java
@@ -128,10 +128,12 @@
     add(replacement, nowMs);
   }
 
-  /** Removes a request that its instance cancelled. */
-  void remove(InstanceId instance, long ticket) {
-    Optional.ofNullable(queued.get(new QueuedRequest.Key(instance, ticket)))
-        .ifPresent(this::withdraw);
+  /** Removes and returns a request that its instance cancelled. */
+  Optional<QueuedRequest> remove(InstanceId instance, long ticket) {
+    Optional<QueuedRequest> cancelled =
+        Optional.ofNullable(queued.get(new QueuedRequest.Key(instance, ticket)));
+    cancelled.ifPresent(this::withdraw);
+    return cancelled;
   }
 
   /** Removes and returns the requests that no target may take. */
--- a/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/SchedulingHandler.java
@@ -77,7 +77,7 @@
     } else if (message instanceof PeerMessage.PlacementRequest request) {
       coordinator.placementRequested(peer, request, nowMs);
     } else if (message instanceof PeerMessage.PlacementCancelled cancelled) {
-      coordinator.placementCancelled(peer, cancelled.ticket());
+      coordinator.placementCancelled(peer, cancelled.ticket(), nowMs);
     }
   }
 
--- a/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
@@ -284,9 +284,10 @@
     for (Map.Entry<Long, Call> each : List.copyOf(byTicket.entrySet())) {
       Call call = each.getValue();
       if (nowMs - call.attemptMs >= 3 * call.kind.objectiveMs()) {
-        byTicket.remove(each.getKey());
+        byTicket.remove(each.getKey(), nowMs);
         call.outcome.lost++;
-        coordinator.placementCancelled(new InstanceId("entry-" + call.id % ENTRIES), each.getKey());
+        coordinator.placementCancelled(
+            new InstanceId("entry-" + call.id % ENTRIES), each.getKey(), nowMs);
       }
     }
   }
