Keep freed memory for the requests that came first, whatever their size

Cause: the order of the queue held only for four reserved engines of a service. What was freed at all others went to any later request that fitted, so requests waited by size. The rejection rule added to it: it kept a request whenever one engine had memory for it, reserved or not, and it added the size of the request to what is ahead, so a queue at its limit had room for small requests only.

Every request that does not fit now reserves the engine with most free memory that no earlier one reserves. A late request keeps its place while half of its room is already free there. The forecast counts what is ahead, and the exception for free memory holds if nothing is ahead. One look at the targets, sorted by free memory, replaces one look for each reservation.

The check of ContentionDriver for rejections with room counted engines that are kept free for earlier requests as room. It now compares the engines with room with the number of queued requests that came before; without a queue both are the same. EvacuatedTargetsTest checks all targets with free memory instead of the first.

--- a/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/RejectionRule.java
@@ -51,20 +51,20 @@
    * @param known whether the request was kept before, and is rejected only with a margin
    */
   Verdict decide(QueuedRequest request, Backlog ahead, ServiceUse use, boolean known, long nowMs) {
-    if (request.need().tokens() <= use.mostFreeTokens()
-        || (use.underHalf() && ahead.requests() == 0)) {
+    if (ahead.requests() == 0
+        && (request.need().tokens() <= use.mostFreeTokens() || use.underHalf())) {
       return KEEP;
     }
     String service = request.need().service();
     int priority = request.need().priority();
     if (request.inTime(nowMs)) {
-      Demand demand = demand(request, ahead.tokens(), ahead.requests(), use);
+      Demand demand = demand(ahead.tokens(), ahead.requests(), use);
       Optional<Double> delayMs = forecast.delayMs(service, demand, priority, nowMs);
       if (delayMs.isEmpty() || startsBy(request.inTimeUntilMs(), delayMs.get(), known, nowMs)) {
         return KEEP;
       }
     }
-    Demand ifLate = demand(request, ahead.tokensIfLate(), ahead.requestsIfLate(), use);
+    Demand ifLate = demand(ahead.tokensIfLate(), ahead.requestsIfLate(), use);
     Optional<Double> lateMs = forecast.idleDelayMs(service, ifLate, nowMs);
     if (lateMs.isEmpty()) {
       return KEEP;
@@ -78,9 +78,12 @@
     return new Verdict(outcome, lateMs.get());
   }
 
-  private static Demand demand(
-      QueuedRequest request, double tokensAhead, long requestsAhead, ServiceUse use) {
-    return new Demand(tokensAhead + request.need().tokens(), requestsAhead + 1, use.placesScarce());
+  /**
+   * Counts only what is ahead. With the size of the request itself, the queue would always have
+   * room for a small one where a large one is rejected.
+   */
+  private static Demand demand(double tokensAhead, long requestsAhead, ServiceUse use) {
+    return new Demand(tokensAhead, requestsAhead, use.placesScarce());
   }
 
   private static boolean startsBy(long untilMs, double delayMs, boolean known, long nowMs) {
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
@@ -1,6 +1,7 @@
 package dev.caroblb.scheduling;
 
 import dev.caroblb.core.TargetId;
+import dev.caroblb.targets.FreeMemory;
 import dev.caroblb.targets.PlacementNeed;
 import dev.caroblb.targets.Target;
 import dev.caroblb.targets.TargetPool;
@@ -13,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -23,10 +23,10 @@
  */
 final class ServiceQueue {
   /**
-   * Maximum number of requests for which an engine is reserved until it has room. Without
-   * reservations, large requests starve while small ones take all memory that becomes free.
+   * Fraction of its tokens that the engine reserved for a request must have free for the request to
+   * keep its place when it is late. The room would have been kept idle for nothing.
    */
-  private static final int MAX_RESERVED_ENGINES = 4;
+  private static final double KEPT_ROOM_FRACTION = 0.5;
 
   /** Lowest priority with shares of its own; bounds the number of them. */
   private static final int MAX_PRIORITY = 15;
@@ -46,7 +46,9 @@
       new TreeSet<>(
           Comparator.comparingLong(QueuedRequest::inTimeUntilMs)
               .thenComparingLong(QueuedRequest::sequence));
-  private final TreeMap<Long, Integer> sizes = new TreeMap<>();
+
+  /** Requests for which an engine is reserved that has much of their room by now. */
+  private final Set<QueuedRequest.Key> roomKept = new HashSet<>();
 
   /** The most free memory of an engine is not above this; NaN if not known. */
   private double roomBound = Double.NaN;
@@ -70,7 +72,6 @@
   }
 
   void add(QueuedRequest request, long nowMs) {
-    sizes.merge(request.need().tokens(), 1, Integer::sum);
     if (request.inTime(nowMs)) {
       inTime.add(request);
       byObjective.add(request);
@@ -81,16 +82,24 @@
 
   void remove(QueuedRequest request) {
     byObjective.remove(request);
-    if (inTime.remove(request) || late.remove(request)) {
-      sizes.computeIfPresent(
-          request.need().tokens(), (size, count) -> count == 1 ? null : count - 1);
-    }
+    roomKept.remove(request.key());
+    boolean unused = inTime.remove(request) || late.remove(request);
   }
 
-  /** Moves the requests that can no longer meet their objective behind those that can. */
+  /**
+   * Moves the requests that can no longer meet their objective behind those that can, except those
+   * for which room is kept.
+   */
   void advance(long nowMs) {
-    while (!byObjective.isEmpty() && !byObjective.first().inTime(nowMs)) {
-      QueuedRequest request = byObjective.pollFirst();
+    for (Iterator<QueuedRequest> all = byObjective.iterator(); all.hasNext(); ) {
+      QueuedRequest request = all.next();
+      if (request.inTime(nowMs)) {
+        return;
+      }
+      if (roomKept.contains(request.key())) {
+        continue;
+      }
+      all.remove();
       inTime.remove(request);
       late.add(request);
     }
@@ -118,39 +127,41 @@
   }
 
   /**
-   * Assigns targets to the requests for which there is room now; returns them. Looks at the targets
-   * once if there is no room, and once for each request that gets room or reserves an engine.
+   * Assigns targets to the requests for which there is room now; returns them. A request without
+   * room reserves the engine with most of it: if later ones took what is freed there, small ones
+   * would always overtake large ones. Looks at all targets once, and once for each request that
+   * gets room.
    */
   List<QueuedRequest> place(TargetPool pool, PlacementQueue.Placed placed, long nowMs) {
     advance(nowMs);
+    roomKept.clear();
     List<QueuedRequest> done = new ArrayList<>();
     Set<TargetId> reserved = new HashSet<>();
-    // Upper bound: placements only reduce the room.
-    double room = Double.NaN;
+    List<FreeMemory> unreserved = List.of();
+    boolean changed = true;
     for (Iterator<QueuedRequest> all = inOrder(); all.hasNext(); ) {
       QueuedRequest request = all.next();
       PlacementNeed need = request.need();
-      if (Double.isNaN(room)) {
-        room = pool.mostFreeTokens(need, reserved, nowMs);
-        roomBound = reserved.isEmpty() ? room : roomBound;
+      if (changed) {
+        unreserved = pool.byFreeMemory(need, nowMs);
+        roomBound = unreserved.isEmpty() ? -1 : unreserved.get(0).tokens();
+        unreserved.removeIf(engine -> reserved.contains(engine.target()));
+        changed = false;
       }
-      if (room < sizes.firstKey()) {
+      if (unreserved.isEmpty()) {
         break;
       }
       Optional<Target> target =
-          need.tokens() <= room ? pool.chooseWithRoom(need, reserved, nowMs) : Optional.empty();
+          need.tokens() <= unreserved.get(0).tokens()
+              ? pool.chooseWithRoom(need, reserved, nowMs)
+              : Optional.empty();
       if (target.isPresent()) {
         done.add(request);
         placed.placed(request, target.get());
+        changed = true;
         continue;
       }
-      if (reserved.size() < MAX_RESERVED_ENGINES) {
-        pool.mostFreeMemory(need, reserved, nowMs)
-            .ifPresent(engine -> reserved.add(engine.info().id()));
-        room = Double.NaN;
-      } else if (need.tokens() <= room && need.excluded().isEmpty()) {
-        room = Double.NaN;
-      }
+      reserve(request, unreserved).ifPresent(reserved::add);
     }
     for (QueuedRequest request : done) {
       remove(request);
@@ -159,6 +170,21 @@
     return done;
   }
 
+  /** Takes the engine with most free memory that a request does not exclude from a list. */
+  private Optional<TargetId> reserve(QueuedRequest request, List<FreeMemory> unreserved) {
+    for (FreeMemory engine : unreserved) {
+      if (request.need().excluded().contains(engine.target())) {
+        continue;
+      }
+      if (engine.tokens() >= KEPT_ROOM_FRACTION * request.need().tokens()) {
+        roomKept.add(request.key());
+      }
+      unreserved.remove(engine);
+      return Optional.of(engine.target());
+    }
+    return Optional.empty();
+  }
+
   /** Checks all queued requests in their order; returns those that are not kept. */
   List<QueuedRequest> recheck(Check check, long nowMs) {
     advance(nowMs);
@@ -168,6 +194,10 @@
     QueueTier.Sum ifLate = inTime.all();
     for (Iterator<QueuedRequest> all = inOrder(); all.hasNext(); ) {
       QueuedRequest request = all.next();
+      if (roomKept.contains(request.key())) {
+        ahead = ahead.plus(request, 1);
+        continue;
+      }
       boolean timely = request.inTime(nowMs);
       QueueTier.Sum others = timely ? ifLate.plus(request, -1) : ifLate;
       Optional<QueuedRequest> kept =
--- a/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
@@ -58,6 +58,16 @@
       return offered == 0 ? 0 : (double) inTime / offered;
     }
 
+    Outcome plus(Outcome other) {
+      Outcome sum = new Outcome();
+      sum.offered = offered + other.offered;
+      sum.inTime = inTime + other.inTime;
+      sum.late = late + other.late;
+      sum.lost = lost + other.lost;
+      sum.rejections = rejections + other.rejections;
+      return sum;
+    }
+
     /** Number of requests that were started or given up. */
     int answered() {
       return inTime + late + lost;
@@ -262,9 +272,7 @@
 
   private void rejected(Call call, long retryAfterMs) {
     call.outcome.rejections++;
-    long leastUsed = known.values().stream().mapToLong(Long::longValue).min().orElse(0);
-    boolean room = known.size() < engines || leastUsed + call.kind.tokens() <= MEMORY;
-    rejectedWithRoom += room ? 1 : 0;
+    rejectedWithRoom += hasRoom(call) ? 1 : 0;
     boolean hammers = call.kind.caller() == Caller.REPEATS_AT_ONCE;
     if (call.returns++ >= (hammers ? 100 : 1)) {
       call.outcome.lost++;
@@ -279,6 +287,17 @@
     repeats.computeIfAbsent(againMs, ms -> new ArrayList<>()).add(call);
   }
 
+  /**
+   * Whether more engines have room for a request than requests are queued that came before it. Each
+   * of these may have an engine kept free for it, which is no room for a later one.
+   */
+  private boolean hasRoom(Call call) {
+    long free =
+        engines - known.values().stream().filter(u -> u + call.kind.tokens() > MEMORY).count();
+    long before = byTicket.values().stream().filter(each -> each.firstMs <= call.firstMs).count();
+    return free > before;
+  }
+
   /** Entries give up queued requests after three objectives. */
   private void abandon() {
     for (Map.Entry<Long, Call> each : List.copyOf(byTicket.entrySet())) {
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -6,6 +6,7 @@
 import dev.caroblb.pacing.TargetLimits;
 import dev.caroblb.routing.EngineLimits;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -243,34 +244,17 @@
     return choice.nearest(fitting, need, nowMs);
   }
 
-  /** The target of a service with the most free memory that is not reserved for another request. */
-  public Optional<Target> mostFreeMemory(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
-    Optional<Target> best = Optional.empty();
-    double most = Double.NEGATIVE_INFINITY;
-    List<Target> unreserved = permitted(need, nowMs);
-    unreserved.removeIf(target -> reserved.contains(target.info().id()));
-    for (Target target : choice.inTime(unreserved, need, nowMs)) {
-      double free = loads.freeTokens(target, nowMs);
-      if (free > most) {
-        best = Optional.of(target);
-        most = free;
-      }
-    }
-    return best;
-  }
-
   /**
-   * Free memory, in tokens, of the engine with most of it that is not reserved, whatever targets
-   * the request excludes or would be slow for it; negative if there is none.
+   * The targets of a service that may get requests now, with their free memory, the one with most
+   * of it first. Ignores the targets that the request excludes.
    */
-  public double mostFreeTokens(PlacementNeed need, Set<TargetId> reserved, long nowMs) {
-    double most = -1;
+  public List<FreeMemory> byFreeMemory(PlacementNeed need, long nowMs) {
+    List<FreeMemory> free = new ArrayList<>();
     for (Target target : permitted(need.withoutExclusions(), nowMs)) {
-      if (!reserved.contains(target.info().id())) {
-        most = Math.max(most, loads.freeTokens(target, nowMs));
-      }
+      free.add(new FreeMemory(target.info().id(), loads.freeTokens(target, nowMs)));
     }
-    return most;
+    free.sort(Comparator.comparingDouble(FreeMemory::tokens).reversed());
+    return free;
   }
 
   /**
--- a/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
@@ -1,5 +1,6 @@
 package dev.caroblb.targets;
 
+import static java.util.stream.Collectors.toSet;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -38,6 +39,10 @@
     return target.map(chosen -> chosen.info().domain());
   }
 
+  private Set<TargetId> withFreeMemory() {
+    return pool.byFreeMemory(NEED, 0).stream().map(FreeMemory::target).collect(toSet());
+  }
+
   @BeforeEach
   void addTargets() {
     pool.setEngineLimits(Map.of("service", new EngineLimits(24, 34_000, true, true, 4)));
@@ -57,7 +62,7 @@
       for (int i = 0; i < 20; i++) {
         assertEquals(Optional.of(B), domainOf(pool.choose(NEED, 0)));
         assertEquals(Optional.of(B), domainOf(pool.chooseWithRoom(NEED, Set.of(), 0)));
-        assertEquals(Optional.of(B), domainOf(pool.mostFreeMemory(NEED, Set.of(), 0)));
+        assertEquals(Set.of(info(2, B).id(), info(3, B).id()), withFreeMemory());
         assertEquals(Optional.of(B), domainOf(pool.chooseDestination(NEED, 9, 0)));
         assertEquals(Optional.of(B), domainOf(pool.chooseBackup(NEED, first, 0)));
       }
