Let a stream and its memory go on only at the version that began it

Cause: the version that a target announces was read nowhere, so each way on was open: resuming after a lost connection, a move from a leaving engine, the backup chosen at the start, and the engine that a coordinator chose.

The announcement carries the version to all instances. A placement need names the version of targets that may be chosen, once the caller has an event, and always for copied memory; the target pool of entries and coordinators chooses by it, and an entry checks what a coordinator chose against its own state. An announcement without a version, or with one of another type, is refused like other incomplete announcements.

--- a/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/TargetChangeBridge.java
@@ -54,7 +54,8 @@
             announcement.incarnation(),
             announcement.serves().get(0),
             announcement.address(),
-            announcement.domain());
+            announcement.domain(),
+            announcement.softwareVersion());
     AnnouncedWarmUp warmUp =
         new AnnouncedWarmUp(latest.warmUpLeftMs(), latest.ageMs(), announcement.sequence());
     return offer(
--- a/daemon/src/test/java/dev/caroblb/daemon/TargetChangeBridgeTest.java
+++ b/daemon/src/test/java/dev/caroblb/daemon/TargetChangeBridgeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.forwarding.ForwardingMessage;
 import dev.caroblb.membership.AgedAnnouncement;
@@ -40,11 +41,13 @@
               false,
               new TargetLoad(0, 0, 0, 0, 0, 0),
               List.of(),
-              2_000);
+              2_000,
+              new SoftwareVersion("v1.1"));
       assertTrue(bridge.offer(new TargetChange.Reported(new AgedAnnouncement(announcement, 600))));
       ForwardingMessage.TargetAvailable available =
           (ForwardingMessage.TargetAvailable) forwarding.get(0);
       assertEquals(new AnnouncedWarmUp(1_400, 600, 7), available.warmUp());
+      assertEquals(new SoftwareVersion("v1.1"), available.target().softwareVersion());
     }
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -117,8 +117,7 @@
   /** Sends a request to the limited target that it has a permit for, or to another one. */
   void permitReceived(Exchange exchange, PeerMessage.PermitReply reply, long nowMs) {
     exchange.clearPendingPlacement();
-    Optional<Target> permitted =
-        reply.target().flatMap(id -> pool.usable(id, exchange.service(), nowMs));
+    Optional<Target> permitted = reply.target().flatMap(id -> usable(exchange, id, nowMs));
     if (permitted.isPresent()) {
       send(exchange, permitted.get(), Optional.empty(), nowMs);
       return;
@@ -156,7 +155,7 @@
   void placementReceived(
       Exchange exchange, Optional<TargetId> target, Optional<TargetId> backup, long nowMs) {
     exchange.clearPendingPlacement();
-    Optional<Target> chosen = target.flatMap(id -> pool.usable(id, exchange.service(), nowMs));
+    Optional<Target> chosen = target.flatMap(id -> usable(exchange, id, nowMs));
     if (chosen.isEmpty()) {
       placeLocally(exchange, nowMs);
       return;
@@ -165,10 +164,22 @@
         exchange,
         chosen.get(),
         Optional.empty(),
-        backup.flatMap(id -> pool.usable(id, exchange.service(), nowMs)),
+        backup.flatMap(id -> pool.usable(id, backupNeed(exchange, chosen.get(), nowMs), nowMs)),
         nowMs);
   }
 
+  /** The target that another instance chose, if it is still what the request needs. */
+  private Optional<Target> usable(Exchange exchange, TargetId id, long nowMs) {
+    return pool.usable(
+        id, exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs), nowMs);
+  }
+
+  private PlacementNeed backupNeed(Exchange exchange, Target primary, long nowMs) {
+    return exchange
+        .placementNeed(PlacementNeed.Purpose.START, domain, nowMs)
+        .at(primary.info().softwareVersion());
+  }
+
   /** Handles a timer of a request that has no target yet. */
   void timerFired(Exchange exchange, long nowMs) {
     if (refusedByDrain(exchange, nowMs)) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -1,6 +1,7 @@
 package dev.caroblb.forwarding;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.routing.Route;
 import dev.caroblb.targets.PlacementNeed;
@@ -38,6 +39,7 @@
   private Optional<ResponseHead> head = Optional.empty();
   private Optional<GenerationMove> move = Optional.empty();
   private Optional<Target> backup = Optional.empty();
+  private Optional<SoftwareVersion> streamVersion = Optional.empty();
   private Optional<DelayedContinuation> continuation = Optional.empty();
   private Optional<AttemptTiming> attemptTiming = Optional.empty();
   private boolean streaming;
@@ -163,25 +165,11 @@
   /** Returns the placement requirements of the request, with a preferred failure domain. */
   PlacementNeed placementNeed(
       PlacementNeed.Purpose purpose, FailureDomain preferredDomain, long nowMs) {
-    // Resumable streams need no backup: they are sent again and resume after their last event.
-    boolean wantsBackup =
-        !route.resumable() && call.generationSize().filter(GenerationSize::worthBackup).isPresent();
-    return new PlacementNeed(
-        purpose,
-        service,
-        tokens(),
-        promptTokens(),
-        tried,
-        preferredDomain,
-        wantsBackup,
-        priority,
-        Math.max(0, arrivedMs + route.objectiveMs() - nowMs),
-        workspace,
-        call.fingerprint(),
-        nowMs - arrivedMs,
-        Math.max(0, WaitLimits.queuedUntilMs(this) - nowMs),
-        Math.max(0, deadlineMs - nowMs),
-        route.eventGapObjectiveMs());
+    return PlacementNeeds.of(this, purpose, preferredDomain, nowMs);
+  }
+
+  Optional<String> workspace() {
+    return workspace;
   }
 
   /** Priority of the request; 0 is the highest. */
@@ -302,6 +290,16 @@
         backup.map(Target::info));
   }
 
+  /** The software version that the stream stays at; empty before its first event. */
+  Optional<SoftwareVersion> streamVersion() {
+    return streamVersion;
+  }
+
+  /** Records that the caller gets an event of the current target. */
+  void eventRelayed() {
+    streamVersion = streamVersion.or(() -> target.map(from -> from.info().softwareVersion()));
+  }
+
   /** Records that the prefill is done, which is known once the target responds. */
   void prefillDone() {
     target.ifPresent(current -> current.prefillDone(prefillTokens));
--- a/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/GenerationMover.java
@@ -132,8 +132,7 @@
     if (exchange.pendingPlacement().isPresent() || !exchange.countMoveAttempt(MAX_TRIES)) {
       return;
     }
-    PlacementNeed need =
-        exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.info().domain(), nowMs);
+    PlacementNeed need = moveNeed(exchange, source, nowMs);
     Optional<Long> replyByMs = coordinator.requestPlacement(exchange, need, nowMs);
     if (replyByMs.isPresent()) {
       exchanges.wakeAt(exchange, replyByMs.get());
@@ -142,6 +141,10 @@
     startCopy(exchange, source, ownDestination(need, nowMs));
   }
 
+  private static PlacementNeed moveNeed(Exchange exchange, Target source, long nowMs) {
+    return exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.info().domain(), nowMs);
+  }
+
   /** Chooses the destination of a move without a control instance. */
   private Optional<Target> ownDestination(PlacementNeed need, long nowMs) {
     Optional<Target> destination =
@@ -158,7 +161,8 @@
       startCopy(
           exchange,
           source.get(),
-          destination.flatMap(id -> pool.usable(id, exchange.service(), nowMs)));
+          destination.flatMap(
+              id -> pool.usable(id, moveNeed(exchange, source.get(), nowMs), nowMs)));
     }
   }
 
@@ -167,8 +171,7 @@
     coordinator.timedOut(exchange);
     Optional<Target> source = exchange.target().filter(engine -> movesFrom(exchange, engine));
     if (source.isPresent() && exchange.move().isEmpty()) {
-      PlacementNeed need =
-          exchange.placementNeed(PlacementNeed.Purpose.MOVE, source.get().info().domain(), nowMs);
+      PlacementNeed need = moveNeed(exchange, source.get(), nowMs);
       startCopy(exchange, source.get(), ownDestination(need, nowMs));
     }
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -102,6 +102,7 @@
       return;
     }
     if (events.size() > 0) {
+      exchange.eventRelayed();
       if (exchange.progress() != AttemptProgress.CONTENT) {
         exchange.setProgress(AttemptProgress.CONTENT);
         guard.answered(exchange, nowMs);
--- a/membership/src/main/java/dev/caroblb/membership/Announcement.java
+++ b/membership/src/main/java/dev/caroblb/membership/Announcement.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.IpEndpoints;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import java.util.List;
 
@@ -21,6 +22,7 @@
  * @param cacheEvents cache events since the previous announcement
  * @param warmUpLeftMs time in milliseconds, from the announcement on, for which the target stays
  *     cold; 0 if it is warm
+ * @param softwareVersion version of the software that the target runs
  */
 public record Announcement(
     TargetId target,
@@ -33,7 +35,8 @@
     boolean leaving,
     TargetLoad load,
     List<CacheEvent> cacheEvents,
-    long warmUpLeftMs) {
+    long warmUpLeftMs,
+    SoftwareVersion softwareVersion) {
   public static final int MAX_ADDRESS_LENGTH = 255;
   public static final int MAX_SERVES = 128;
   public static final int MAX_SERVED_NAME_LENGTH = 192;
@@ -41,7 +44,7 @@
   /** Limits an announcement to a few KiB; events beyond the limit count as lost. */
   public static final int MAX_CACHE_EVENTS = 256;
 
-  /** The announcement of a warm target. */
+  /** The announcement of a warm target that states no software version. */
   public Announcement(
       TargetId target,
       long incarnation,
@@ -64,7 +67,8 @@
         leaving,
         load,
         cacheEvents,
-        0);
+        0,
+        SoftwareVersion.UNSTATED);
   }
 
   public Announcement {
@@ -112,6 +116,7 @@
         && address.equals(earlier.address)
         && serves.equals(earlier.serves)
         && leaving == earlier.leaving
+        && softwareVersion.equals(earlier.softwareVersion)
         && warmUpLeftMs <= earlier.warmUpLeftMs
         && load.equals(earlier.load);
   }
@@ -129,7 +134,8 @@
         true,
         load,
         cacheEvents,
-        warmUpLeftMs);
+        warmUpLeftMs,
+        softwareVersion);
   }
 
   TargetSummary summary() {
--- a/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
+++ b/membership/src/main/java/dev/caroblb/membership/codec/AnnouncementFormat.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership.codec;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
@@ -26,7 +27,7 @@
   private static final List<CacheEvent.Change> CHANGES =
       List.of(CacheEvent.Change.STORED, CacheEvent.Change.EVICTED, CacheEvent.Change.CLEARED);
 
-  private static final int FIELDS = 12;
+  private static final int FIELDS = 13;
   private static final int LOAD_FIELDS = 6;
   private static final int EVENT_FIELDS = 3;
 
@@ -56,6 +57,7 @@
       out.packLong(event.prefix());
     }
     out.packLong(announcement.warmUpLeftMs());
+    out.packString(announcement.softwareVersion().name());
   }
 
   private static void writeLoad(MessagePacker out, TargetLoad load) throws IOException {
@@ -81,7 +83,8 @@
       boolean leaving,
       RawLoad load,
       List<CacheEvent> cacheEvents,
-      long warmUpLeftMs) {
+      long warmUpLeftMs,
+      String softwareVersion) {
     AgedAnnouncement toAnnouncement() {
       return new AgedAnnouncement(
           new Announcement(
@@ -95,7 +98,8 @@
               leaving,
               load.toLoad(),
               cacheEvents,
-              warmUpLeftMs),
+              warmUpLeftMs,
+              new SoftwareVersion(softwareVersion)),
           ageMs);
     }
   }
@@ -140,7 +144,8 @@
         in.list(
             Announcement.MAX_CACHE_EVENTS,
             event -> event.structure(EVENT_FIELDS, AnnouncementFormat::cacheEvent)),
-        in.longValue());
+        in.longValue(),
+        in.text(MAX_TEXT_BYTES));
   }
 
   private static RawLoad load(BoundedReader in) throws IOException {
--- a/membership/src/test/java/dev/caroblb/membership/Announcements.java
+++ b/membership/src/test/java/dev/caroblb/membership/Announcements.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import java.util.List;
 
@@ -37,7 +38,8 @@
         false,
         new TargetLoad(0, 0, 0, 0, 0, 0),
         List.of(),
-        warmUpLeftMs);
+        warmUpLeftMs,
+        SoftwareVersion.UNSTATED);
   }
 
   static Announcement alive(long incarnation, long sequence) {
--- a/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
+++ b/membership/src/test/java/dev/caroblb/membership/codec/MembershipCodecTest.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Payload;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.membership.AgedAnnouncement;
 import dev.caroblb.membership.Announcement;
@@ -42,7 +43,8 @@
           true,
           new TargetLoad(1, 2, 3, 4, 5, -6),
           List.of(new CacheEvent(1, CacheEvent.Change.EVICTED, Long.MIN_VALUE)),
-          2_500);
+          2_500,
+          new SoftwareVersion("v1.1"));
   private static final TargetSummary SUMMARY = new TargetSummary(new TargetId("t1"), 1, -1, true);
   private static final List<PeerMessage> MESSAGES =
       List.of(
--- a/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/codec/SchedulingCodec.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.MessageCodec;
 import dev.caroblb.core.Payload;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.scheduling.PeerMessage;
 import dev.caroblb.targets.PlacementNeed;
@@ -29,7 +30,7 @@
   private static final int TYPE_PLACEMENT_REJECTED = 8;
   private static final int LOAD_REPORT_FIELDS = 3;
   private static final int REMOTE_LOAD_REPORT_FIELDS = 3;
-  private static final int PLACEMENT_REQUEST_FIELDS = 16;
+  private static final int PLACEMENT_REQUEST_FIELDS = 17;
   private static final int PLACEMENT_REPLY_FIELDS = 4;
   private static final int PERMIT_REPLY_FIELDS = 3;
   private static final int PLACEMENT_REJECTED_FIELDS = 2;
@@ -123,6 +124,7 @@
     out.packLong(need.usefulMs());
     out.packLong(need.leftMs());
     out.packLong(need.eventGapObjectiveMs());
+    writeText(out, need.softwareVersion().map(SoftwareVersion::name));
   }
 
   private static void writeText(MessagePacker out, Optional<String> text) throws IOException {
@@ -214,7 +216,8 @@
         in.longValue(),
         in.longValue(),
         in.longValue(),
-        in.longValue());
+        in.longValue(),
+        in.optional(text -> new SoftwareVersion(text.text(SoftwareVersion.MAX_BYTES))));
   }
 
   private static TargetId target(BoundedReader in) throws IOException {
--- a/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
@@ -219,7 +219,8 @@
             sinceMs,
             Math.max(2_000, 4 * kind.objectiveMs()) - sinceMs,
             kind.deadlineMs() - (nowMs - call.firstMs),
-            0);
+            0,
+            Optional.empty());
     InstanceId entry = new InstanceId("entry-" + call.id % ENTRIES);
     coordinator.placementRequested(entry, new PeerMessage.PlacementRequest(ticket, need), nowMs);
     deliver();
--- a/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/PlacementOrderTest.java
@@ -33,7 +33,8 @@
         0,
         7_200,
         39_000,
-        0);
+        0,
+        Optional.empty());
   }
 
   @Nested
--- a/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/codec/SchedulingCodecTest.java
@@ -4,6 +4,7 @@
 
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.Payload;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.scheduling.PeerMessage;
@@ -43,7 +44,8 @@
               9,
               10,
               11,
-              12);
+              12,
+              Optional.of(new SoftwareVersion("v1.1")));
       TargetRun run = new TargetRun(new TargetId("t"), 1);
       List<SpeedObservation> observations =
           List.of(new SpeedObservation(run, List.of(new SpeedSample(2, 3, 4))));
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -1,6 +1,7 @@
 package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import java.util.HashSet;
 import java.util.Optional;
@@ -25,6 +26,8 @@
  * @param usefulMs time in milliseconds for which a first event is still of use to the caller
  * @param leftMs time in milliseconds until the caller's deadline
  * @param eventGapObjectiveMs objective in milliseconds for the time between two events; 0 if none
+ * @param softwareVersion the only version of targets that may be chosen, for a stream that began or
+ *     memory that is copied; empty if any may
  */
 public record PlacementNeed(
     Purpose purpose,
@@ -41,7 +44,8 @@
     long sinceArrivalMs,
     long usefulMs,
     long leftMs,
-    long eventGapObjectiveMs) {
+    long eventGapObjectiveMs,
+    Optional<SoftwareVersion> softwareVersion) {
   /** Maximum length of a fingerprint in characters; keeps messages small. */
   public static final int MAX_FINGERPRINT_LENGTH = 64;
 
@@ -112,7 +116,8 @@
         0,
         Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs),
         Math.max(MIN_ABANDON_MS, ABANDON_OBJECTIVES * objectiveMs),
-        eventGapObjectiveMs);
+        eventGapObjectiveMs,
+        Optional.empty());
   }
 
   /** Returns the same requirements with additional excluded targets. */
@@ -134,7 +139,35 @@
         sinceArrivalMs,
         usefulMs,
         leftMs,
-        eventGapObjectiveMs);
+        eventGapObjectiveMs,
+        softwareVersion);
+  }
+
+  /** Returns the same requirements for targets of one software version only. */
+  public PlacementNeed at(SoftwareVersion version) {
+    return new PlacementNeed(
+        purpose,
+        service,
+        tokens,
+        promptTokens,
+        excluded,
+        preferredDomain,
+        wantsBackup,
+        priority,
+        objectiveMs,
+        workspace,
+        fingerprint,
+        sinceArrivalMs,
+        usefulMs,
+        leftMs,
+        eventGapObjectiveMs,
+        Optional.of(version));
+  }
+
+  /** Whether a target is of the service and of the software version that are needed. */
+  public boolean fits(TargetInfo target) {
+    return target.service().equals(service)
+        && softwareVersion.filter(version -> !version.equals(target.softwareVersion())).isEmpty();
   }
 
   /** Returns the same requirements without excluded targets. */
@@ -154,7 +187,8 @@
         sinceArrivalMs,
         usefulMs,
         leftMs,
-        eventGapObjectiveMs);
+        eventGapObjectiveMs,
+        softwareVersion);
   }
 
   public PlacementNeed {
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -192,7 +192,7 @@
     Optional<Long> earliest = Optional.empty();
     for (Target target : targets.values()) {
       boolean candidate =
-          target.info().service().equals(need.service())
+          need.fits(target.info())
               && !need.excluded().contains(target.info().id())
               && target.serves();
       if (!candidate) {
@@ -210,6 +210,11 @@
     return earliest;
   }
 
+  /** The target with this ID, if it accepts requests and is what a request needs. */
+  public Optional<Target> usable(TargetId id, PlacementNeed need, long nowMs) {
+    return usable(id, need.service(), nowMs).filter(target -> need.fits(target.info()));
+  }
+
   /** The target of a service with this ID, if it accepts requests. */
   public Optional<Target> usable(TargetId id, String service, long nowMs) {
     return Optional.ofNullable(targets.get(id))
@@ -297,18 +302,19 @@
    * generation can continue there if its engine fails.
    */
   public Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
-    List<Target> others = accepting(need.service(), Set.of(primary.info().id()), nowMs);
-    return backups.choose(need, primary, unpenalized(others, nowMs), targets.values(), nowMs);
+    PlacementNeed same = need.at(primary.info().softwareVersion());
+    List<Target> others = accepting(same, Set.of(primary.info().id()), nowMs);
+    return backups.choose(same, primary, unpenalized(others, nowMs), targets.values(), nowMs);
   }
 
   /** Whether any target accepts a request, now or when it has a permit. */
   public boolean anyUsable(PlacementNeed need, long nowMs) {
-    return !accepting(need.service(), need.excluded(), nowMs).isEmpty();
+    return !accepting(need, need.excluded(), nowMs).isEmpty();
   }
 
   /** Targets that accept a request and name a request limit. */
   private List<Target> limited(PlacementNeed need, long nowMs) {
-    List<Target> limited = accepting(need.service(), need.excluded(), nowMs);
+    List<Target> limited = accepting(need, need.excluded(), nowMs);
     limited.removeIf(target -> !limits.limited(target.info().run(), nowMs));
     return limited;
   }
@@ -346,16 +352,16 @@
 
   /** Targets that accept a request and for which this instance needs no permit or has one. */
   private List<Target> permitted(PlacementNeed need, long nowMs) {
-    List<Target> permitted = accepting(need.service(), need.excluded(), nowMs);
+    List<Target> permitted = accepting(need, need.excluded(), nowMs);
     permitted.removeIf(target -> !limits.permits(target.info().run(), nowMs));
     return unpenalized(permitted, nowMs);
   }
 
-  private List<Target> accepting(String service, Set<TargetId> excluded, long nowMs) {
+  private List<Target> accepting(PlacementNeed need, Set<TargetId> excluded, long nowMs) {
     List<Target> accepting = new ArrayList<>();
     for (Target target : targets.values()) {
       boolean candidate =
-          target.info().service().equals(service)
+          need.fits(target.info())
               && target.accepts(nowMs)
               && !excluded.contains(target.info().id());
       if (candidate) {
