Take a stream up at any entry at the version that began it

Cause: what began a stream was known only to the entry that served it, as the address of a target that may be gone, and the header Resumes, which names the first attempt, was read nowhere.

The new module resumption keeps the version of each begun stream for as long as its caller may take it up. An entry sends it, before the caller gets the first event, to three control instances, by rendezvous hashing of the attempt's name; they hold at most 65,536 of them. An entry that gets a take-up knows the version itself or asks these three, for 250 ms at most. A stream whose version is not known or no longer serves is refused at once with not_resumable, as not run: guessing would join two versions. The queue of a coordinator offers a request only engines of its version.

TakeUpsTest joins an entry, a control instance and a second entry that never saw the stream; without the change the second entry sends the take-up to the new version. The tests of core, targets, resumption, scheduling and forwarding pass.

--- a/core/src/main/java/dev/caroblb/core/RefusalReason.java
+++ b/core/src/main/java/dev/caroblb/core/RefusalReason.java
@@ -26,6 +26,7 @@
   MEMORY_LIMIT(RefusalKind.NOT_RUN, 503, "send the call again after the time given"),
   RING_FULL(RefusalKind.NOT_RUN, 503, "send the call again after the time given"),
   NO_TARGET(RefusalKind.NOT_RUN, 503, "send the call again when a target has announced itself"),
+  NOT_RESUMABLE(RefusalKind.NOT_RUN, 503, "send the call again from its start"),
   DEADLINE_BEFORE_START(RefusalKind.NOT_RUN, 504, "allow a later deadline"),
   PROMPT_QUARANTINED(
       RefusalKind.NOT_RUN, 503, "leave out the part, or send the call again after the time given"),
--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -29,6 +29,9 @@
 import dev.caroblb.metrics.InstanceMetrics;
 import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.pacing.codec.PacingCodec;
+import dev.caroblb.resumption.ResumptionHandler;
+import dev.caroblb.resumption.ResumptionMessage;
+import dev.caroblb.resumption.codec.ResumptionCodec;
 import dev.caroblb.routing.RoutingFormat;
 import dev.caroblb.routing.RoutingHandler;
 import dev.caroblb.routing.RoutingMessage;
@@ -186,11 +189,13 @@
         new PeerChannel<>(transport, Channel.SCHEDULING, new SchedulingCodec());
     PeerChannel<dev.caroblb.pacing.PeerMessage> limits =
         new PeerChannel<>(transport, Channel.PACING, new PacingCodec());
+    PeerChannel<dev.caroblb.resumption.PeerMessage> origins =
+        new PeerChannel<>(transport, Channel.RESUMPTION, new ResumptionCodec());
     ForwardingHandler handler =
         new ForwardingHandler(
             settings.forwarding(),
             targets,
-            new ForwardingOutlets(schedulers, limits, evidence, this::targetLeaves),
+            new ForwardingOutlets(schedulers, limits, evidence, origins, this::targetLeaves),
             new CallMetricsObserver(metrics),
             new Random());
     Duty<ForwardingMessage> duty = duties.create("forwarding", handler);
@@ -198,14 +203,21 @@
     evidence.setReceiver(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
     if (scheduling.isPresent()) {
       createScheduling(scheduling.get(), schedulers, limits);
+      createResumption(origins);
     } else {
       addPacingMetrics(handler.pacingGauges());
       schedulers.setReceiver(message -> duty.offer(new ForwardingMessage.FromScheduler(message)));
       limits.setReceiver(message -> duty.offer(new ForwardingMessage.LimitsFromPeer(message)));
+      origins.setReceiver(message -> duty.offer(new ForwardingMessage.FromResumption(message)));
     }
     return handler;
   }
 
+  private void createResumption(PeerChannel<dev.caroblb.resumption.PeerMessage> peers) {
+    Duty<ResumptionMessage> duty = duties.create("resumption", new ResumptionHandler(peers));
+    peers.setReceiver(message -> duty.offer(new ResumptionMessage.FromPeer(message)));
+  }
+
   private void createScheduling(
       LateBoundOutlet<SchedulingMessage> outlet,
       PeerChannel<dev.caroblb.scheduling.PeerMessage> peers,
--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -295,9 +295,9 @@
     return streamVersion;
   }
 
-  /** Records that the caller gets an event of the current target. */
-  void eventRelayed() {
-    streamVersion = streamVersion.or(() -> target.map(from -> from.info().softwareVersion()));
+  /** Fixes the software version that the stream stays at. */
+  void setStreamVersion(SoftwareVersion version) {
+    streamVersion = Optional.of(version);
   }
 
   /** Records that the prefill is done, which is known once the target responds. */
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardCall.java
@@ -19,6 +19,7 @@
  *     fingerprint of the request, which it shares with its repetitions
  * @param port receives the response
  * @param bodyBytes size of the body of the request
+ * @param takeUp the stream that the caller takes up, if it does
  */
 public record ForwardCall(
     long id,
@@ -30,7 +31,8 @@
     Optional<GenerationSize> generationSize,
     List<PromptPart> sharedPromptParts,
     CallerPort port,
-    long bodyBytes) {
+    long bodyBytes,
+    Optional<StreamTakeUp> takeUp) {
   public ForwardCall {
     sharedPromptParts = List.copyOf(sharedPromptParts);
   }
@@ -42,7 +44,7 @@
         : RequestFingerprint.idOf(sharedPromptParts.get(sharedPromptParts.size() - 1));
   }
 
-  /** A request without a body. */
+  /** A request without a body for a new stream or response. */
   public ForwardCall(
       long id,
       String requestId,
@@ -53,6 +55,17 @@
       Optional<GenerationSize> generationSize,
       List<PromptPart> sharedPromptParts,
       CallerPort port) {
-    this(id, requestId, host, path, timeoutMs, key, generationSize, sharedPromptParts, port, 0);
+    this(
+        id,
+        requestId,
+        host,
+        path,
+        timeoutMs,
+        key,
+        generationSize,
+        sharedPromptParts,
+        port,
+        0,
+        Optional.empty());
   }
 }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -10,6 +10,7 @@
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.pacing.PacingGauges;
+import dev.caroblb.resumption.PeerMessage.OriginReply;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Workspace;
@@ -43,6 +44,7 @@
   private final CallFinisher finisher;
   private final Dispatcher dispatcher;
   private final ResponseRelay responses;
+  private final TakeUps takeUps;
   private final GenerationMover mover;
   private final ReportedLoad remoteLoad = new ReportedLoad();
   private final CoordinatorClient coordinator;
@@ -81,9 +83,17 @@
             finisher,
             drain,
             guard);
+    takeUps = new TakeUps(exchanges, pool, finisher, outlets.resumption());
     responses =
         new ResponseRelay(
-            exchanges, settings.maxResponseBytes(), port, observer, dispatcher, finisher, guard);
+            exchanges,
+            settings.maxResponseBytes(),
+            port,
+            observer,
+            dispatcher,
+            finisher,
+            guard,
+            takeUps);
     mover = new GenerationMover(exchanges, pool, coordinator, port, dispatcher, responses, guard);
   }
 
@@ -106,6 +116,8 @@
       fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else if (message instanceof ForwardingMessage.FromScheduler fromScheduler) {
       fromScheduler(fromScheduler.received().peer(), fromScheduler.received().message(), nowMs);
+    } else if (message instanceof ForwardingMessage.FromResumption fromPeer) {
+      fromResumption(fromPeer.received().message(), nowMs);
     } else if (message instanceof ForwardingMessage.LimitsFromPeer fromPeer) {
       pacing.fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else {
@@ -120,6 +132,7 @@
   private static boolean changesLoad(ForwardingMessage message) {
     return !(message instanceof ForwardingMessage.FromPeer
         || message instanceof ForwardingMessage.FromScheduler
+        || message instanceof ForwardingMessage.FromResumption
         || message instanceof ForwardingMessage.LimitsFromPeer
         || message instanceof ForwardingMessage.Body
         || message instanceof ForwardingMessage.CallerReady
@@ -208,6 +221,12 @@
     }
   }
 
+  private void fromResumption(dev.caroblb.resumption.PeerMessage message, long nowMs) {
+    if (message instanceof OriginReply reply) {
+      takeUps.replied(reply, nowMs).forEach(exchange -> dispatcher.dispatch(exchange, nowMs));
+    }
+  }
+
   private void fromScheduler(
       InstanceId peer, dev.caroblb.scheduling.PeerMessage message, long nowMs) {
     if (message instanceof PlacementQueued queued) {
@@ -270,6 +289,7 @@
       coordinator.setControlInstances(changed.controlInstances());
       pacing.setControlInstances(changed.controlInstances());
       evidence.setControlInstances(changed.controlInstances());
+      takeUps.setControlInstances(changed.controlInstances());
     } else if (message instanceof ForwardingMessage.DrainStarted started) {
       drain.setLimit(started.limitAtMs());
       dispatcher.drainStarted(nowMs);
@@ -310,7 +330,8 @@
   private void arrived(ForwardCall call, long nowMs) {
     long number = table.map(RoutingTable::number).orElse(0L);
     Optional<Route> route = table.flatMap(t -> t.match(call.host(), call.path()));
-    Optional<RefusalReason> refusal = refusal(call, route);
+    boolean full = exchanges.size() >= settings.maxCalls();
+    Optional<RefusalReason> refusal = CallAdmission.refusal(call, table, route, refuseNew, full);
     if (refusal.isPresent()) {
       finisher.refuse(call, refusal.get(), number, nowMs);
       return;
@@ -320,37 +341,16 @@
       finisher.refuse(call, blocking.get(), number, nowMs);
       return;
     }
-    Optional<Workspace> workspace = workspaceOf(call);
+    Optional<Workspace> workspace = CallAdmission.workspace(call, table);
     int priority = workspace.flatMap(Workspace::priority).orElse(route.get().priority());
     String service = route.get().chooseService(random);
     Exchange exchange =
         new Exchange(call, route.get(), service, workspace.map(Workspace::name), priority, nowMs);
     exchanges.add(exchange);
     budget.recordRequest(service, nowMs);
-    dispatcher.dispatch(exchange, nowMs);
-  }
-
-  private Optional<Workspace> workspaceOf(ForwardCall call) {
-    return table.flatMap(t -> call.key().flatMap(t::workspace));
-  }
-
-  private Optional<RefusalReason> refusal(ForwardCall call, Optional<Route> route) {
-    if (table.isEmpty()) {
-      return Optional.of(RefusalReason.NO_CONFIGURATION);
-    }
-    if (route.isEmpty()) {
-      return Optional.of(RefusalReason.UNKNOWN_ROUTE);
+    if (takeUps.ready(exchange, nowMs)) {
+      dispatcher.dispatch(exchange, nowMs);
     }
-    boolean keyRequired = table.get().requiresKeys() && !route.get().keyless();
-    if (keyRequired && workspaceOf(call).isEmpty()) {
-      return Optional.of(RefusalReason.UNKNOWN_KEY);
-    }
-    if (refuseNew) {
-      return Optional.of(RefusalReason.DRAINING);
-    }
-    return exchanges.size() >= settings.maxCalls()
-        ? Optional.of(RefusalReason.STREAM_LIMIT)
-        : Optional.empty();
   }
 
   @Override
@@ -358,11 +358,11 @@
     for (Exchange exchange : exchanges.takeDue(nowMs)) {
       if (nowMs >= exchange.deadlineMs()) {
         timedOut(exchange, nowMs);
-      } else if (exchange.target().isEmpty()) {
+      } else if (exchange.target().isPresent()) {
+        mover.timerFired(exchange, nowMs);
+      } else if (!takeUps.timedOut(exchange, nowMs)) {
         dispatcher.timerFired(exchange, nowMs);
         coordinator.reportSoon();
-      } else {
-        mover.timerFired(exchange, nowMs);
       }
     }
     if (nowMs >= coordinator.nextMs()) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -67,6 +67,10 @@
   record LimitsFromPeer(PeerEnvelope<dev.caroblb.pacing.PeerMessage> received)
       implements ForwardingMessage {}
 
+  /** A message from the resumption handler of a control instance. */
+  record FromResumption(PeerEnvelope<dev.caroblb.resumption.PeerMessage> received)
+      implements ForwardingMessage {}
+
   /** Another routing table became active. */
   record TableInstalled(RoutingTable table) implements ForwardingMessage {}
 
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -17,6 +17,7 @@
   private final Dispatcher dispatcher;
   private final CallFinisher finisher;
   private final PromptGuard guard;
+  private final TakeUps takeUps;
 
   ResponseRelay(
       ExchangeTable exchanges,
@@ -25,7 +26,8 @@
       CallObserver observer,
       Dispatcher dispatcher,
       CallFinisher finisher,
-      PromptGuard guard) {
+      PromptGuard guard,
+      TakeUps takeUps) {
     this.exchanges = exchanges;
     this.maxResponseBytes = maxResponseBytes;
     this.port = port;
@@ -33,6 +35,7 @@
     this.dispatcher = dispatcher;
     this.finisher = finisher;
     this.guard = guard;
+    this.takeUps = takeUps;
   }
 
   void head(Exchange exchange, ResponseHead head, long nowMs) {
@@ -102,7 +105,7 @@
       return;
     }
     if (events.size() > 0) {
-      exchange.eventRelayed();
+      takeUps.eventReceived(exchange, nowMs);
       if (exchange.progress() != AttemptProgress.CONTENT) {
         exchange.setProgress(AttemptProgress.CONTENT);
         guard.answered(exchange, nowMs);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingFixture.java
@@ -38,13 +38,15 @@
   final List<PeerEnvelope<PeerMessage>> toPeers = new ArrayList<>();
   final List<PeerEnvelope<dev.caroblb.pacing.PeerMessage>> toPacing = new ArrayList<>();
   final List<PeerEnvelope<dev.caroblb.forwarding.PeerMessage>> toEvidence = new ArrayList<>();
+  final List<PeerEnvelope<dev.caroblb.resumption.PeerMessage>> toResumption = new ArrayList<>();
   final List<TargetRun> leaving = new ArrayList<>();
   final ForwardingHandler handler =
       new ForwardingHandler(
           new ForwardingSettings(
               new InstanceId("entry"), ZONE, 10, MAX_RESPONSE_BYTES, 0.2, 10_000, 320),
           targets,
-          new ForwardingOutlets(toPeers::add, toPacing::add, toEvidence::add, leaving::add),
+          new ForwardingOutlets(
+              toPeers::add, toPacing::add, toEvidence::add, toResumption::add, leaving::add),
           new RecordingObserver(),
           new Random(1));
   long nowMs = 1_000;
--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -12,6 +12,9 @@
 import dev.caroblb.forwarding.codec.PeerMessageCodec;
 import dev.caroblb.pacing.AnnouncedWarmUp;
 import dev.caroblb.pacing.codec.PacingCodec;
+import dev.caroblb.resumption.ResumptionHandler;
+import dev.caroblb.resumption.ResumptionMessage;
+import dev.caroblb.resumption.codec.ResumptionCodec;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.scheduling.SchedulingHandler;
 import dev.caroblb.scheduling.SchedulingMessage;
@@ -44,6 +47,7 @@
     private final InstanceId id;
     private final ForwardingHandler handler;
     private final SchedulingHandler scheduling;
+    private final ResumptionHandler resumption;
     private final boolean control;
 
     Instance(String name, boolean control) {
@@ -58,6 +62,7 @@
                   message -> deliver(id, message, schedulingCodec, Instance::fromScheduling),
                   message -> deliver(id, message, pacingCodec, Instance::limitsFromPeer),
                   message -> deliver(id, message, evidenceCodec, Instance::fromPeer),
+                  message -> deliver(id, message, resumptionCodec, Instance::fromResumption),
                   run -> true),
               this,
               new Random(name.hashCode()));
@@ -66,6 +71,17 @@
               message -> deliver(id, message, schedulingCodec, Instance::fromScheduling),
               message -> deliver(id, message, pacingCodec, Instance::limitsFromPeer),
               new Random(name.hashCode()));
+      resumption =
+          new ResumptionHandler(
+              message -> deliver(id, message, resumptionCodec, Instance::fromResumption));
+    }
+
+    private void fromResumption(PeerEnvelope<dev.caroblb.resumption.PeerMessage> message) {
+      if (control) {
+        resumption.handle(new ResumptionMessage.FromPeer(message), nowMs);
+      } else {
+        handler.handle(new ForwardingMessage.FromResumption(message), nowMs);
+      }
     }
 
     private void fromScheduling(PeerEnvelope<dev.caroblb.scheduling.PeerMessage> message) {
@@ -136,6 +152,7 @@
 
   private final SchedulingCodec schedulingCodec = new SchedulingCodec();
   private final PacingCodec pacingCodec = new PacingCodec();
+  private final ResumptionCodec resumptionCodec = new ResumptionCodec();
   private final PeerMessageCodec evidenceCodec = new PeerMessageCodec();
   private final RoutingTable table;
   private final Map<InstanceId, Instance> instances = new LinkedHashMap<>();
--- /dev/null
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -0,0 +1,167 @@
+package dev.caroblb.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.SoftwareVersion;
+import dev.caroblb.core.TargetId;
+import dev.caroblb.resumption.PeerMessage;
+import dev.caroblb.resumption.ResumptionHandler;
+import dev.caroblb.resumption.ResumptionMessage;
+import dev.caroblb.targets.TargetInfo;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Streams that broke off with their entry and are taken up at another one, after a release. */
+class TakeUpsTest {
+  private static final SoftwareVersion OLD = new SoftwareVersion("v1");
+  private static final SoftwareVersion NEW = new SoftwareVersion("v1.1");
+  private static final InstanceId ENTRY = new InstanceId("entry");
+  private static final InstanceId CONTROL = new InstanceId("control-1");
+  private static final String NOT_RESUMABLE = "refused NOT_RESUMABLE";
+
+  /** An entry instance; requests have the ID {@code id-7}. */
+  private final class Entry extends ForwardingFixture {
+    Entry() {
+      install(0);
+      handle(new ForwardingMessage.ControlInstancesChanged(List.of(CONTROL)));
+    }
+
+    void available(int index, SoftwareVersion version) {
+      handle(
+          new ForwardingMessage.TargetAvailable(
+              new TargetInfo(
+                  new TargetId("t" + index),
+                  1,
+                  "service",
+                  "10.0.0." + index + ":80",
+                  ZONE,
+                  version)));
+    }
+
+    void takeUp(Optional<String> firstAttempt) {
+      handle(
+          new ForwardingMessage.RequestArrived(
+              new ForwardCall(
+                  7,
+                  "id-8",
+                  "host",
+                  "/short/x",
+                  Optional.of(4_000L),
+                  Optional.of("key"),
+                  Optional.empty(),
+                  List.of(),
+                  caller,
+                  0,
+                  Optional.of(new StreamTakeUp(firstAttempt)))));
+    }
+
+    /** Delivers what the entry sent to the control instance, and the replies. */
+    void exchangeMessages() {
+      for (PeerEnvelope<PeerMessage> sent : toResumption) {
+        control.handle(
+            new ResumptionMessage.FromPeer(new PeerEnvelope<>(ENTRY, sent.message())), nowMs);
+      }
+      toResumption.clear();
+      for (PeerEnvelope<PeerMessage> reply : replies) {
+        handle(new ForwardingMessage.FromResumption(new PeerEnvelope<>(CONTROL, reply.message())));
+      }
+      replies.clear();
+    }
+
+    List<TargetId> chosen() {
+      return targets.sent.stream().map(order -> order.target().id()).toList();
+    }
+  }
+
+  private final List<PeerEnvelope<PeerMessage>> replies = new ArrayList<>();
+  private final ResumptionHandler control = new ResumptionHandler(replies::add);
+  private final Entry first = new Entry();
+  private final Entry second = new Entry();
+
+  @BeforeEach
+  void beginStream() {
+    first.available(0, OLD);
+    first.arrive("/short/x");
+    first.startStream();
+    first.exchangeMessages();
+    second.available(1, NEW);
+  }
+
+  @Nested
+  class AtAnotherEntry {
+    /** Guards against a response whose first part is of another version than the rest. */
+    @Test
+    void goOnAtTheVersionThatBeganThem() {
+      for (int i = 2; i < 9; i++) {
+        second.available(i, NEW);
+      }
+      second.available(9, OLD);
+      second.takeUp(Optional.of("id-7"));
+      assertEquals(List.of(), second.chosen());
+      second.exchangeMessages();
+      assertEquals(List.of(new TargetId("t9")), second.chosen());
+    }
+
+    /** Guards against a take-up that goes on elsewhere, or waits, after its version has left. */
+    @Test
+    void areRefusedAtOnceIfTheirVersionHasLeft() {
+      second.takeUp(Optional.of("id-7"));
+      second.exchangeMessages();
+      assertEquals(List.of(NOT_RESUMABLE), second.caller.events);
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against a guess at the version of a stream that no record names. */
+    @Test
+    void areRefusedIfNobodyKnowsTheirVersion() {
+      second.takeUp(Optional.of("id-6"));
+      second.exchangeMessages();
+      second.takeUp(Optional.empty());
+      assertEquals(List.of(NOT_RESUMABLE, NOT_RESUMABLE), second.caller.events);
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against a take-up that waits for a control instance which is gone. */
+    @Test
+    void areRefusedIfNoControlInstanceReplies() {
+      second.takeUp(Optional.of("id-7"));
+      second.nowMs += 250;
+      second.handler.tick(second.nowMs);
+      assertEquals(List.of(NOT_RESUMABLE), second.caller.events);
+      second.exchangeMessages();
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against a reply that arrives after the caller has gone. */
+    @Test
+    void areNotSentForACallerThatIsGone() {
+      second.available(9, OLD);
+      second.takeUp(Optional.of("id-7"));
+      second.handle(new ForwardingMessage.CallerGone(7));
+      second.exchangeMessages();
+      assertEquals(List.of(), second.chosen());
+      assertEquals(0, second.handler.running());
+    }
+  }
+
+  @Nested
+  class AtTheSameEntry {
+    /** Guards against a delay where the entry knows the version itself. */
+    @Test
+    void goOnWithoutAQuery() {
+      first.available(1, NEW);
+      first.available(2, OLD);
+      first.targets.sent.clear();
+      first.takeUp(Optional.of("id-7"));
+      SoftwareVersion version = first.targets.last().target().softwareVersion();
+      assertEquals(OLD, version);
+      assertEquals(List.of(), first.toResumption);
+    }
+  }
+}
--- /dev/null
+++ b/resumption/src/main/java/dev/caroblb/resumption/OriginClient.java
@@ -0,0 +1,104 @@
+package dev.caroblb.resumption;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Outlet;
+import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.SoftwareVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Records the streams of an entry at control instances, and asks them for those of others. */
+public final class OriginClient {
+  /** Time in milliseconds to wait for replies; a reply takes some tens from a busy instance. */
+  public static final long REPLY_TIMEOUT_MS = 250;
+
+  /** What is known of the origin of a stream. */
+  public sealed interface Origin {
+    /** A version that is known here. */
+    record Known(SoftwareVersion version) implements Origin {}
+
+    /** Control instances were asked. */
+    record Asked() implements Origin {}
+
+    /** Nobody can know. */
+    record Unknown() implements Origin {}
+  }
+
+  private final Outlet<PeerEnvelope<PeerMessage>> peers;
+  private final BegunStreams own = new BegunStreams();
+
+  /** Number of replies that are due, by attempt. */
+  private final Map<String, Integer> queries = new HashMap<>();
+
+  private List<InstanceId> controlInstances = List.of();
+
+  /**
+   * @param peers the resumption handlers of control instances
+   */
+  public OriginClient(Outlet<PeerEnvelope<PeerMessage>> peers) {
+    this.peers = peers;
+  }
+
+  public void setControlInstances(List<InstanceId> instances) {
+    controlInstances = instances;
+  }
+
+  /** Records that the caller of an attempt is about to get its first event. */
+  public void began(String attempt, SoftwareVersion version, long keepMs, long nowMs) {
+    if (!recordable(attempt)) {
+      return;
+    }
+    own.began(attempt, version, keepMs, nowMs);
+    send(attempt, new PeerMessage.StreamBegan(attempt, version, keepMs));
+  }
+
+  /** Finds the version that began the stream of an attempt, or asks for it. */
+  public Origin find(String attempt, long nowMs) {
+    Optional<SoftwareVersion> known = own.version(attempt, nowMs);
+    if (known.isPresent()) {
+      return new Origin.Known(known.get());
+    }
+    int holders = RecordHolders.of(attempt, controlInstances).size();
+    if (holders == 0 || !recordable(attempt)) {
+      return new Origin.Unknown();
+    }
+    queries.put(attempt, holders);
+    send(attempt, new PeerMessage.OriginQuery(attempt));
+    return new Origin.Asked();
+  }
+
+  /**
+   * Processes a reply. Returns what is known now; empty while another reply may name the version.
+   */
+  public Optional<Origin> replied(PeerMessage.OriginReply reply) {
+    Integer due = queries.get(reply.attempt());
+    if (due == null) {
+      return Optional.empty();
+    }
+    if (reply.version().isEmpty() && due > 1) {
+      queries.put(reply.attempt(), due - 1);
+      return Optional.empty();
+    }
+    queries.remove(reply.attempt());
+    return Optional.of(
+        reply.version().<Origin>map(Origin.Known::new).orElseGet(Origin.Unknown::new));
+  }
+
+  /** Forgets a query whose request has ended or waits no more. */
+  public void cancel(String attempt) {
+    queries.remove(attempt);
+  }
+
+  private static boolean recordable(String attempt) {
+    return attempt.getBytes(StandardCharsets.UTF_8).length <= PeerMessage.MAX_ATTEMPT_BYTES;
+  }
+
+  private void send(String attempt, PeerMessage message) {
+    for (InstanceId holder : RecordHolders.of(attempt, controlInstances)) {
+      boolean unused = peers.offer(new PeerEnvelope<>(holder, message));
+    }
+  }
+}
--- /dev/null
+++ b/resumption/src/main/java/dev/caroblb/resumption/codec/ResumptionCodec.java
@@ -0,0 +1,85 @@
+package dev.caroblb.resumption.codec;
+
+import dev.caroblb.core.MessageCodec;
+import dev.caroblb.core.Payload;
+import dev.caroblb.core.SoftwareVersion;
+import dev.caroblb.resumption.PeerMessage;
+import dev.caroblb.transport.codec.BoundedReader;
+import dev.caroblb.transport.codec.Packing;
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessagePacker;
+
+/**
+ * Encodes each message as an array {@code [type, field, ...]}; later versions may append fields.
+ */
+public final class ResumptionCodec implements MessageCodec<PeerMessage> {
+  private static final int TYPE_STREAM_BEGAN = 1;
+  private static final int TYPE_ORIGIN_QUERY = 2;
+  private static final int TYPE_ORIGIN_REPLY = 3;
+  private static final int STREAM_BEGAN_FIELDS = 3;
+  private static final int ORIGIN_QUERY_FIELDS = 1;
+  private static final int ORIGIN_REPLY_FIELDS = 2;
+
+  @Override
+  public Payload encode(PeerMessage message) {
+    return Packing.pack(out -> write(out, message));
+  }
+
+  private static void write(MessagePacker out, PeerMessage message) throws IOException {
+    if (message instanceof PeerMessage.StreamBegan began) {
+      out.packArrayHeader(1 + STREAM_BEGAN_FIELDS);
+      out.packInt(TYPE_STREAM_BEGAN);
+      out.packString(began.attempt());
+      out.packString(began.version().name());
+      out.packLong(began.keepMs());
+    } else if (message instanceof PeerMessage.OriginQuery query) {
+      out.packArrayHeader(1 + ORIGIN_QUERY_FIELDS);
+      out.packInt(TYPE_ORIGIN_QUERY);
+      out.packString(query.attempt());
+    } else if (message instanceof PeerMessage.OriginReply reply) {
+      out.packArrayHeader(1 + ORIGIN_REPLY_FIELDS);
+      out.packInt(TYPE_ORIGIN_REPLY);
+      out.packString(reply.attempt());
+      out.packArrayHeader(reply.version().isPresent() ? 1 : 0);
+      if (reply.version().isPresent()) {
+        out.packString(reply.version().get().name());
+      }
+    }
+  }
+
+  @Override
+  public Optional<PeerMessage> decode(Payload bytes) {
+    return BoundedReader.decode(bytes, in -> in.variant(new Variants()));
+  }
+
+  private static final class Variants implements BoundedReader.Variants<PeerMessage> {
+    @Override
+    public int fields(int type) {
+      return switch (type) {
+        case TYPE_STREAM_BEGAN -> STREAM_BEGAN_FIELDS;
+        case TYPE_ORIGIN_QUERY -> ORIGIN_QUERY_FIELDS;
+        case TYPE_ORIGIN_REPLY -> ORIGIN_REPLY_FIELDS;
+        default -> -1;
+      };
+    }
+
+    @Override
+    public PeerMessage read(int type, BoundedReader in) throws IOException {
+      return switch (type) {
+        case TYPE_STREAM_BEGAN ->
+            new PeerMessage.StreamBegan(attempt(in), version(in), in.longValue());
+        case TYPE_ORIGIN_QUERY -> new PeerMessage.OriginQuery(attempt(in));
+        default -> new PeerMessage.OriginReply(attempt(in), in.optional(ResumptionCodec::version));
+      };
+    }
+  }
+
+  private static String attempt(BoundedReader in) throws IOException {
+    return in.text(PeerMessage.MAX_ATTEMPT_BYTES);
+  }
+
+  private static SoftwareVersion version(BoundedReader in) throws IOException {
+    return new SoftwareVersion(in.text(SoftwareVersion.MAX_BYTES));
+  }
+}
--- /dev/null
+++ b/resumption/src/main/java/dev/caroblb/resumption/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Encoding of the messages about begun streams. */
+package dev.caroblb.resumption.codec;
--- /dev/null
+++ b/resumption/src/test/java/dev/caroblb/resumption/OriginClientTest.java
@@ -0,0 +1,89 @@
+package dev.caroblb.resumption;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.PeerEnvelope;
+import dev.caroblb.core.SoftwareVersion;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OriginClientTest {
+  private static final SoftwareVersion V1 = new SoftwareVersion("v1");
+  private static final OriginClient.Origin UNKNOWN = new OriginClient.Origin.Unknown();
+
+  private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
+  private final OriginClient client = new OriginClient(sent::add);
+
+  private static List<InstanceId> instances(int count) {
+    return IntStream.range(0, count).mapToObj(i -> new InstanceId("control-" + i)).toList();
+  }
+
+  private static PeerMessage.OriginReply reply(Optional<SoftwareVersion> version) {
+    return new PeerMessage.OriginReply("a", version);
+  }
+
+  private Set<InstanceId> receivers() {
+    Set<InstanceId> receivers = new HashSet<>();
+    sent.forEach(each -> receivers.add(each.peer()));
+    sent.clear();
+    return receivers;
+  }
+
+  @Nested
+  class Holders {
+    /** Guards against a query that misses the instances with the record. */
+    @Test
+    void areThreeAndTheSameForRecordAndQuery() {
+      client.setControlInstances(instances(46));
+      for (int i = 0; i < 100; i++) {
+        client.began("a" + i, V1, 1_000, 0);
+        Set<InstanceId> holders = receivers();
+        OriginClient other = new OriginClient(sent::add);
+        other.setControlInstances(instances(46));
+        assertEquals(new OriginClient.Origin.Asked(), other.find("a" + i, 1));
+        assertEquals(holders, receivers());
+        assertEquals(3, holders.size());
+      }
+    }
+  }
+
+  @Nested
+  class Replies {
+    /**
+     * Guards against a restarted control instance whose empty reply hides the record of another.
+     */
+    @Test
+    void areUnknownOnlyIfAllSaySo() {
+      client.setControlInstances(instances(3));
+      assertEquals(new OriginClient.Origin.Asked(), client.find("a", 0));
+      assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
+      assertEquals(
+          Optional.of(new OriginClient.Origin.Known(V1)), client.replied(reply(Optional.of(V1))));
+      assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
+    }
+
+    /** Guards against a wait although every holder has replied. */
+    @Test
+    void endTheQueryWithTheLastOne() {
+      client.setControlInstances(instances(2));
+      assertEquals(new OriginClient.Origin.Asked(), client.find("a", 0));
+      assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
+      assertEquals(Optional.of(UNKNOWN), client.replied(reply(Optional.empty())));
+    }
+
+    /** Guards against a query to nobody. */
+    @Test
+    void areNotExpectedWithoutControlInstances() {
+      assertEquals(UNKNOWN, client.find("a", 0));
+      client.setControlInstances(instances(1));
+      assertEquals(UNKNOWN, client.find("a".repeat(PeerMessage.MAX_ATTEMPT_BYTES + 1), 0));
+    }
+  }
+}
--- a/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
+++ b/scheduling/src/main/java/dev/caroblb/scheduling/ServiceQueue.java
@@ -143,9 +143,9 @@
       QueuedRequest request = all.next();
       PlacementNeed need = request.need();
       if (changed) {
-        unreserved = pool.byFreeMemory(need, nowMs);
+        unreserved = pool.byFreeMemory(need.service(), nowMs);
         roomBound = unreserved.isEmpty() ? -1 : unreserved.get(0).tokens();
-        unreserved.removeIf(engine -> reserved.contains(engine.target()));
+        unreserved.removeIf(engine -> reserved.contains(engine.target().id()));
         changed = false;
       }
       if (unreserved.isEmpty()) {
@@ -170,17 +170,18 @@
     return done;
   }
 
-  /** Takes the engine with most free memory that a request does not exclude from a list. */
+  /** Takes the engine with most free memory that a request may use from a list. */
   private Optional<TargetId> reserve(QueuedRequest request, List<FreeMemory> unreserved) {
     for (FreeMemory engine : unreserved) {
-      if (request.need().excluded().contains(engine.target())) {
+      TargetId id = engine.target().id();
+      if (request.need().excluded().contains(id) || !request.need().fits(engine.target())) {
         continue;
       }
       if (engine.tokens() >= KEPT_ROOM_FRACTION * request.need().tokens()) {
         roomKept.add(request.key());
       }
       unreserved.remove(engine);
-      return Optional.of(engine.target());
+      return Optional.of(id);
     }
     return Optional.empty();
   }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -1,6 +1,7 @@
 package dev.caroblb.targets;
 
 import dev.caroblb.core.FailureDomain;
+import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.pacing.TargetLimits;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /** The known targets, and the selection of a target of a service. */
@@ -106,6 +108,14 @@
         .forEach(target -> target.setEvacuated(domains.contains(target.info().domain())));
   }
 
+  /** Whether a target of a service and a software version may get requests, now or later. */
+  public boolean serves(String service, SoftwareVersion version) {
+    return targets.values().stream()
+        .filter(Target::serves)
+        .map(Target::info)
+        .anyMatch(info -> info.service().equals(service) && info.softwareVersion().equals(version));
+  }
+
   /** Whether a service has targets, but none is left because the others are evacuated. */
   public boolean allEvacuated(String service) {
     boolean any = false;
@@ -251,12 +261,12 @@
 
   /**
    * The targets of a service that may get requests now, with their free memory, the one with most
-   * of it first. Ignores the targets that the request excludes.
+   * of it first.
    */
-  public List<FreeMemory> byFreeMemory(PlacementNeed need, long nowMs) {
+  public List<FreeMemory> byFreeMemory(String service, long nowMs) {
     List<FreeMemory> free = new ArrayList<>();
-    for (Target target : permitted(need.withoutExclusions(), nowMs)) {
-      free.add(new FreeMemory(target.info().id(), loads.freeTokens(target, nowMs)));
+    for (Target target : permitted(info -> info.service().equals(service), Set.of(), nowMs)) {
+      free.add(new FreeMemory(target.info(), loads.freeTokens(target, nowMs)));
     }
     free.sort(Comparator.comparingDouble(FreeMemory::tokens).reversed());
     return free;
@@ -303,18 +313,18 @@
    */
   public Optional<Target> chooseBackup(PlacementNeed need, Target primary, long nowMs) {
     PlacementNeed same = need.at(primary.info().softwareVersion());
-    List<Target> others = accepting(same, Set.of(primary.info().id()), nowMs);
+    List<Target> others = accepting(same::fits, Set.of(primary.info().id()), nowMs);
     return backups.choose(same, primary, unpenalized(others, nowMs), targets.values(), nowMs);
   }
 
   /** Whether any target accepts a request, now or when it has a permit. */
   public boolean anyUsable(PlacementNeed need, long nowMs) {
-    return !accepting(need, need.excluded(), nowMs).isEmpty();
+    return !accepting(need::fits, need.excluded(), nowMs).isEmpty();
   }
 
   /** Targets that accept a request and name a request limit. */
   private List<Target> limited(PlacementNeed need, long nowMs) {
-    List<Target> limited = accepting(need, need.excluded(), nowMs);
+    List<Target> limited = accepting(need::fits, need.excluded(), nowMs);
     limited.removeIf(target -> !limits.limited(target.info().run(), nowMs));
     return limited;
   }
@@ -352,16 +362,20 @@
 
   /** Targets that accept a request and for which this instance needs no permit or has one. */
   private List<Target> permitted(PlacementNeed need, long nowMs) {
-    List<Target> permitted = accepting(need, need.excluded(), nowMs);
+    return permitted(need::fits, need.excluded(), nowMs);
+  }
+
+  private List<Target> permitted(Predicate<TargetInfo> fits, Set<TargetId> excluded, long nowMs) {
+    List<Target> permitted = accepting(fits, excluded, nowMs);
     permitted.removeIf(target -> !limits.permits(target.info().run(), nowMs));
     return unpenalized(permitted, nowMs);
   }
 
-  private List<Target> accepting(PlacementNeed need, Set<TargetId> excluded, long nowMs) {
+  private List<Target> accepting(Predicate<TargetInfo> fits, Set<TargetId> excluded, long nowMs) {
     List<Target> accepting = new ArrayList<>();
     for (Target target : targets.values()) {
       boolean candidate =
-          need.fits(target.info())
+          fits.test(target.info())
               && target.accepts(nowMs)
               && !excluded.contains(target.info().id());
       if (candidate) {
--- a/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
+++ b/targets/src/test/java/dev/caroblb/targets/EvacuatedTargetsTest.java
@@ -40,7 +40,9 @@
   }
 
   private Set<TargetId> withFreeMemory() {
-    return pool.byFreeMemory(NEED, 0).stream().map(FreeMemory::target).collect(toSet());
+    return pool.byFreeMemory("service", 0).stream()
+        .map(free -> free.target().id())
+        .collect(toSet());
   }
 
   @BeforeEach
--- a/transport/src/main/java/dev/caroblb/transport/Channel.java
+++ b/transport/src/main/java/dev/caroblb/transport/Channel.java
@@ -11,7 +11,8 @@
   FORWARDING(5),
   SCHEDULING(6),
   PACING(7),
-  EVACUATION(8);
+  EVACUATION(8),
+  RESUMPTION(9);
 
   private final int number;
 
