Take a stream up at the service that began it

A route that is split, or that was moved to another service, could send a stream that is taken up to another service than the one that began it: versions of two services may bear the same name. Found when the change was read.

Records of begun streams hold the service beside the version (StreamOrigin); a take-up goes there if the route still leads to it, and is refused as not resumable otherwise. The copies of PlacementNeed share one method; OriginClient.findOrAsk says that it may send.

TakeUpsTest has the case; it does not compile without the change. The tests of the take-ups, versions, targets, evacuations, forwarding and codecs pass.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Exchange.java
@@ -3,6 +3,7 @@
 import dev.caroblb.core.FailureDomain;
 import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
+import dev.caroblb.resumption.StreamOrigin;
 import dev.caroblb.routing.Route;
 import dev.caroblb.targets.PlacementNeed;
 import dev.caroblb.targets.Target;
@@ -14,7 +15,7 @@
 final class Exchange {
   private final ForwardCall call;
   private final Route route;
-  private final String service;
+  private String service;
   private final Optional<String> workspace;
   private final int priority;
   private final long arrivedMs;
@@ -295,6 +296,12 @@
     return streamVersion;
   }
 
+  /** Sends a stream that is taken up to what began it. */
+  void setOrigin(StreamOrigin origin) {
+    service = origin.service();
+    streamVersion = Optional.of(origin.version());
+  }
+
   /** Fixes the software version that the stream stays at. */
   void setStreamVersion(SoftwareVersion version) {
     streamVersion = Optional.of(version);
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
@@ -8,6 +8,7 @@
 import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.resumption.OriginClient;
 import dev.caroblb.resumption.PeerMessage;
+import dev.caroblb.resumption.StreamOrigin;
 import dev.caroblb.targets.TargetPool;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,8 +20,8 @@
 import java.util.Set;
 
 /**
- * Streams that callers take up, at any entry. They go on only at the software version that began
- * them; if that is not known, or no target has it, they are refused at once.
+ * Streams that callers take up, at any entry. They go on only at the service and the software
+ * version that began them; if these are not known, or no target has them, they are refused at once.
  */
 final class TakeUps {
   private static final System.Logger LOGGER = System.getLogger(TakeUps.class.getName());
@@ -59,7 +60,8 @@
     SoftwareVersion version = exchange.target().get().info().softwareVersion();
     exchange.setStreamVersion(version);
     if (exchange.route().resumable()) {
-      origins.began(exchange.call().requestId(), version, exchange.deadlineMs() - nowMs, nowMs);
+      StreamOrigin origin = new StreamOrigin(exchange.service(), version);
+      origins.began(exchange.call().requestId(), origin, exchange.deadlineMs() - nowMs, nowMs);
     }
   }
 
@@ -75,8 +77,8 @@
       return false;
     }
     expire(nowMs);
-    OriginClient.Origin origin = origins.find(attempt.get(), nowMs);
-    if (origin instanceof OriginClient.Origin.Asked) {
+    OriginClient.Finding finding = origins.findOrAsk(attempt.get(), nowMs);
+    if (finding instanceof OriginClient.Finding.Asked) {
       long untilMs = nowMs + OriginClient.REPLY_TIMEOUT_MS;
       waiting
           .computeIfAbsent(attempt.get(), each -> new Waiting(new HashSet<>(), untilMs))
@@ -85,21 +87,21 @@
       exchanges.wakeAt(exchange, untilMs);
       return false;
     }
-    return resolved(exchange, origin, nowMs);
+    return mayContinue(exchange, finding, nowMs);
   }
 
   /** Processes a reply; returns the requests that may be sent now. */
   List<Exchange> replied(PeerMessage.OriginReply reply, long nowMs) {
-    Optional<OriginClient.Origin> origin = origins.replied(reply);
+    Optional<OriginClient.Finding> finding = origins.replied(reply);
     List<Exchange> ready = new ArrayList<>();
-    if (origin.isEmpty()) {
+    if (finding.isEmpty()) {
       return ready;
     }
     Optional<Waiting> calls = Optional.ofNullable(waiting.remove(reply.attempt()));
     for (long call : calls.map(Waiting::calls).orElse(Set.of())) {
       exchanges
           .find(call)
-          .filter(exchange -> resolved(exchange, origin.get(), nowMs))
+          .filter(exchange -> mayContinue(exchange, finding.get(), nowMs))
           .ifPresent(ready::add);
     }
     return ready;
@@ -111,7 +113,7 @@
     if (attempt.isEmpty() || exchange.streamVersion().isPresent()) {
       return false;
     }
-    return !resolved(exchange, new OriginClient.Origin.Unknown(), nowMs);
+    return !mayContinue(exchange, new OriginClient.Finding.Unknown(), nowMs);
   }
 
   /** Forgets the queries whose time is over; their requests may have ended before. */
@@ -127,19 +129,24 @@
     }
   }
 
-  private boolean resolved(Exchange exchange, OriginClient.Origin origin, long nowMs) {
-    if (!(origin instanceof OriginClient.Origin.Known known)) {
+  private boolean mayContinue(Exchange exchange, OriginClient.Finding finding, long nowMs) {
+    if (!(finding instanceof OriginClient.Finding.Known known)) {
       refuse(exchange, "the software version that began the stream is not known", nowMs);
       return false;
     }
-    exchange.setStreamVersion(known.version());
+    StreamOrigin origin = known.origin();
+    if (!exchange.route().leadsTo(origin.service())) {
+      refuse(exchange, "the route no longer leads to the service that began the stream", nowMs);
+      return false;
+    }
+    exchange.setOrigin(origin);
     LOGGER.log(
         System.Logger.Level.INFO,
         LogLine.of("forwarding.taken_up")
             .with("request", exchange.call().requestId())
-            .with("version", known.version())
+            .with("version", origin.version())
             .toString());
-    if (pool.serves(exchange.service(), known.version())) {
+    if (pool.serves(origin.service(), origin.version())) {
       return true;
     }
     refuse(exchange, "no target has the software version that began the stream", nowMs);
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -9,6 +9,7 @@
 import dev.caroblb.resumption.PeerMessage;
 import dev.caroblb.resumption.ResumptionHandler;
 import dev.caroblb.resumption.ResumptionMessage;
+import dev.caroblb.resumption.StreamOrigin;
 import dev.caroblb.targets.TargetInfo;
 import java.util.ArrayList;
 import java.util.List;
@@ -117,6 +118,19 @@
       assertEquals(List.of(), second.chosen());
     }
 
+    /** Guards against a stream that goes on at another service after a change of its route. */
+    @Test
+    void areRefusedIfTheirServiceHasChanged() {
+      StreamOrigin elsewhere = new StreamOrigin("former", NEW);
+      PeerMessage began = new PeerMessage.StreamBegan("id-5", elsewhere, 4_000);
+      control.handle(
+          new ResumptionMessage.FromPeer(new PeerEnvelope<>(ENTRY, began)), second.nowMs);
+      second.takeUp(Optional.of("id-5"));
+      second.exchangeMessages();
+      assertEquals(List.of(NOT_RESUMABLE), second.caller.events);
+      assertEquals(List.of(), second.chosen());
+    }
+
     /** Guards against a guess at the version of a stream that no record names. */
     @Test
     void areRefusedIfNobodyKnowsTheirVersion() {
--- a/resumption/src/main/java/dev/caroblb/resumption/BegunStreams.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/BegunStreams.java
@@ -1,13 +1,12 @@
 package dev.caroblb.resumption;
 
-import dev.caroblb.core.SoftwareVersion;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
-/** Versions that began the streams of recent attempts, in bounded memory; the oldest go first. */
+/** What began the streams of recent attempts, in bounded memory; the oldest go first. */
 public final class BegunStreams {
   /** Maximum number of streams; some 10 MB. */
   static final int MAX_STREAMS = 65_536;
@@ -15,10 +14,10 @@
   private static final long MAX_KEEP_MS = 120_000;
   private static final long EXPIRE_INTERVAL_MS = 1_000;
 
-  private record Begun(SoftwareVersion version, long untilMs) {}
+  private record Begun(StreamOrigin origin, long untilMs) {}
 
-  /** Versions are few: streams share one instance of each. */
-  private final Map<SoftwareVersion, SoftwareVersion> versions = new HashMap<>();
+  /** Origins are few: streams share one instance of each. */
+  private final Map<StreamOrigin, StreamOrigin> origins = new HashMap<>();
 
   private final Map<String, Begun> streams =
       new LinkedHashMap<>() {
@@ -32,18 +31,18 @@
   private long expireMs = Long.MIN_VALUE;
 
   /** Records a stream; the first record of an attempt counts. */
-  public void began(String attempt, SoftwareVersion version, long keepMs, long nowMs) {
+  public void began(String attempt, StreamOrigin origin, long keepMs, long nowMs) {
     expire(nowMs);
-    SoftwareVersion shared = versions.computeIfAbsent(version, same -> same);
+    StreamOrigin shared = origins.computeIfAbsent(origin, same -> same);
     long untilMs = nowMs + Math.min(keepMs, MAX_KEEP_MS);
     streams.putIfAbsent(attempt, new Begun(shared, untilMs));
   }
 
-  /** The version that began the stream of an attempt; empty if it is not known. */
-  public Optional<SoftwareVersion> version(String attempt, long nowMs) {
+  /** What began the stream of an attempt; empty if it is not known. */
+  public Optional<StreamOrigin> origin(String attempt, long nowMs) {
     return Optional.ofNullable(streams.get(attempt))
         .filter(begun -> nowMs < begun.untilMs())
-        .map(Begun::version);
+        .map(Begun::origin);
   }
 
   int size() {
@@ -60,6 +59,6 @@
         all.remove();
       }
     }
-    versions.clear();
+    origins.clear();
   }
 }
--- a/resumption/src/main/java/dev/caroblb/resumption/OriginClient.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/OriginClient.java
@@ -3,7 +3,6 @@
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
-import dev.caroblb.core.SoftwareVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -16,15 +15,15 @@
   public static final long REPLY_TIMEOUT_MS = 250;
 
   /** What is known of the origin of a stream. */
-  public sealed interface Origin {
-    /** A version that is known here. */
-    record Known(SoftwareVersion version) implements Origin {}
+  public sealed interface Finding {
+    /** The origin is known here. */
+    record Known(StreamOrigin origin) implements Finding {}
 
     /** Control instances were asked. */
-    record Asked() implements Origin {}
+    record Asked() implements Finding {}
 
     /** Nobody can know. */
-    record Unknown() implements Origin {}
+    record Unknown() implements Finding {}
   }
 
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
@@ -47,44 +46,42 @@
   }
 
   /** Records that the caller of an attempt is about to get its first event. */
-  public void began(String attempt, SoftwareVersion version, long keepMs, long nowMs) {
-    if (!recordable(attempt)) {
+  public void began(String attempt, StreamOrigin origin, long keepMs, long nowMs) {
+    if (!recordable(attempt, origin)) {
       return;
     }
-    own.began(attempt, version, keepMs, nowMs);
-    send(attempt, new PeerMessage.StreamBegan(attempt, version, keepMs));
+    own.began(attempt, origin, keepMs, nowMs);
+    send(attempt, new PeerMessage.StreamBegan(attempt, origin, keepMs));
   }
 
-  /** Finds the version that began the stream of an attempt, or asks for it. */
-  public Origin find(String attempt, long nowMs) {
-    Optional<SoftwareVersion> known = own.version(attempt, nowMs);
+  /** Finds what began the stream of an attempt, or asks for it. */
+  public Finding findOrAsk(String attempt, long nowMs) {
+    Optional<StreamOrigin> known = own.origin(attempt, nowMs);
     if (known.isPresent()) {
-      return new Origin.Known(known.get());
+      return new Finding.Known(known.get());
     }
     int holders = RecordHolders.of(attempt, controlInstances).size();
     if (holders == 0 || !recordable(attempt)) {
-      return new Origin.Unknown();
+      return new Finding.Unknown();
     }
     queries.put(attempt, holders);
     send(attempt, new PeerMessage.OriginQuery(attempt));
-    return new Origin.Asked();
+    return new Finding.Asked();
   }
 
-  /**
-   * Processes a reply. Returns what is known now; empty while another reply may name the version.
-   */
-  public Optional<Origin> replied(PeerMessage.OriginReply reply) {
+  /** Processes a reply. Returns what is known now; empty while another reply may name it. */
+  public Optional<Finding> replied(PeerMessage.OriginReply reply) {
     Integer due = queries.get(reply.attempt());
     if (due == null) {
       return Optional.empty();
     }
-    if (reply.version().isEmpty() && due > 1) {
+    if (reply.origin().isEmpty() && due > 1) {
       queries.put(reply.attempt(), due - 1);
       return Optional.empty();
     }
     queries.remove(reply.attempt());
     return Optional.of(
-        reply.version().<Origin>map(Origin.Known::new).orElseGet(Origin.Unknown::new));
+        reply.origin().<Finding>map(Finding.Known::new).orElseGet(Finding.Unknown::new));
   }
 
   /** Forgets a query whose request has ended or waits no more. */
@@ -92,8 +89,16 @@
     queries.remove(attempt);
   }
 
+  private static boolean recordable(String attempt, StreamOrigin origin) {
+    return recordable(attempt) && bytes(origin.service()) <= StreamOrigin.MAX_SERVICE_BYTES;
+  }
+
   private static boolean recordable(String attempt) {
-    return attempt.getBytes(StandardCharsets.UTF_8).length <= PeerMessage.MAX_ATTEMPT_BYTES;
+    return bytes(attempt) <= PeerMessage.MAX_ATTEMPT_BYTES;
+  }
+
+  private static int bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
   }
 
   private void send(String attempt, PeerMessage message) {
--- a/resumption/src/main/java/dev/caroblb/resumption/PeerMessage.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/PeerMessage.java
@@ -1,6 +1,5 @@
 package dev.caroblb.resumption;
 
-import dev.caroblb.core.SoftwareVersion;
 import java.util.Optional;
 
 /** Messages between entries and control instances about begun streams. */
@@ -12,14 +11,14 @@
    * A caller is about to get the first event of a stream.
    *
    * @param attempt name of the caller's attempt
-   * @param version software version of the target that began the stream
+   * @param origin what begins the stream
    * @param keepMs time in milliseconds for which the caller may take the stream up
    */
-  record StreamBegan(String attempt, SoftwareVersion version, long keepMs) implements PeerMessage {}
+  record StreamBegan(String attempt, StreamOrigin origin, long keepMs) implements PeerMessage {}
 
-  /** Asks for the version that began the stream of an attempt. */
+  /** Asks what began the stream of an attempt. */
   record OriginQuery(String attempt) implements PeerMessage {}
 
-  /** Reply to a query; without a version if the attempt is not known. */
-  record OriginReply(String attempt, Optional<SoftwareVersion> version) implements PeerMessage {}
+  /** Reply to a query; without an origin if the attempt is not known. */
+  record OriginReply(String attempt, Optional<StreamOrigin> origin) implements PeerMessage {}
 }
--- a/resumption/src/main/java/dev/caroblb/resumption/ResumptionHandler.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/ResumptionHandler.java
@@ -5,7 +5,7 @@
 import dev.caroblb.core.Outlet;
 import dev.caroblb.core.PeerEnvelope;
 
-/** The duty of a control instance that remembers which software version began each stream. */
+/** The duty of a control instance that remembers what began each stream. */
 public final class ResumptionHandler implements DutyHandler<ResumptionMessage> {
   private final Outlet<PeerEnvelope<PeerMessage>> peers;
   private final BegunStreams streams = new BegunStreams();
@@ -26,10 +26,10 @@
 
   private void fromPeer(InstanceId peer, PeerMessage message, long nowMs) {
     if (message instanceof PeerMessage.StreamBegan began) {
-      streams.began(began.attempt(), began.version(), began.keepMs(), nowMs);
+      streams.began(began.attempt(), began.origin(), began.keepMs(), nowMs);
     } else if (message instanceof PeerMessage.OriginQuery query) {
       PeerMessage reply =
-          new PeerMessage.OriginReply(query.attempt(), streams.version(query.attempt(), nowMs));
+          new PeerMessage.OriginReply(query.attempt(), streams.origin(query.attempt(), nowMs));
       boolean unused = peers.offer(new PeerEnvelope<>(peer, reply));
     }
   }
--- a/resumption/src/main/java/dev/caroblb/resumption/codec/ResumptionCodec.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/codec/ResumptionCodec.java
@@ -4,6 +4,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.resumption.PeerMessage;
+import dev.caroblb.resumption.StreamOrigin;
 import dev.caroblb.transport.codec.BoundedReader;
 import dev.caroblb.transport.codec.Packing;
 import java.io.IOException;
@@ -17,7 +18,8 @@
   private static final int TYPE_STREAM_BEGAN = 1;
   private static final int TYPE_ORIGIN_QUERY = 2;
   private static final int TYPE_ORIGIN_REPLY = 3;
-  private static final int STREAM_BEGAN_FIELDS = 3;
+  private static final int STREAM_BEGAN_FIELDS = 4;
+  private static final int ORIGIN_FIELDS = 2;
   private static final int ORIGIN_QUERY_FIELDS = 1;
   private static final int ORIGIN_REPLY_FIELDS = 2;
 
@@ -31,7 +33,7 @@
       out.packArrayHeader(1 + STREAM_BEGAN_FIELDS);
       out.packInt(TYPE_STREAM_BEGAN);
       out.packString(began.attempt());
-      out.packString(began.version().name());
+      write(out, began.origin());
       out.packLong(began.keepMs());
     } else if (message instanceof PeerMessage.OriginQuery query) {
       out.packArrayHeader(1 + ORIGIN_QUERY_FIELDS);
@@ -41,13 +43,19 @@
       out.packArrayHeader(1 + ORIGIN_REPLY_FIELDS);
       out.packInt(TYPE_ORIGIN_REPLY);
       out.packString(reply.attempt());
-      out.packArrayHeader(reply.version().isPresent() ? 1 : 0);
-      if (reply.version().isPresent()) {
-        out.packString(reply.version().get().name());
+      out.packArrayHeader(reply.origin().isPresent() ? 1 : 0);
+      if (reply.origin().isPresent()) {
+        out.packArrayHeader(ORIGIN_FIELDS);
+        write(out, reply.origin().get());
       }
     }
   }
 
+  private static void write(MessagePacker out, StreamOrigin origin) throws IOException {
+    out.packString(origin.service());
+    out.packString(origin.version().name());
+  }
+
   @Override
   public Optional<PeerMessage> decode(Payload bytes) {
     return BoundedReader.decode(bytes, in -> in.variant(new Variants()));
@@ -68,9 +76,12 @@
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return switch (type) {
         case TYPE_STREAM_BEGAN ->
-            new PeerMessage.StreamBegan(attempt(in), version(in), in.longValue());
+            new PeerMessage.StreamBegan(attempt(in), origin(in), in.longValue());
         case TYPE_ORIGIN_QUERY -> new PeerMessage.OriginQuery(attempt(in));
-        default -> new PeerMessage.OriginReply(attempt(in), in.optional(ResumptionCodec::version));
+        default ->
+            new PeerMessage.OriginReply(
+                attempt(in),
+                in.optional(list -> list.structure(ORIGIN_FIELDS, ResumptionCodec::origin)));
       };
     }
   }
@@ -79,7 +90,9 @@
     return in.text(PeerMessage.MAX_ATTEMPT_BYTES);
   }
 
-  private static SoftwareVersion version(BoundedReader in) throws IOException {
-    return new SoftwareVersion(in.text(SoftwareVersion.MAX_BYTES));
+  private static StreamOrigin origin(BoundedReader in) throws IOException {
+    return new StreamOrigin(
+        in.text(StreamOrigin.MAX_SERVICE_BYTES),
+        new SoftwareVersion(in.text(SoftwareVersion.MAX_BYTES)));
   }
 }
--- a/resumption/src/test/java/dev/caroblb/resumption/BegunStreamsTest.java
+++ b/resumption/src/test/java/dev/caroblb/resumption/BegunStreamsTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 class BegunStreamsTest {
-  private static final SoftwareVersion V1 = new SoftwareVersion("v1");
-  private static final SoftwareVersion V2 = new SoftwareVersion("v2");
+  private static final StreamOrigin V1 = new StreamOrigin("service", new SoftwareVersion("v1"));
+  private static final StreamOrigin V2 = new StreamOrigin("service", new SoftwareVersion("v2"));
 
   private final BegunStreams streams = new BegunStreams();
 
@@ -17,18 +17,18 @@
   class Records {
     /** Guards against a late record that moves a stream to another version. */
     @Test
-    void keepTheFirstVersion() {
+    void keepTheFirstOrigin() {
       streams.began("a", V1, 1_000, 0);
       streams.began("a", V2, 1_000, 10);
-      assertEquals(Optional.of(V1), streams.version("a", 20));
+      assertEquals(Optional.of(V1), streams.origin("a", 20));
     }
 
     /** Guards against records that outlive the streams they are for. */
     @Test
     void endWithTheTimeOfTheirCaller() {
       streams.began("a", V1, 1_000, 0);
-      assertEquals(Optional.of(V1), streams.version("a", 999));
-      assertEquals(Optional.empty(), streams.version("a", 1_000));
+      assertEquals(Optional.of(V1), streams.origin("a", 999));
+      assertEquals(Optional.empty(), streams.origin("a", 1_000));
       streams.began("b", V1, 1_000, 2_000);
       assertEquals(1, streams.size());
     }
@@ -40,8 +40,8 @@
         streams.began("a" + i, V1, 60_000, 0);
       }
       assertEquals(BegunStreams.MAX_STREAMS, streams.size());
-      assertEquals(Optional.empty(), streams.version("a0", 1));
-      assertEquals(Optional.of(V1), streams.version("a1", 1));
+      assertEquals(Optional.empty(), streams.origin("a0", 1));
+      assertEquals(Optional.of(V1), streams.origin("a1", 1));
     }
   }
 }
--- a/resumption/src/test/java/dev/caroblb/resumption/OriginClientTest.java
+++ b/resumption/src/test/java/dev/caroblb/resumption/OriginClientTest.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.Test;
 
 class OriginClientTest {
-  private static final SoftwareVersion V1 = new SoftwareVersion("v1");
-  private static final OriginClient.Origin UNKNOWN = new OriginClient.Origin.Unknown();
+  private static final StreamOrigin V1 = new StreamOrigin("service", new SoftwareVersion("v1"));
+  private static final OriginClient.Finding UNKNOWN = new OriginClient.Finding.Unknown();
 
   private final List<PeerEnvelope<PeerMessage>> sent = new ArrayList<>();
   private final OriginClient client = new OriginClient(sent::add);
@@ -25,8 +25,8 @@
     return IntStream.range(0, count).mapToObj(i -> new InstanceId("control-" + i)).toList();
   }
 
-  private static PeerMessage.OriginReply reply(Optional<SoftwareVersion> version) {
-    return new PeerMessage.OriginReply("a", version);
+  private static PeerMessage.OriginReply reply(Optional<StreamOrigin> origin) {
+    return new PeerMessage.OriginReply("a", origin);
   }
 
   private Set<InstanceId> receivers() {
@@ -47,7 +47,7 @@
         Set<InstanceId> holders = receivers();
         OriginClient other = new OriginClient(sent::add);
         other.setControlInstances(instances(46));
-        assertEquals(new OriginClient.Origin.Asked(), other.find("a" + i, 1));
+        assertEquals(new OriginClient.Finding.Asked(), other.findOrAsk("a" + i, 1));
         assertEquals(holders, receivers());
         assertEquals(3, holders.size());
       }
@@ -62,10 +62,10 @@
     @Test
     void areUnknownOnlyIfAllSaySo() {
       client.setControlInstances(instances(3));
-      assertEquals(new OriginClient.Origin.Asked(), client.find("a", 0));
+      assertEquals(new OriginClient.Finding.Asked(), client.findOrAsk("a", 0));
       assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
       assertEquals(
-          Optional.of(new OriginClient.Origin.Known(V1)), client.replied(reply(Optional.of(V1))));
+          Optional.of(new OriginClient.Finding.Known(V1)), client.replied(reply(Optional.of(V1))));
       assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
     }
 
@@ -73,7 +73,7 @@
     @Test
     void endTheQueryWithTheLastOne() {
       client.setControlInstances(instances(2));
-      assertEquals(new OriginClient.Origin.Asked(), client.find("a", 0));
+      assertEquals(new OriginClient.Finding.Asked(), client.findOrAsk("a", 0));
       assertEquals(Optional.empty(), client.replied(reply(Optional.empty())));
       assertEquals(Optional.of(UNKNOWN), client.replied(reply(Optional.empty())));
     }
@@ -81,9 +81,9 @@
     /** Guards against a query to nobody. */
     @Test
     void areNotExpectedWithoutControlInstances() {
-      assertEquals(UNKNOWN, client.find("a", 0));
+      assertEquals(UNKNOWN, client.findOrAsk("a", 0));
       client.setControlInstances(instances(1));
-      assertEquals(UNKNOWN, client.find("a".repeat(PeerMessage.MAX_ATTEMPT_BYTES + 1), 0));
+      assertEquals(UNKNOWN, client.findOrAsk("a".repeat(PeerMessage.MAX_ATTEMPT_BYTES + 1), 0));
     }
   }
 }
--- a/resumption/src/test/java/dev/caroblb/resumption/codec/ResumptionCodecTest.java
+++ b/resumption/src/test/java/dev/caroblb/resumption/codec/ResumptionCodecTest.java
@@ -5,6 +5,7 @@
 import dev.caroblb.core.Payload;
 import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.resumption.PeerMessage;
+import dev.caroblb.resumption.StreamOrigin;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -18,12 +19,12 @@
     /** Guards against fields lost or swapped in encoding or decoding. */
     @Test
     void keepsEveryField() {
-      SoftwareVersion version = new SoftwareVersion("v1.1");
+      StreamOrigin origin = new StreamOrigin("größe", new SoftwareVersion("v1.1"));
       for (PeerMessage message :
           List.of(
-              new PeerMessage.StreamBegan("a", version, 3),
+              new PeerMessage.StreamBegan("a", origin, 3),
               new PeerMessage.OriginQuery("b"),
-              new PeerMessage.OriginReply("c", Optional.of(version)),
+              new PeerMessage.OriginReply("c", Optional.of(origin)),
               new PeerMessage.OriginReply("d", Optional.empty()))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
--- a/routing/src/main/java/dev/caroblb/routing/Route.java
+++ b/routing/src/main/java/dev/caroblb/routing/Route.java
@@ -43,6 +43,12 @@
     return repeat == RepeatRule.REPEATABLE || (repeat == RepeatRule.STREAM && resumable);
   }
 
+  /** Whether requests may go to a service. */
+  public boolean leadsTo(String name) {
+    return services.stream()
+        .anyMatch(service -> service.service().equals(name) && service.weight() > 0);
+  }
+
   /** Chooses a service by weighted random selection. */
   public String chooseService(RandomGenerator random) {
     long total = 0;
--- a/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
+++ b/targets/src/main/java/dev/caroblb/targets/PlacementNeed.java
@@ -124,33 +124,26 @@
   public PlacementNeed excluding(Set<TargetId> more) {
     Set<TargetId> all = new HashSet<>(excluded);
     all.addAll(more);
-    return new PlacementNeed(
-        purpose,
-        service,
-        tokens,
-        promptTokens,
-        all,
-        preferredDomain,
-        wantsBackup,
-        priority,
-        objectiveMs,
-        workspace,
-        fingerprint,
-        sinceArrivalMs,
-        usefulMs,
-        leftMs,
-        eventGapObjectiveMs,
-        softwareVersion);
+    return with(all, softwareVersion);
+  }
+
+  /** Returns the same requirements without excluded targets. */
+  public PlacementNeed withoutExclusions() {
+    return with(Set.of(), softwareVersion);
   }
 
   /** Returns the same requirements for targets of one software version only. */
   public PlacementNeed at(SoftwareVersion version) {
+    return with(excluded, Optional.of(version));
+  }
+
+  private PlacementNeed with(Set<TargetId> excludedTargets, Optional<SoftwareVersion> version) {
     return new PlacementNeed(
         purpose,
         service,
         tokens,
         promptTokens,
-        excluded,
+        excludedTargets,
         preferredDomain,
         wantsBackup,
         priority,
@@ -161,7 +154,7 @@
         usefulMs,
         leftMs,
         eventGapObjectiveMs,
-        Optional.of(version));
+        version);
   }
 
   /** Whether a target is of the service and of the software version that are needed. */
@@ -170,27 +163,6 @@
         && softwareVersion.filter(version -> !version.equals(target.softwareVersion())).isEmpty();
   }
 
-  /** Returns the same requirements without excluded targets. */
-  public PlacementNeed withoutExclusions() {
-    return new PlacementNeed(
-        purpose,
-        service,
-        tokens,
-        promptTokens,
-        Set.of(),
-        preferredDomain,
-        wantsBackup,
-        priority,
-        objectiveMs,
-        workspace,
-        fingerprint,
-        sinceArrivalMs,
-        usefulMs,
-        leftMs,
-        eventGapObjectiveMs,
-        softwareVersion);
-  }
-
   public PlacementNeed {
     excluded = Set.copyOf(excluded);
   }
