Share the score of rendezvous hashing

RendezvousTargets and the holders of records of begun streams ranked names by two copies of one hash; both use RendezvousScore now, with the same scores for targets as before. The tests of rendezvous hashing, membership and resumption pass.

--- a/membership/src/main/java/dev/caroblb/membership/RendezvousTargets.java
+++ b/membership/src/main/java/dev/caroblb/membership/RendezvousTargets.java
@@ -1,6 +1,7 @@
 package dev.caroblb.membership;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.RendezvousScore;
 import dev.caroblb.core.TargetId;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -48,18 +49,7 @@
     return groups;
   }
 
-  /**
-   * 64-bit FNV-1a hash of both names, followed by a mixing step. {@link String#hashCode}
-   * distributes similar names too unevenly.
-   */
   private static long score(InstanceId instance, TargetId target) {
-    long hash = 0xcbf29ce484222325L;
-    String text = instance.name() + "/" + target.name();
-    for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-    }
-    hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-    hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
-    return hash ^ (hash >>> 31);
+    return RendezvousScore.of(instance.name(), target.name());
   }
 }
--- a/resumption/src/main/java/dev/caroblb/resumption/RecordHolders.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/RecordHolders.java
@@ -1,7 +1,7 @@
 package dev.caroblb.resumption;
 
 import dev.caroblb.core.InstanceId;
-import java.nio.charset.StandardCharsets;
+import dev.caroblb.core.RendezvousScore;
 import java.util.Comparator;
 import java.util.List;
 
@@ -20,18 +20,8 @@
       return controlInstances;
     }
     return controlInstances.stream()
-        .sorted(Comparator.comparingLong(instance -> weight(attempt, instance)))
+        .sorted(Comparator.comparingLong(instance -> RendezvousScore.of(instance.name(), attempt)))
         .limit(HOLDERS)
         .toList();
   }
-
-  /** 64-bit FNV-1a with a mixing step, which spreads names that differ in one character. */
-  private static long weight(String attempt, InstanceId instance) {
-    long hash = 0xcbf29ce484222325L;
-    for (byte next : (attempt + ' ' + instance.name()).getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ next) * 0x100000001b3L;
-    }
-    hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-    return hash ^ (hash >>> 27);
-  }
 }
