--- a/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
+++ b/scheduling/src/test/java/dev/caroblb/scheduling/ContentionDriver.java
@@ -304,7 +304,7 @@
     for (Map.Entry<Long, Call> each : List.copyOf(byTicket.entrySet())) {
       Call call = each.getValue();
       if (nowMs - call.attemptMs >= 3 * call.kind.objectiveMs()) {
-        byTicket.remove(each.getKey(), nowMs);
+        byTicket.remove(each.getKey());
         call.outcome.lost++;
         coordinator.placementCancelled(
             new InstanceId("entry-" + call.id % ENTRIES), each.getKey(), nowMs);
