--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
   echo "run deploy/build and review/build-2.sh before" >&2
   exit 2
 fi
-exec java -Xmx512m -cp target/review-2 Review core "review/7/record.txt"
+exec java -Xmx512m -cp target/review-2 Review restarts "review/7/record.txt"
--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -18,6 +18,8 @@
 /** A small deployment on loopback: processes of the platform's program, with the platform's part. */
 final class Deployment implements AutoCloseable {
   static final int CONTACT_MS = 3_000;
+  static final int CATCH_UP_MS = 4_000;
+  private static final int GRACE_S = 8;
 
   /** One machine. */
   final class Machine {
@@ -63,6 +65,21 @@
       process.destroyForcibly();
     }
 
+    /** Stops the process as planned, with SIGTERM and after the grace period SIGKILL. */
+    void terminate() throws InterruptedException {
+      Process stopped;
+      synchronized (this) {
+        wanted = false;
+        stopped = process;
+      }
+      stopped.destroy();
+      if (!stopped.waitFor(GRACE_S, TimeUnit.SECONDS)) {
+        record.line(name + " did not end within the grace period");
+        stopped.destroyForcibly();
+        stopped.waitFor();
+      }
+    }
+
     /** Starts the process again if it ended by itself, as the platform does. */
     private synchronized void watch() throws IOException {
       if (wanted && !process.isAlive()) {
--- a/review/src-2/Review.java
+++ b/review/src-2/Review.java
@@ -32,7 +32,7 @@
       Case chosen =
           switch (args[0]) {
             case "heads" -> Heads::run;
-            case "core" -> CoreKilled::run;
+            case "restarts" -> RollingRestart::run;
             case "timeout" -> RouteTimeout::run;
             case "goes-on" -> GoesOn::run;
             case "version" -> SameId::run;
@@ -163,52 +163,55 @@
     return (double) goneOn / takenUp >= 0.5 * begun / fresh.size();
   }
 
-  /** Core processes and one entry are killed at once; streams of that entry are taken up. */
-  static final class CoreKilled {
+  /** All machines of the core and one entry are restarted in turn, as planned. */
+  static final class RollingRestart {
+    private static final int STREAMS = 24;
+    private static final int RESTART_MS = 500;
+
     static boolean run(Path root, Record record, String trouble) throws Exception {
-      int count = 24;
       List<Replica> replicas = new ArrayList<>();
       try (Deployment deployment = new Deployment(root, record, 5)) {
         deployment.start();
         require(deployment.configure(config(1, 39_000, true, 2)), "no configuration");
         for (int i = 0; i < 4; i++) {
-          replicas.add(new Replica(deployment, i, SERVICE, i < 2 ? "v1" : "v2", 24, 150, 200, null));
+          replicas.add(
+              new Replica(deployment, i, SERVICE, i < 2 ? "v1" : "v2", 24, 185, 200, null));
         }
         require(deployment.awaitReady(), "entries are not ready");
         pause(7_000);
-        Deployment.Machine killed = deployment.entries().get(0);
+        Deployment.Machine stopped = deployment.entries().get(0);
         List<Deployment.Machine> others = deployment.entries().subList(1, 5);
         ExecutorService executor = Executors.newCachedThreadPool();
         List<Stream> streams = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < STREAMS; i++) {
           Stream stream = new Stream();
           streams.add(stream);
           int number = i;
           executor.execute(
-              () -> streamWithTakeUps(deployment, killed, others, number, 39_000, stream));
+              () -> streamWithTakeUps(deployment, stopped, others, number, 39_000, stream));
           pause(50);
         }
-        pause(5_000);
+        pause(1_500);
+        List<Deployment.Machine> inTurn = new ArrayList<>();
         if (trouble.equals("1")) {
-          record.line("all processes of the core and " + killed.name + " are killed");
-          deployment.cores().forEach(Deployment.Machine::kill);
-          killed.kill();
-          pause(500);
-          for (Deployment.Machine core : deployment.cores()) {
-            core.start();
+          inTurn.addAll(deployment.cores());
+        }
+        if (!trouble.equals("0")) {
+          inTurn.add(stopped);
+        }
+        for (Deployment.Machine machine : inTurn) {
+          record.line(machine.name + " gets SIGTERM");
+          machine.terminate();
+          record.line(machine.name + " has ended");
+          pause(RESTART_MS);
+          machine.start();
+          record.line(machine.name + " is started again");
+          if (machine.core) {
+            pause(Deployment.CATCH_UP_MS);
           }
-          killed.start();
-          record.line("they are started again");
-        } else if (trouble.equals("entry")) {
-          record.line(killed.name + " is killed");
-          killed.kill();
-          pause(500);
-          killed.start();
         }
-        long inTouchMs = record.ms() + Deployment.CONTACT_MS + 500;
-        pause(Deployment.CONTACT_MS + 500);
         List<Caller.Outcome> fresh = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < STREAMS; i++) {
           Caller.Outcome outcome = new Caller.Outcome();
           fresh.add(outcome);
           int number = 100 + i;
@@ -216,10 +219,11 @@
               () ->
                   Caller.send(deployment, others.get(number % others.size()).frontend(), "/s/x",
                       "req" + number, fields(39_000, number), "prompt", 6_000, outcome));
-          pause(200);
+          pause(100);
         }
-        pause(15_000);
-        boolean held = takeUpsHeld(record, streams, fresh, inTouchMs);
+        pause(8_000);
+        // The four other entries were not stopped, and the core was restarted long before.
+        boolean held = takeUpsHeld(record, streams, fresh, 0);
         executor.shutdownNow();
         return held;
       }
