--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -121,6 +121,8 @@
       machines.add(
           new Machine("entry-" + i, prefix + (31 + i), false, "zone-" + "abc".charAt(i % 3)));
     }
+    // Also ends the processes if the test itself is ended.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     watcher = new Thread(this::watch, "watcher");
     watcher.setDaemon(true);
   }
