Review case 6: a cut explains why the entries do not hear of the restart

The replica crashes behind a cut from the core (srv_cut, reborn), so that its heartbeats do not arrive, instead of sending its first one late.

--- a/review/src-2/Replica.java
+++ b/review/src-2/Replica.java
@@ -50,6 +50,9 @@
   private final java.util.Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private volatile boolean closed;
 
+  /** Whether the replica does not reach the control machines. */
+  volatile boolean cutOff;
+
   Replica(
       Deployment deployment,
       int number,
@@ -116,7 +119,7 @@
               + "\",\"slots\":" + slots + ",\"state\":\"ready\",\"cold-left-ms\":0,"
               + "\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
               + "\"born\":" + born + ",\"seq\":" + seq + "}";
-      for (int i = 0; i < 3 && !closed; i++) {
+      for (int i = 0; i < 3 && !closed && !cutOff; i++) {
         InetSocketAddress control = deployment.cores().get(next % 3).control();
         int status =
             Deployment.call(control, "PUT", "/v1/instances/" + id, body, new LinkedHashMap<>());
--- a/review/src-2/Review.java
+++ b/review/src-2/Review.java
@@ -334,10 +334,14 @@
     }
   }
 
-  /** The last replica of a version crashes and starts again under its id with another version. */
+  /**
+   * The last replica of a version is cut off from the core, crashes behind the cut and starts again
+   * under its id with another version.
+   */
   static final class SameId {
+    private static final int CUT_MS = 5_000;
+    private static final int CRASH_AFTER_MS = 300;
     private static final int DOWN_MS = 1_000;
-    private static final int HEARTBEAT_MS = 1_200;
 
     static boolean run(Path root, Record record, String trouble) throws Exception {
       List<Replica> replicas = new ArrayList<>();
@@ -365,14 +369,20 @@
         pause(2_000);
         if (!trouble.equals("0")) {
           Replica before = replicas.get(0);
+          record.line(before.id + " is cut off from the core");
+          before.cutOff = true;
+          pause(CRASH_AFTER_MS);
           record.line(before.id + " crashes");
           before.crash();
           pause(DOWN_MS);
+          int cutLeftMs = CUT_MS - CRASH_AFTER_MS - DOWN_MS;
           replicas.set(0, new Replica(deployment, 0, SERVICE, "v2", 24, 60, 150, null,
-              before.address.getPort(), HEARTBEAT_MS));
-          record.line(before.id + " is back under its id, with version v2");
+              before.address.getPort(), cutLeftMs));
+          record.line(before.id + " is back under its id, with version v2, behind the cut");
+          pause(cutLeftMs);
+          record.line(before.id + " reaches the core again");
         }
-        pause(15_000);
+        pause(12_000);
         int mixed = 0;
         for (Stream stream : streams) {
           java.util.Set<String> versions = new java.util.TreeSet<>(stream.first.versions);
