--- a/review/src-2/Review.java
+++ b/review/src-2/Review.java
@@ -274,13 +274,17 @@
     static boolean run(Path root, Record record, String trouble) throws Exception {
       List<Replica> replicas = new ArrayList<>();
       AtomicInteger requests = new AtomicInteger();
+      java.util.concurrent.atomic.AtomicBoolean losing =
+          new java.util.concurrent.atomic.AtomicBoolean();
       int everyNth = 20;
+      int lossMs = 4_000;
+      int pauseMs = 45;
       try (Deployment deployment = new Deployment(root, record, 2)) {
         deployment.start();
         require(deployment.configure(config(1, 39_000, true, 2)), "no configuration");
         Replica.Trouble lostAnswer =
             (replica, request, run, socket) -> {
-              if (requests.incrementAndGet() % everyNth != 0) {
+              if (!losing.get() || requests.incrementAndGet() % everyNth != 0) {
                 return false;
               }
               Replica.write(socket.getOutputStream(), Replica.head(request) + "\r\n");
@@ -306,14 +310,19 @@
         require(deployment.awaitReady(), "entries are not ready");
         pause(7_000);
         ExecutorService executor = Executors.newCachedThreadPool();
-        for (int i = 0; i < 240; i++) {
+        for (int i = 0; i < 300; i++) {
           int number = i;
+          // An answer is lost some 0.6 s after its request was sent.
+          boolean now = i * pauseMs >= 4_000 && i * pauseMs < 4_000 + lossMs - 1_000;
+          if (losing.getAndSet(now) != now) {
+            record.line((now ? "answers of " : "no more answers of ") + replicas.get(0).id + " get lost");
+          }
           executor.execute(
               () ->
                   Caller.send(deployment, deployment.entries().get(number % 2).frontend(), "/s/x",
                       "req" + number, fields(6_000, number), "prompt", 6_000,
                       new Caller.Outcome()));
-          pause(100);
+          pause(pauseMs);
         }
         finish(executor, 10);
         int twice = 0;
