Do not take a malformed response for a crash of its target

What callers saw: a request that met malformed responses at three targets within three seconds was refused as one that crashes targets, for up to ten minutes or until the heartbeats of these targets withdrew the evidence.

Cause: every attempt that fails after its request was sent counts as a possible crash, which is right for a connection that breaks off.

Change: the client reports a malformed response apart from a lost connection. The forwarding duty still penalizes the target, counts the request as one that may have run and lets a generation with a copy go on from it, but records no evidence of a crash.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -140,7 +140,8 @@
   }
 
   private void attemptEvent(Exchange exchange, ForwardingMessage.AttemptEvent message, long nowMs) {
-    if (message instanceof ForwardingMessage.Failed) {
+    if (message instanceof ForwardingMessage.Failed
+        || message instanceof ForwardingMessage.Malformed) {
       pacing.failed(exchange);
     }
     if (message instanceof ForwardingMessage.Body body) {
@@ -167,6 +168,11 @@
         return;
       }
       responses.attemptFailed(exchange, failed.sent(), failed.cause(), nowMs);
+    } else if (message instanceof ForwardingMessage.Malformed malformed) {
+      // No evidence against the request: its target runs.
+      if (!mover.sourceLost(exchange, nowMs)) {
+        responses.targetFailed(exchange, malformed.cause(), nowMs);
+      }
     } else if (message instanceof ForwardingMessage.CopyEnded ended) {
       mover.copyEnded(exchange, ended.finalCopy(), ended.outcome(), nowMs);
     }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingMessage.java
@@ -41,6 +41,9 @@
   /** The attempt failed; {@code sent} tells whether the target may have received the request. */
   record Failed(long call, int attempt, boolean sent, String cause) implements AttemptEvent {}
 
+  /** The target sent bytes that are no response; the request may have run. */
+  record Malformed(long call, int attempt, String cause) implements AttemptEvent {}
+
   /** A copy of a generation's memory is complete or has failed. */
   record CopyEnded(long call, int attempt, boolean finalCopy, MoveOutcome outcome)
       implements AttemptEvent {}
--- a/http/src/main/java/dev/caroblb/http/ClientExchange.java
+++ b/http/src/main/java/dev/caroblb/http/ClientExchange.java
@@ -197,7 +197,11 @@
     if (!markFinished()) {
       return;
     }
-    sink.failed(mayHaveRun, String.valueOf(cause));
+    if (cause instanceof MalformedMessageException) {
+      sink.malformed(cause.getMessage());
+    } else {
+      sink.failed(mayHaveRun, String.valueOf(cause));
+    }
     closeConnection();
   }
 
--- a/http/src/main/java/dev/caroblb/http/ResponseSink.java
+++ b/http/src/main/java/dev/caroblb/http/ResponseSink.java
@@ -6,7 +6,8 @@
 
 /**
  * Receives one response. Called on the reactor threads; must not block. The last call is {@link
- * #end()}, {@link #failed(boolean, String)} or {@link #connectionRefused(String)}.
+ * #end()}, {@link #failed(boolean, String)}, {@link #malformed(String)} or {@link
+ * #connectionRefused(String)}.
  */
 public interface ResponseSink {
   /** Receives the response head; header names are in lower case. */
@@ -30,6 +31,14 @@
    */
   void failed(boolean written, String cause);
 
+  /**
+   * The request failed because the peer sent bytes that are no response. Unlike a connection that
+   * breaks off, this shows that the peer runs.
+   */
+  default void malformed(String cause) {
+    failed(true, cause);
+  }
+
   /** The request failed because no process listens at the address. */
   default void connectionRefused(String cause) {
     failed(false, cause);
