--- a/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/Dispatcher.java
@@ -40,6 +40,7 @@
   private final CallFinisher finisher;
   private final DrainAdmission drain;
   private final PromptGuard guard;
+  private final StartNeeds starts;
   private final UnservableRequests unservable;
   private final AttemptMeter meter;
   private boolean anyWaiting;
@@ -65,6 +66,7 @@
     this.finisher = finisher;
     this.drain = drain;
     this.guard = guard;
+    starts = new StartNeeds(domain, pool);
     unservable = new UnservableRequests(exchanges, pool, finisher);
     meter = new AttemptMeter(domain, pool, coordinator.observations(), observer);
   }
@@ -170,14 +172,12 @@
 
   /** The target that another instance chose, if it is still what the request needs. */
   private Optional<Target> usable(Exchange exchange, TargetId id, long nowMs) {
-    return pool.usable(
-        id, exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs), nowMs);
+    PlacementNeed need = starts.need(exchange, nowMs);
+    return pool.usable(id, need, nowMs).filter(target -> !need.excluded().contains(id));
   }
 
   private PlacementNeed backupNeed(Exchange exchange, Target primary, long nowMs) {
-    return exchange
-        .placementNeed(PlacementNeed.Purpose.START, domain, nowMs)
-        .at(primary.info().softwareVersion());
+    return starts.need(exchange, nowMs).at(primary.info().softwareVersion());
   }
 
   /** Handles a timer of a request that has no target yet. */
@@ -249,7 +249,7 @@
     if (unservable.refuse(exchange, nowMs)) {
       return;
     }
-    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
+    PlacementNeed need = starts.need(exchange, nowMs);
     Optional<Target> target = pool.choose(need, nowMs);
     if (target.isPresent()) {
       pool.takePermit(target.get(), nowMs);
@@ -277,7 +277,7 @@
    */
   private void failWithoutTarget(
       Exchange exchange, RefusalReason reason, String cause, long nowMs) {
-    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
+    PlacementNeed need = starts.need(exchange, nowMs);
     long retryAfterMs =
         pool.nextAcceptingMs(need.withoutExclusions(), nowMs)
             .map(acceptingMs -> acceptingMs - nowMs)
@@ -317,7 +317,7 @@
   }
 
   void send(Exchange exchange, Target target, Optional<CopiedMemory> memory, long nowMs) {
-    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
+    PlacementNeed need = starts.need(exchange, nowMs);
     Optional<Target> backup = pool.chooseBackup(need, target, nowMs);
     send(exchange, target, memory, backup, nowMs);
   }
@@ -383,7 +383,7 @@
     if (refusedByDrain(exchange, nowMs)) {
       return;
     }
-    PlacementNeed need = exchange.placementNeed(PlacementNeed.Purpose.START, domain, nowMs);
+    PlacementNeed need = starts.need(exchange, nowMs);
     boolean possible =
         exchange.sends() < MAX_SENDS
             && nowMs < exchange.deadlineMs()
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -161,6 +161,7 @@
         responses.ended(exchange, nowMs);
       }
     } else if (message instanceof ForwardingMessage.Failed failed) {
+      exchange.target().ifPresent(target -> target.connectionLost(nowMs));
       if (failed.sent()) {
         connectionBroken(exchange, nowMs);
       }
@@ -281,6 +282,7 @@
       pacing.setTable(installed.table());
     } else if (message instanceof ForwardingMessage.TargetAvailable available) {
       pool.available(available.target());
+      pool.heard(available.target().run(), nowMs - available.warmUp().ageMs());
       pacing.available(available, nowMs);
       guard.heartbeatReceived(available.target(), nowMs);
     } else if (message instanceof ForwardingMessage.TargetLeaving announced) {
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -34,11 +34,15 @@
     }
 
     void available(int index, SoftwareVersion version) {
+      available(index, 1, version);
+    }
+
+    void available(int index, long incarnation, SoftwareVersion version) {
       handle(
           new ForwardingMessage.TargetAvailable(
               new TargetInfo(
                   new TargetId("t" + index),
-                  1,
+                  incarnation,
                   "service",
                   "10.0.0." + index + ":80",
                   ZONE,
@@ -178,4 +182,96 @@
       assertEquals(List.of(), first.toResumption);
     }
   }
+
+  /** An entry that has stood still, or that does not hear the control instances. */
+  @Nested
+  class AtAnEntryOutOfStep {
+    private static final long STANDSTILL_MS = 3_000;
+
+    /** Guards against a guess where only one version is known, which is not the stream's. */
+    @Test
+    void areRefusedWhileNobodyCanBeAsked() {
+      second.handle(new ForwardingMessage.ControlInstancesChanged(List.of()));
+      second.takeUp(Optional.of("id-7"));
+      assertEquals(List.of(NOT_RESUMABLE), second.caller.events);
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against a wait that ends in another version after a standstill. */
+    @Test
+    void areRefusedIfTheEntryStoodStillWhileItWaited() {
+      second.available(9, OLD);
+      second.takeUp(Optional.of("id-7"));
+      second.nowMs += STANDSTILL_MS;
+      second.handler.tick(second.nowMs);
+      second.exchangeMessages();
+      assertEquals(List.of(NOT_RESUMABLE), second.caller.events);
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against a run of another version that the entry has not heard of yet. */
+    @Test
+    void doNotGoToATargetThatRestartedDuringTheStandstill() {
+      second.available(9, OLD);
+      second.nowMs += STANDSTILL_MS;
+      second.takeUp(Optional.of("id-7"));
+      second.exchangeMessages();
+      assertEquals(List.of(), second.chosen());
+      second.available(9, 2, NEW);
+      assertEquals(List.of(), second.chosen());
+    }
+
+    /** Guards against take-ups that are refused for long after a standstill. */
+    @Test
+    void goOnAfterTheNextHeartbeat() {
+      second.available(9, OLD);
+      second.nowMs += STANDSTILL_MS;
+      second.takeUp(Optional.of("id-7"));
+      second.exchangeMessages();
+      second.nowMs += 50;
+      second.available(9, OLD);
+      assertEquals(List.of(new TargetId("t9")), second.chosen());
+    }
+
+    /** Guards against a take-up that waits for its deadline if no heartbeat arrives. */
+    @Test
+    void endSoonWithoutAHeartbeat() {
+      second.available(9, OLD);
+      second.nowMs += STANDSTILL_MS;
+      second.takeUp(Optional.of("id-7"));
+      second.exchangeMessages();
+      second.nowMs += 500;
+      second.handler.tick(second.nowMs);
+      assertEquals(List.of("refused NO_TARGET"), second.caller.events);
+    }
+  }
+
+  @Nested
+  class AfterALostConnection {
+    /** The stream at the first entry breaks with its target, which was the only one. */
+    @BeforeEach
+    void loseConnection() {
+      first.loseTarget();
+      first.targets.sent.clear();
+    }
+
+    /** Guards against a target that came back at its address with another version. */
+    @Test
+    void doNotGoToTheSameTargetBeforeItsNextHeartbeat() {
+      first.nowMs += 1_000;
+      first.takeUp(Optional.of("id-7"));
+      assertEquals(List.of(), first.chosen());
+      first.available(0, 2, NEW);
+      assertEquals(List.of(), first.chosen());
+    }
+
+    /** Guards against a target that gets no take-ups any more after one lost connection. */
+    @Test
+    void goToTheSameTargetAfterItsNextHeartbeat() {
+      first.nowMs += 1_000;
+      first.available(0, OLD);
+      first.takeUp(Optional.of("id-7"));
+      assertEquals(List.of(new TargetId("t0")), first.chosen());
+    }
+  }
 }
--- a/targets/src/main/java/dev/caroblb/targets/Target.java
+++ b/targets/src/main/java/dev/caroblb/targets/Target.java
@@ -10,6 +10,12 @@
 
   private static final long MAX_PENALTY_MS = 4_000;
 
+  /**
+   * Age in milliseconds of a heartbeat at which it no longer shows that a run goes on: two
+   * intervals between heartbeats of targets.
+   */
+  private static final long CONFIRMED_FOR_MS = 2_400;
+
   private final TargetInfo info;
   private boolean leaving;
   private long leavingSinceMs;
@@ -20,6 +26,8 @@
   private long penaltyMs = MIN_PENALTY_MS;
   private long rejectsUntilMs = Long.MIN_VALUE;
   private boolean evacuated;
+  private long heardMs = Long.MIN_VALUE;
+  private long connectionLostMs = Long.MIN_VALUE;
 
   public Target(TargetInfo info) {
     this.info = info;
@@ -119,4 +127,22 @@
   public boolean penalized(long nowMs) {
     return nowMs < penaltyUntilMs;
   }
+
+  /** Records a heartbeat of this run, with the time at which an instance received it. */
+  void heard(long receivedMs) {
+    heardMs = Math.max(heardMs, receivedMs);
+  }
+
+  /** Records that a connection could not be established or broke off. */
+  public void connectionLost(long nowMs) {
+    connectionLostMs = nowMs;
+  }
+
+  /**
+   * Whether this run is known to go on. Otherwise the target may have restarted at its address,
+   * with another software version, and the heartbeats of the new run have not arrived yet.
+   */
+  public boolean confirmed(long nowMs) {
+    return heardMs > connectionLostMs && nowMs - heardMs < CONFIRMED_FOR_MS;
+  }
 }
--- a/targets/src/main/java/dev/caroblb/targets/TargetPool.java
+++ b/targets/src/main/java/dev/caroblb/targets/TargetPool.java
@@ -9,13 +9,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The known targets, and the selection of a target of a service. */
 public final class TargetPool {
@@ -92,6 +93,16 @@
     targets.put(info.id(), added);
   }
 
+  /** Records a heartbeat of a run of a target that an instance received at a time. */
+  public void heard(TargetRun run, long receivedMs) {
+    find(run).ifPresent(target -> target.heard(receivedMs));
+  }
+
+  private Optional<Target> find(TargetRun run) {
+    return Optional.ofNullable(targets.get(run.target()))
+        .filter(target -> target.info().incarnation() == run.incarnation());
+  }
+
   /**
    * Sets the failure domains to whose targets nothing may be sent. The targets of a domain whose
    * evacuation was withdrawn may have become cold meanwhile.
@@ -118,37 +129,24 @@
 
   /** Whether a service has targets, but none is left because the others are evacuated. */
   public boolean allEvacuated(String service) {
-    boolean any = false;
-    for (Target target : targets.values()) {
-      if (target.info().service().equals(service)) {
-        if (target.serves()) {
-          return false;
-        }
-        any |= target.evacuated();
-      }
-    }
-    return any;
+    return ids(service, Target::serves).findAny().isEmpty()
+        && ids(service, Target::evacuated).findAny().isPresent();
   }
 
   /** Marks a target as leaving; returns empty if this run is unknown or already marked. */
   public Optional<Target> leaving(TargetId id, long incarnation, long nowMs) {
-    Target known = targets.get(id);
-    if (known == null || known.info().incarnation() != incarnation || known.leaving()) {
-      return Optional.empty();
-    }
-    known.markLeaving(nowMs);
-    return Optional.of(known);
+    Optional<Target> known =
+        find(new TargetRun(id, incarnation)).filter(target -> !target.leaving());
+    known.ifPresent(target -> target.markLeaving(nowMs));
+    return known;
   }
 
   /** Removes a run of a target; returns empty if it is unknown. */
   public Optional<Target> gone(TargetId id, long incarnation) {
-    Target known = targets.get(id);
-    if (known == null || known.info().incarnation() != incarnation) {
-      return Optional.empty();
-    }
-    targets.remove(id);
-    limits.forget(known.info().run());
-    return Optional.of(known);
+    Optional<Target> known = find(new TargetRun(id, incarnation));
+    known.ifPresent(target -> limits.forget(target.info().run()));
+    known.ifPresent(target -> targets.remove(id));
+    return known;
   }
 
   /**
@@ -182,16 +180,21 @@
    * #MAX_EXCLUDED}: those that want no requests from it, and penalized ones.
    */
   public Set<TargetId> excluded(String service, long nowMs) {
-    Set<TargetId> excluded = new HashSet<>();
-    for (Target target : targets.values()) {
-      boolean counts =
-          target.info().service().equals(service)
-              && (target.penalized(nowMs) || !target.accepts(nowMs));
-      if (counts && excluded.size() < MAX_EXCLUDED) {
-        excluded.add(target.info().id());
-      }
-    }
-    return excluded;
+    return ids(service, target -> target.penalized(nowMs) || !target.accepts(nowMs))
+        .limit(MAX_EXCLUDED)
+        .collect(Collectors.toSet());
+  }
+
+  /** Targets of a service that may have restarted since their last heartbeat. */
+  public Set<TargetId> unconfirmed(String service, long nowMs) {
+    return ids(service, target -> !target.confirmed(nowMs)).collect(Collectors.toSet());
+  }
+
+  private Stream<TargetId> ids(String service, Predicate<Target> which) {
+    return targets.values().stream()
+        .filter(target -> target.info().service().equals(service))
+        .filter(which)
+        .map(target -> target.info().id());
   }
 
   /**
@@ -277,9 +280,7 @@
    * not known. The room that requests leave there is of no use.
    */
   public Optional<String> servingServiceOf(TargetRun run) {
-    return Optional.ofNullable(targets.get(run.target()))
-        .filter(target -> target.info().incarnation() == run.incarnation() && target.serves())
-        .map(target -> target.info().service());
+    return find(run).filter(Target::serves).map(target -> target.info().service());
   }
 
   /** The places and requests on all targets of a service that do not leave. */
