Reject requests with header lines that are no fields

What callers saw: a request whose Content-Length was damaged, by a blank or a control byte in the name or by a folded line, was taken for one without a body. Its body was read as the next request on the connection, or the caller waited for a response that did not come.

The parser of the listener checked the fields that HttpCore had read, not the lines that it had read them from.

Change: the listener checks the lines of request heads by the same classes as the client those of responses, and responds with 400. A single LF no longer ends a line. Chunked bodies of requests are not concerned: they are sent to targets with a length.

--- a/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
+++ b/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
@@ -15,8 +15,8 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
 /**
- * Rejects request heads with ambiguous message framing. If two parsers disagree on the end of a
- * request, a caller can smuggle a request in the body of another.
+ * Rejects request heads with ambiguous message framing or with lines that are no fields. If two
+ * parsers disagree on the end of a request, a caller can smuggle a request in the body of another.
  */
 final class StrictRequestParser extends DefaultHttpRequestParser<HttpRequest> {
   /** Colon, space and line end of a header. */
@@ -24,6 +24,7 @@
 
   private final Supplier<RequestLimits> limits;
   private final MillisClock clock;
+  private final HeadLines lines = new HeadLines();
 
   /** Time at which the first byte of the current request head was seen. */
   private Optional<Long> headStartedMs = Optional.empty();
@@ -40,7 +41,7 @@
     if (headStartedMs.isEmpty() && input.hasData()) {
       headStartedMs = Optional.of(clock.nowMs());
     }
-    HttpRequest request = super.parse(input, endOfStream);
+    HttpRequest request = parseLines(input, endOfStream);
     if (request == null) {
       checkTime();
       return null;
@@ -51,6 +52,16 @@
     return request;
   }
 
+  private HttpRequest parseLines(SessionInputBuffer input, boolean endOfStream)
+      throws IOException, HttpException {
+    try {
+      return super.parse(new CheckedLines(input, lines), endOfStream);
+    } catch (MalformedMessageException e) {
+      // HttpCore responds to a ProtocolException; after others it closes the connection only.
+      throw new ProtocolException(e.getMessage(), e);
+    }
+  }
+
   /** Rejects a head of which bytes still arrive after its timeout. */
   private void checkTime() throws ProtocolException {
     long timeoutMs = limits.get().headTimeoutMs();
--- a/http/src/test/java/dev/caroblb/http/AmbiguousRequestTest.java
+++ b/http/src/test/java/dev/caroblb/http/AmbiguousRequestTest.java
@@ -94,6 +94,19 @@
       assertRefused("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked");
       assertRefused("Transfer-Encoding: gzip, chunked");
     }
+
+    /** Guards against a damaged length, after which the body is read as another request. */
+    @Test
+    void inALineThatIsNoFieldIsRejectedWithAResponse() throws Exception {
+      for (String odd : List.of(" ", "\t", "\0", "\001", "\n", "\r", "\177", "(")) {
+        assertRefused("Content" + odd + "Length: 5");
+        assertRefused("Content-Length" + odd + ": 5");
+        assertRefused(odd + "Content-Length: 5");
+      }
+      assertRefused("X-Odd: a\r\n Content-Length: 5");
+      assertRefused("Content-Length: 5\r\nX-Odd: a\0b");
+      assertRefused("Content-Length: 5\r\nX-Odd");
+    }
   }
 
   @Nested
