--- a/http/src/test/java/dev/caroblb/http/MalformedResponseTest.java
+++ b/http/src/test/java/dev/caroblb/http/MalformedResponseTest.java
@@ -178,6 +178,15 @@
     }
   }
 
+  @Nested
+  class EmptyLine {
+    /** Guards against a rule that rejects more than the bytes of a response can tell. */
+    @Test
+    void beforeAStatusLineIsSkipped() throws Exception {
+      respond(COMPLETE, "\r\n" + OK + LENGTH + "\r\n" + BODY);
+    }
+  }
+
   @Nested
   class InterimResponse {
     /** Guards against a rule that covers the last head of a response only. */
@@ -268,5 +277,11 @@
       respond(COMPLETE, response(""));
       respond(COMPLETE, response("X-Trailer: a\r\nX-Other:\r\n"));
     }
+
+    /** Guards against a complete body that is discarded: the last chunk ends it. */
+    @Test
+    void mayBeCutOff() throws Exception {
+      respondAndClose(COMPLETE, OK + CHUNKED + "\r\na\r\n" + BODY + "\r\n0\r\n");
+    }
   }
 }
