Doubt the run of a target also after a close within an event (ORDER)

A target that crashes may close its connections in order.

All three ways to lose a connection (reset, close within an event, refused) now mark the run, each where it is detected. TakeUpsTest has a test for each; the one for the close failed before, and removing a mark makes the tests for it fail.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -161,7 +161,6 @@
         responses.ended(exchange, nowMs);
       }
     } else if (message instanceof ForwardingMessage.Failed failed) {
-      exchange.target().ifPresent(target -> target.connectionLost(nowMs));
       if (failed.sent()) {
         connectionBroken(exchange, nowMs);
       }
@@ -215,6 +214,7 @@
   }
 
   private void connectionBroken(Exchange exchange, long nowMs) {
+    exchange.target().ifPresent(target -> target.connectionLost(nowMs));
     guard.connectionBroken(exchange, nowMs);
     dispatcher.endQuarantined(nowMs);
   }
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ResponseRelay.java
@@ -202,6 +202,7 @@
     }
     exchange.markNotRun();
     exchange.target().ifPresent(target -> target.failed(nowMs));
+    exchange.target().ifPresent(target -> target.connectionLost(nowMs));
     dispatcher.retry(exchange, RetryReason.CONNECT_FAILED, RefusalReason.TARGET_UNREACHABLE, nowMs);
   }
 
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -248,29 +248,51 @@
 
   @Nested
   class AfterALostConnection {
-    /** The stream at the first entry breaks with its target, which was the only one. */
-    @BeforeEach
-    void loseConnection() {
-      first.loseTarget();
+    /** The take-up at the first entry, whose only target has lost the stream. */
+    private void takeUpLater() {
       first.targets.sent.clear();
+      first.nowMs += 1_000;
+      first.takeUp(Optional.of("id-7"));
     }
 
     /** Guards against a target that came back at its address with another version. */
     @Test
     void doNotGoToTheSameTargetBeforeItsNextHeartbeat() {
-      first.nowMs += 1_000;
-      first.takeUp(Optional.of("id-7"));
+      first.loseTarget();
+      takeUpLater();
       assertEquals(List.of(), first.chosen());
       first.available(0, 2, NEW);
       assertEquals(List.of(), first.chosen());
     }
 
+    /** Guards against a close that is not taken for a loss: a stream may end with it. */
+    @Test
+    void doNotGoToATargetThatClosedWithinAnEvent() {
+      first.handle(new ForwardingMessage.Ended(7, first.attempt()));
+      takeUpLater();
+      assertEquals(List.of(), first.chosen());
+    }
+
+    /** Guards against a target that is gone and whose address the next run takes over. */
+    @Test
+    void doNotGoToATargetThatRefusedAConnection() {
+      first.loseTarget();
+      first.nowMs += 100;
+      first.available(0, OLD);
+      first.nowMs += 100;
+      first.arrive("/short/x");
+      first.handle(new ForwardingMessage.Failed(7, first.attempt(), false, "refused"));
+      takeUpLater();
+      assertEquals(List.of(), first.chosen());
+    }
+
     /** Guards against a target that gets no take-ups any more after one lost connection. */
     @Test
     void goToTheSameTargetAfterItsNextHeartbeat() {
-      first.nowMs += 1_000;
+      first.loseTarget();
+      first.nowMs += 100;
       first.available(0, OLD);
-      first.takeUp(Optional.of("id-7"));
+      takeUpLater();
       assertEquals(List.of(new TargetId("t0")), first.chosen());
     }
   }
