--- a/http/src/main/java/dev/caroblb/http/ChunkLines.java
+++ b/http/src/main/java/dev/caroblb/http/ChunkLines.java
@@ -11,7 +11,7 @@
 final class ChunkLines implements LineRule {
   /** A size that fits into a long, and extensions, which are ignored. */
   private static final Pattern SIZE =
-      Pattern.compile("0*([0-9A-Fa-f]{1,15})([ \t]*;[\\t\\x20-\\x7e\\x80-\\xff]*)?");
+      Pattern.compile("0*([0-9A-Fa-f]{1,15})([ \\t]*;[\\t\\x20-\\x7e\\x80-\\xff]*)?");
 
   private static final String LAST_SIZE = "0";
 
--- a/http/src/main/java/dev/caroblb/http/FieldLine.java
+++ b/http/src/main/java/dev/caroblb/http/FieldLine.java
@@ -48,7 +48,7 @@
   }
 
   /** Whether a byte is a control byte other than the tab, which is allowed in field values. */
-  static boolean isControl(char c) {
+  private static boolean isControl(char c) {
     return (c < FIRST_PRINTABLE && c != '\t') || c == DELETE;
   }
 }
