--- a/http/src/test/java/dev/caroblb/http/ResponseFixture.java
+++ b/http/src/test/java/dev/caroblb/http/ResponseFixture.java
@@ -22,27 +22,12 @@
 
   /** Sends a request, gets the given bytes and leaves the connection open. */
   final RecordingSink respond(String outcome, String bytes) throws Exception {
-    return exchange(
-        outcome,
-        bytes,
-        connection -> {
-          ScriptedPeer.readHead(connection);
-          ScriptedPeer.write(connection, bytes);
-          ScriptedPeer.awaitClose(connection);
-        });
+    return exchange(outcome, bytes, false);
   }
 
   /** Sends a request and gets the given bytes and the end of the connection. */
   final RecordingSink respondAndClose(String outcome, String bytes) throws Exception {
-    return exchange(
-        outcome,
-        bytes,
-        connection -> {
-          ScriptedPeer.readHead(connection);
-          ScriptedPeer.write(connection, bytes);
-          connection.shutdownOutput();
-          ScriptedPeer.awaitClose(connection);
-        });
+    return exchange(outcome, bytes, true);
   }
 
   /** Whether the connection stays open or not, the request fails and no head is passed on. */
@@ -51,10 +36,18 @@
     assertNull(respondAndClose(FAILED, bytes).statuses.poll(), bytes);
   }
 
-  private RecordingSink exchange(String outcome, String bytes, ScriptedPeer.Script script)
-      throws Exception {
+  private RecordingSink exchange(String outcome, String bytes, boolean closes) throws Exception {
     RecordingSink sink = new RecordingSink();
-    try (ScriptedPeer peer = new ScriptedPeer(script)) {
+    try (ScriptedPeer peer =
+        new ScriptedPeer(
+            connection -> {
+              ScriptedPeer.readHead(connection);
+              ScriptedPeer.write(connection, bytes);
+              if (closes) {
+                connection.shutdownOutput();
+              }
+              ScriptedPeer.awaitClose(connection);
+            })) {
       OutgoingRequest request =
           new OutgoingRequest("GET", "/v1/health", Map.of(), "text/plain", Payload.empty());
       connector.execute(peer.address(), request, sink);
