Test that a generation with a backup survives a malformed stream

The change that reports malformed responses apart from lost connections keeps this way on; it had no test of its own. Passes on the code as it is.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/ForwardingStreamTest.java
@@ -296,6 +296,17 @@
       assertEquals(2, targets.sent.size());
     }
 
+    /** Guards against losing a generation whose engine sends bytes that are no response. */
+    @Test
+    void continuesWhenItsStreamIsMalformed() {
+      startGeneration();
+      String backup = backup();
+      handle(new ForwardingMessage.Malformed(7, attempt(), "the size of a chunk is no number"));
+      stopEnded(new MoveOutcome.NotRunning());
+      assertEquals(backup, targets.last().target().address());
+      assertEquals(Optional.of("1"), targets.last().lastEventId());
+    }
+
     /** Guards against a second copy of the same memory over the links of a leaving engine. */
     @Test
     void isNotMovedWhenItsEngineLeaves() {
