Restore the origins of streams after a restart of the control instances

Cause: control instances kept the records of streams in memory only, and an entry sends each record once. Restarts that the system bears one by one added up to the loss of all copies.

Change: a control instance stores new records on its disk, in a duty of its own, and asks the entries for theirs after a start and when holders move. The log tells an unknown origin from a query without a reply.

--- a/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/ForwardingInstance.java
@@ -29,8 +29,6 @@
 import dev.caroblb.metrics.InstanceMetrics;
 import dev.caroblb.pacing.PacingGauges;
 import dev.caroblb.pacing.codec.PacingCodec;
-import dev.caroblb.resumption.ResumptionHandler;
-import dev.caroblb.resumption.ResumptionMessage;
 import dev.caroblb.resumption.codec.ResumptionCodec;
 import dev.caroblb.routing.RoutingFormat;
 import dev.caroblb.routing.RoutingHandler;
@@ -72,6 +70,7 @@
   private final LateBoundOutlet<RoutingMessage> routing = new LateBoundOutlet<>();
   private final LateBoundOutlet<ForwardingMessage> forwarding = new LateBoundOutlet<>();
   private final Optional<LateBoundOutlet<SchedulingMessage>> scheduling;
+  private final Optional<ResumptionDuties> resumption;
   private final LateBoundOutlet<MembershipMessage> membership = new LateBoundOutlet<>();
   private final RoutingStateMachine routingStateMachine = new RoutingStateMachine(routing);
   private final EvacuationDuty evacuation = new EvacuationDuty();
@@ -106,6 +105,8 @@
             clock);
     scheduling =
         settings.hasControlReplica() ? Optional.of(new LateBoundOutlet<>()) : Optional.empty();
+    resumption =
+        settings.hasControlReplica() ? Optional.of(new ResumptionDuties()) : Optional.empty();
     replica = settings.hasControlReplica() ? Optional.of(openReplica()) : Optional.empty();
     createRouting(format);
     forwardingHandler = createForwarding(targets);
@@ -115,7 +116,7 @@
         proposer(),
         metrics,
         EvacuationDuty.toTargetChoice(forwarding, scheduling));
-    members = new MembersBridge(settings, routing, forwarding, scheduling, evacuation);
+    members = new MembersBridge(settings, routing, forwarding, scheduling, resumption, evacuation);
     createMembership(incarnation);
     duties.all().forEach(metrics::addDuty);
   }
@@ -203,7 +204,9 @@
     evidence.setReceiver(message -> duty.offer(new ForwardingMessage.FromPeer(message)));
     if (scheduling.isPresent()) {
       createScheduling(scheduling.get(), schedulers, limits);
-      createResumption(origins);
+      resumption
+          .orElseThrow()
+          .create(duties, settings.dataFolder().orElseThrow(), origins, metrics);
     } else {
       addPacingMetrics(handler.pacingGauges());
       schedulers.setReceiver(message -> duty.offer(new ForwardingMessage.FromScheduler(message)));
@@ -213,11 +216,6 @@
     return handler;
   }
 
-  private void createResumption(PeerChannel<dev.caroblb.resumption.PeerMessage> peers) {
-    Duty<ResumptionMessage> duty = duties.create("resumption", new ResumptionHandler(peers));
-    peers.setReceiver(message -> duty.offer(new ResumptionMessage.FromPeer(message)));
-  }
-
   private void createScheduling(
       LateBoundOutlet<SchedulingMessage> outlet,
       PeerChannel<dev.caroblb.scheduling.PeerMessage> peers,
@@ -391,6 +389,7 @@
   public void close() {
     duties.close();
     replica.ifPresent(ControlReplica::close);
+    resumption.ifPresent(ResumptionDuties::close);
     transport.close();
   }
 }
--- a/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
+++ b/daemon/src/main/java/dev/caroblb/daemon/MembersBridge.java
@@ -5,12 +5,14 @@
 import dev.caroblb.forwarding.ForwardingMessage;
 import dev.caroblb.membership.InstanceRecord;
 import dev.caroblb.membership.InstanceView;
+import dev.caroblb.resumption.ResumptionMessage;
 import dev.caroblb.routing.RoutingMessage;
 import dev.caroblb.scheduling.SchedulingMessage;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Keeps the latest view of the instances and passes changes of them on to other duties. The
@@ -21,6 +23,7 @@
   private final Outlet<RoutingMessage> routing;
   private final Outlet<ForwardingMessage> forwarding;
   private final Optional<LateBoundOutlet<SchedulingMessage>> scheduling;
+  private final Optional<ResumptionDuties> resumption;
   private final EvacuationDuty evacuation;
   private volatile InstanceView view = new InstanceView(List.of(), List.of());
   private InstanceView offeredMembers = view;
@@ -30,11 +33,13 @@
       Outlet<RoutingMessage> routing,
       Outlet<ForwardingMessage> forwarding,
       Optional<LateBoundOutlet<SchedulingMessage>> scheduling,
+      Optional<ResumptionDuties> resumption,
       EvacuationDuty evacuation) {
     this.settings = settings;
     this.routing = routing;
     this.forwarding = forwarding;
     this.scheduling = scheduling;
+    this.resumption = resumption;
     this.evacuation = evacuation;
   }
 
@@ -70,13 +75,22 @@
             .map(InstanceRecord::id)
             .filter(id -> !id.equals(settings.instance()))
             .toList();
-    long servingInstances =
-        latest.instances().stream().filter(known -> !known.address().isEmpty()).count();
+    Set<InstanceId> serving =
+        latest.instances().stream()
+            .filter(known -> !known.address().isEmpty())
+            .map(InstanceRecord::id)
+            .collect(Collectors.toSet());
     boolean offered =
         scheduling.isEmpty()
             || scheduling
                 .get()
-                .offer(new SchedulingMessage.ServingInstancesChanged((int) servingInstances));
+                .offer(new SchedulingMessage.ServingInstancesChanged(serving.size()));
+    offered &=
+        resumption.isEmpty()
+            || resumption
+                .get()
+                .offer(
+                    new ResumptionMessage.InstancesChanged(serving, Set.copyOf(controlInstances)));
     offered &=
         forwarding.offer(
             new ForwardingMessage.ControlInstancesChanged(
--- a/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/ForwardingHandler.java
@@ -10,7 +10,6 @@
 import dev.caroblb.core.TargetRun;
 import dev.caroblb.forwarding.quarantine.PromptQuarantine;
 import dev.caroblb.pacing.PacingGauges;
-import dev.caroblb.resumption.PeerMessage.OriginReply;
 import dev.caroblb.routing.Route;
 import dev.caroblb.routing.RoutingTable;
 import dev.caroblb.routing.Workspace;
@@ -117,7 +116,9 @@
     } else if (message instanceof ForwardingMessage.FromScheduler fromScheduler) {
       fromScheduler(fromScheduler.received().peer(), fromScheduler.received().message(), nowMs);
     } else if (message instanceof ForwardingMessage.FromResumption fromPeer) {
-      fromResumption(fromPeer.received().message(), nowMs);
+      takeUps
+          .received(fromPeer.received().peer(), fromPeer.received().message(), nowMs)
+          .forEach(exchange -> dispatcher.dispatch(exchange, nowMs));
     } else if (message instanceof ForwardingMessage.LimitsFromPeer fromPeer) {
       pacing.fromPeer(fromPeer.received().peer(), fromPeer.received().message(), nowMs);
     } else {
@@ -228,12 +229,6 @@
     }
   }
 
-  private void fromResumption(dev.caroblb.resumption.PeerMessage message, long nowMs) {
-    if (message instanceof OriginReply reply) {
-      takeUps.replied(reply, nowMs).forEach(exchange -> dispatcher.dispatch(exchange, nowMs));
-    }
-  }
-
   private void fromScheduler(
       InstanceId peer, dev.caroblb.scheduling.PeerMessage message, long nowMs) {
     if (message instanceof PlacementQueued queued) {
--- a/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
@@ -90,8 +90,18 @@
     return mayContinue(exchange, finding, nowMs);
   }
 
-  /** Processes a reply; returns the requests that may be sent now. */
-  List<Exchange> replied(PeerMessage.OriginReply reply, long nowMs) {
+  /** Processes a message of a control instance; returns the requests that may be sent now. */
+  List<Exchange> received(InstanceId peer, PeerMessage message, long nowMs) {
+    if (message instanceof PeerMessage.OriginReply reply) {
+      return replied(reply, nowMs);
+    }
+    if (message instanceof PeerMessage.RecordsRequest request) {
+      origins.recordsRequested(peer, request, nowMs);
+    }
+    return List.of();
+  }
+
+  private List<Exchange> replied(PeerMessage.OriginReply reply, long nowMs) {
     Optional<OriginClient.Finding> finding = origins.replied(reply);
     List<Exchange> ready = new ArrayList<>();
     if (finding.isEmpty()) {
@@ -113,7 +123,8 @@
     if (attempt.isEmpty() || exchange.streamVersion().isPresent()) {
       return false;
     }
-    return !mayContinue(exchange, new OriginClient.Finding.Unknown(), nowMs);
+    refuse(exchange, "the control instances did not reply in time", nowMs);
+    return true;
   }
 
   /** Forgets the queries whose time is over; their requests may have ended before. */
@@ -131,7 +142,8 @@
 
   private boolean mayContinue(Exchange exchange, OriginClient.Finding finding, long nowMs) {
     if (!(finding instanceof OriginClient.Finding.Known known)) {
-      refuse(exchange, "the software version that began the stream is not known", nowMs);
+      refuse(
+          exchange, "no control instance knows the software version that began the stream", nowMs);
       return false;
     }
     StreamOrigin origin = known.origin();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
@@ -195,6 +195,27 @@
     return number;
   }
 
+  /** Lets a caller take up the stream of an earlier request; returns the number of its request. */
+  long takeUp(int entry, String path, long firstRequest) {
+    long number = nextCall();
+    RecordingCaller unused =
+        arrive(
+            entry,
+            new ForwardCall(
+                number,
+                "id-" + number,
+                "host",
+                path,
+                Optional.of(30_000L),
+                Optional.of("key"),
+                Optional.of(new GenerationSize(1_000, 400, Optional.of(300L))),
+                List.of(),
+                new RecordingCaller(),
+                0,
+                Optional.of(new StreamTakeUp(Optional.of("id-" + firstRequest)))));
+    return number;
+  }
+
   /** Number of crashes that the part caused. */
   int crashes() {
     return crashes.size();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/InstanceGroup.java
@@ -73,7 +73,10 @@
               new Random(name.hashCode()));
       resumption =
           new ResumptionHandler(
-              message -> deliver(id, message, resumptionCodec, Instance::fromResumption));
+              message -> deliver(id, message, resumptionCodec, Instance::fromResumption),
+              began -> true,
+              List.of(),
+              nowMs);
     }
 
     private void fromResumption(PeerEnvelope<dev.caroblb.resumption.PeerMessage> message) {
@@ -209,6 +212,12 @@
         new SchedulingMessage.ServingInstancesChanged(instances.size() - controls.size()), nowMs);
     instance.handle(
         new ForwardingMessage.ControlInstancesChanged(instance.control ? List.of() : controls));
+    if (instance.control) {
+      Set<InstanceId> entries = new HashSet<>(instances.keySet());
+      controls.forEach(entries::remove);
+      instance.resumption.handle(
+          new ResumptionMessage.InstancesChanged(entries, Set.copyOf(controls)), nowMs);
+    }
   }
 
   /** Drops all messages between this instance and the others. */
@@ -298,6 +307,7 @@
       for (Instance instance : List.copyOf(instances.values())) {
         tickIfDue(instance.handler);
         tickIfDue(instance.scheduling);
+        tickIfDue(instance.resumption);
       }
     }
   }
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -85,7 +85,8 @@
   }
 
   private final List<PeerEnvelope<PeerMessage>> replies = new ArrayList<>();
-  private final ResumptionHandler control = new ResumptionHandler(replies::add);
+  private final ResumptionHandler control =
+      new ResumptionHandler(replies::add, began -> true, List.of(), 0);
   private final Entry first = new Entry();
   private final Entry second = new Entry();
 
--- a/resumption/src/main/java/dev/caroblb/resumption/OriginClient.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/OriginClient.java
@@ -50,10 +50,22 @@
     if (!recordable(attempt, origin)) {
       return;
     }
-    own.began(attempt, origin, keepMs, nowMs);
+    boolean unused = own.began(attempt, origin, keepMs, nowMs);
     send(attempt, new PeerMessage.StreamBegan(attempt, origin, keepMs));
   }
 
+  /**
+   * Sends the records that a control instance asks for, since it has started or is a new holder.
+   */
+  public void recordsRequested(InstanceId peer, PeerMessage.RecordsRequest request, long nowMs) {
+    PeerMessage page =
+        own.page(
+            request.after(),
+            attempt -> RecordHolders.holds(peer, attempt, controlInstances),
+            nowMs);
+    boolean unused = peers.offer(new PeerEnvelope<>(peer, page));
+  }
+
   /** Finds what began the stream of an attempt, or asks for it. */
   public Finding findOrAsk(String attempt, long nowMs) {
     Optional<StreamOrigin> known = own.origin(attempt, nowMs);
--- a/resumption/src/main/java/dev/caroblb/resumption/PeerMessage.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/PeerMessage.java
@@ -1,5 +1,6 @@
 package dev.caroblb.resumption;
 
+import java.util.List;
 import java.util.Optional;
 
 /** Messages between entries and control instances about begun streams. */
@@ -21,4 +22,28 @@
 
   /** Reply to a query; without an origin if the attempt is not known. */
   record OriginReply(String attempt, Optional<StreamOrigin> origin) implements PeerMessage {}
+
+  /**
+   * Asks an entry for the streams that it has begun and that this control instance is to know.
+   *
+   * @param after number of the last record that the control instance has got from it; 0 for none
+   */
+  record RecordsRequest(long after) implements PeerMessage {}
+
+  /**
+   * Reply to {@link RecordsRequest}.
+   *
+   * @param after number in the request
+   * @param next number for the next request
+   * @param last whether there are no more records
+   */
+  record RecordsPage(long after, long next, boolean last, List<StreamBegan> records)
+      implements PeerMessage {
+    /** Maximum number of records in a page; some 5 KB. */
+    public static final int MAX_RECORDS = 64;
+
+    public RecordsPage {
+      records = List.copyOf(records);
+    }
+  }
 }
--- a/resumption/src/main/java/dev/caroblb/resumption/RecordHolders.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/RecordHolders.java
@@ -2,6 +2,7 @@
 
 import dev.caroblb.core.InstanceId;
 import dev.caroblb.core.RendezvousScore;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
@@ -11,7 +12,7 @@
  */
 final class RecordHolders {
   /** Two of them may be lost. */
-  private static final int HOLDERS = 3;
+  static final int HOLDERS = 3;
 
   private RecordHolders() {}
 
@@ -24,4 +25,14 @@
         .limit(HOLDERS)
         .toList();
   }
+
+  /** Whether an instance holds the record of an attempt if it is a control instance, too. */
+  static boolean holds(InstanceId instance, String attempt, List<InstanceId> controlInstances) {
+    if (controlInstances.contains(instance)) {
+      return of(attempt, controlInstances).contains(instance);
+    }
+    List<InstanceId> withInstance = new ArrayList<>(controlInstances);
+    withInstance.add(instance);
+    return of(attempt, withInstance).contains(instance);
+  }
 }
--- a/resumption/src/main/java/dev/caroblb/resumption/codec/ResumptionCodec.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/codec/ResumptionCodec.java
@@ -18,10 +18,14 @@
   private static final int TYPE_STREAM_BEGAN = 1;
   private static final int TYPE_ORIGIN_QUERY = 2;
   private static final int TYPE_ORIGIN_REPLY = 3;
+  private static final int TYPE_RECORDS_REQUEST = 4;
+  private static final int TYPE_RECORDS_PAGE = 5;
   private static final int STREAM_BEGAN_FIELDS = 4;
   private static final int ORIGIN_FIELDS = 2;
   private static final int ORIGIN_QUERY_FIELDS = 1;
   private static final int ORIGIN_REPLY_FIELDS = 2;
+  private static final int RECORDS_REQUEST_FIELDS = 1;
+  private static final int RECORDS_PAGE_FIELDS = 4;
 
   @Override
   public Payload encode(PeerMessage message) {
@@ -32,9 +36,7 @@
     if (message instanceof PeerMessage.StreamBegan began) {
       out.packArrayHeader(1 + STREAM_BEGAN_FIELDS);
       out.packInt(TYPE_STREAM_BEGAN);
-      out.packString(began.attempt());
-      write(out, began.origin());
-      out.packLong(began.keepMs());
+      write(out, began);
     } else if (message instanceof PeerMessage.OriginQuery query) {
       out.packArrayHeader(1 + ORIGIN_QUERY_FIELDS);
       out.packInt(TYPE_ORIGIN_QUERY);
@@ -48,9 +50,30 @@
         out.packArrayHeader(ORIGIN_FIELDS);
         write(out, reply.origin().get());
       }
+    } else if (message instanceof PeerMessage.RecordsRequest request) {
+      out.packArrayHeader(1 + RECORDS_REQUEST_FIELDS);
+      out.packInt(TYPE_RECORDS_REQUEST);
+      out.packLong(request.after());
+    } else if (message instanceof PeerMessage.RecordsPage page) {
+      out.packArrayHeader(1 + RECORDS_PAGE_FIELDS);
+      out.packInt(TYPE_RECORDS_PAGE);
+      out.packLong(page.after());
+      out.packLong(page.next());
+      out.packBoolean(page.last());
+      out.packArrayHeader(page.records().size());
+      for (PeerMessage.StreamBegan began : page.records()) {
+        out.packArrayHeader(STREAM_BEGAN_FIELDS);
+        write(out, began);
+      }
     }
   }
 
+  private static void write(MessagePacker out, PeerMessage.StreamBegan began) throws IOException {
+    out.packString(began.attempt());
+    write(out, began.origin());
+    out.packLong(began.keepMs());
+  }
+
   private static void write(MessagePacker out, StreamOrigin origin) throws IOException {
     out.packString(origin.service());
     out.packString(origin.version().name());
@@ -68,6 +91,8 @@
         case TYPE_STREAM_BEGAN -> STREAM_BEGAN_FIELDS;
         case TYPE_ORIGIN_QUERY -> ORIGIN_QUERY_FIELDS;
         case TYPE_ORIGIN_REPLY -> ORIGIN_REPLY_FIELDS;
+        case TYPE_RECORDS_REQUEST -> RECORDS_REQUEST_FIELDS;
+        case TYPE_RECORDS_PAGE -> RECORDS_PAGE_FIELDS;
         default -> -1;
       };
     }
@@ -75,8 +100,16 @@
     @Override
     public PeerMessage read(int type, BoundedReader in) throws IOException {
       return switch (type) {
-        case TYPE_STREAM_BEGAN ->
-            new PeerMessage.StreamBegan(attempt(in), origin(in), in.longValue());
+        case TYPE_STREAM_BEGAN -> streamBegan(in);
+        case TYPE_RECORDS_REQUEST -> new PeerMessage.RecordsRequest(in.longValue());
+        case TYPE_RECORDS_PAGE ->
+            new PeerMessage.RecordsPage(
+                in.longValue(),
+                in.longValue(),
+                in.flag(),
+                in.list(
+                    PeerMessage.RecordsPage.MAX_RECORDS,
+                    list -> list.structure(STREAM_BEGAN_FIELDS, ResumptionCodec::streamBegan)));
         case TYPE_ORIGIN_QUERY -> new PeerMessage.OriginQuery(attempt(in));
         default ->
             new PeerMessage.OriginReply(
@@ -86,6 +119,10 @@
     }
   }
 
+  private static PeerMessage.StreamBegan streamBegan(BoundedReader in) throws IOException {
+    return new PeerMessage.StreamBegan(attempt(in), origin(in), in.longValue());
+  }
+
   private static String attempt(BoundedReader in) throws IOException {
     return in.text(PeerMessage.MAX_ATTEMPT_BYTES);
   }
--- a/resumption/src/test/java/dev/caroblb/resumption/OriginClientTest.java
+++ b/resumption/src/test/java/dev/caroblb/resumption/OriginClientTest.java
@@ -86,4 +86,63 @@
       assertEquals(UNKNOWN, client.findOrAsk("a".repeat(PeerMessage.MAX_ATTEMPT_BYTES + 1), 0));
     }
   }
+
+  @Nested
+  class Pages {
+    private final InstanceId restarted = new InstanceId("control-7");
+
+    /** Asks for all records as the instance does that has restarted; returns their attempts. */
+    private List<String> transfer(long nowMs) {
+      List<String> attempts = new ArrayList<>();
+      long after = 0;
+      while (true) {
+        sent.clear();
+        client.recordsRequested(restarted, new PeerMessage.RecordsRequest(after), nowMs);
+        assertEquals(restarted, sent.get(0).peer());
+        PeerMessage.RecordsPage page = (PeerMessage.RecordsPage) sent.get(0).message();
+        assertEquals(after, page.after());
+        page.records().forEach(record -> attempts.add(record.attempt()));
+        if (page.last()) {
+          return attempts;
+        }
+        after = page.next();
+      }
+    }
+
+    /** Guards against a holder that misses records, or gets those that others hold. */
+    @Test
+    void holdWhatTheRequesterIsToKnow() {
+      client.setControlInstances(instances(46));
+      List<String> expected = new ArrayList<>();
+      for (int i = 0; i < 2_000; i++) {
+        client.began("a" + i, V1, 1_000, 0);
+        if (receivers().contains(restarted)) {
+          expected.add("a" + i);
+        }
+      }
+      assertEquals(expected, transfer(1));
+    }
+
+    /** Guards against a successor at a new address that the entry has not heard of yet. */
+    @Test
+    void areSentToAControlInstanceThatIsNotKnownYet() {
+      client.setControlInstances(instances(2));
+      IntStream.range(0, 100).forEach(i -> client.began("a" + i, V1, 1_000, 0));
+      assertEquals(100, transfer(1).size());
+    }
+
+    /** Guards against records that live longer at the holder than at their entry. */
+    @Test
+    void keepTheTimeThatIsLeft() {
+      client.setControlInstances(instances(1));
+      client.began("a", V1, 1_000, 0);
+      client.began("b", V1, 5_000, 0);
+      sent.clear();
+      client.recordsRequested(restarted, new PeerMessage.RecordsRequest(0), 3_000);
+      assertEquals(
+          new PeerMessage.RecordsPage(
+              0, 2, true, List.of(new PeerMessage.StreamBegan("b", V1, 2_000))),
+          sent.get(0).message());
+    }
+  }
 }
--- a/resumption/src/test/java/dev/caroblb/resumption/codec/ResumptionCodecTest.java
+++ b/resumption/src/test/java/dev/caroblb/resumption/codec/ResumptionCodecTest.java
@@ -25,7 +25,10 @@
               new PeerMessage.StreamBegan("a", origin, 3),
               new PeerMessage.OriginQuery("b"),
               new PeerMessage.OriginReply("c", Optional.of(origin)),
-              new PeerMessage.OriginReply("d", Optional.empty()))) {
+              new PeerMessage.OriginReply("d", Optional.empty()),
+              new PeerMessage.RecordsRequest(4),
+              new PeerMessage.RecordsPage(
+                  4, 9, true, List.of(new PeerMessage.StreamBegan("e", origin, 5))))) {
         assertEquals(Optional.of(message), codec.decode(codec.encode(message)));
       }
     }
