Keep the origin of a stream for as long as its caller may take it up

Cause: the record of a stream ended with the time of the request at the entry, which the timeout of the route bounds.

Change: it ends with the time that the caller said it waits, or after 120 s.

--- a/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
+++ b/forwarding/src/main/java/dev/caroblb/forwarding/TakeUps.java
@@ -6,6 +6,7 @@
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.RefusalReason;
 import dev.caroblb.core.SoftwareVersion;
+import dev.caroblb.resumption.BegunStreams;
 import dev.caroblb.resumption.OriginClient;
 import dev.caroblb.resumption.PeerMessage;
 import dev.caroblb.resumption.StreamOrigin;
@@ -61,10 +62,16 @@
     exchange.setStreamVersion(version);
     if (exchange.route().resumable()) {
       StreamOrigin origin = new StreamOrigin(exchange.service(), version);
-      origins.began(exchange.call().requestId(), origin, exchange.deadlineMs() - nowMs, nowMs);
+      origins.began(exchange.call().requestId(), origin, callerWaitsMs(exchange, nowMs), nowMs);
     }
   }
 
+  /** Time left to the caller, which may be more than the timeout of the route leaves. */
+  private static long callerWaitsMs(Exchange exchange, long nowMs) {
+    long patienceMs = exchange.call().timeoutMs().orElse(BegunStreams.MAX_KEEP_MS);
+    return exchange.arrivedMs() + patienceMs - nowMs;
+  }
+
   /** Whether a request may be sent now; a stream without a known version waits or is refused. */
   boolean ready(Exchange exchange, long nowMs) {
     Optional<StreamTakeUp> takeUp = exchange.call().takeUp();
--- a/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/TakeUpsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.caroblb.core.InstanceId;
+import dev.caroblb.core.Payload;
 import dev.caroblb.core.PeerEnvelope;
 import dev.caroblb.core.SoftwareVersion;
 import dev.caroblb.core.TargetId;
@@ -169,6 +170,54 @@
     }
   }
 
+  @Nested
+  class AfterATimeoutOfTheRoute {
+    private static final long ROUTE_TIMEOUT_MS = 5_000;
+
+    private void beginStream(Optional<Long> callerTimeoutMs) {
+      first.handle(
+          new ForwardingMessage.RequestArrived(
+              new ForwardCall(
+                  9,
+                  "id-9",
+                  "host",
+                  "/short/x",
+                  callerTimeoutMs,
+                  Optional.of("key"),
+                  Optional.empty(),
+                  List.of(),
+                  first.caller)));
+      int attempt = first.targets.last().attempt();
+      first.handle(new ForwardingMessage.Head(9, attempt, ForwardingFixture.head(200, true)));
+      first.handle(
+          new ForwardingMessage.Body(9, attempt, Payload.ofText(ForwardingFixture.FIRST_EVENT)));
+      first.exchangeMessages();
+    }
+
+    private void takeUpAfterTheTimeout() {
+      second.nowMs += ROUTE_TIMEOUT_MS + 100;
+      second.available(9, OLD);
+      second.takeUp(Optional.of("id-9"));
+      second.exchangeMessages();
+    }
+
+    /** Guards against a caller that still has time and whose stream is refused. */
+    @Test
+    void goOnWhileTheirCallersHaveTime() {
+      beginStream(Optional.of(39_000L));
+      takeUpAfterTheTimeout();
+      assertEquals(List.of(new TargetId("t9")), second.chosen());
+    }
+
+    /** Guards against the same for callers that do not say how long they wait. */
+    @Test
+    void goOnIfTheTimeOfTheirCallersIsUnknown() {
+      beginStream(Optional.empty());
+      takeUpAfterTheTimeout();
+      assertEquals(List.of(new TargetId("t9")), second.chosen());
+    }
+  }
+
   @Nested
   class AtTheSameEntry {
     /** Guards against a delay where the entry knows the version itself. */
--- a/resumption/src/main/java/dev/caroblb/resumption/BegunStreams.java
+++ b/resumption/src/main/java/dev/caroblb/resumption/BegunStreams.java
@@ -15,7 +15,7 @@
   static final int MAX_STREAMS = 65_536;
 
   /** Maximum time in milliseconds for which a record is kept. */
-  static final long MAX_KEEP_MS = 120_000;
+  public static final long MAX_KEEP_MS = 120_000;
 
   /** Bounds the time that a page takes when few of the records are wanted. */
   private static final int MAX_EXAMINED = 256;
