Reject a message head as soon as it is over its limit

Cause: a request head was checked when it was complete, so that it could have the largest number of the longest lines, 1.6 MB; a response head had no limit.

Change: the field lines are counted as they are read; a request gets 431, an attempt fails beyond 64 KiB.

Evidence: RequestLimitsTest.HeadOverItsLimit and EndlessResponseTest.Head. longFieldsFailTheRequestBeforeTheEndOfTheHead failed before and pass.

--- a/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
+++ b/http/src/main/java/dev/caroblb/http/StrictRequestParser.java
@@ -24,7 +24,7 @@
 
   private final Supplier<RequestLimits> limits;
   private final MillisClock clock;
-  private final HeadLines lines = new HeadLines();
+  private final HeadLines lines;
 
   /** Time at which the first byte of the current request head was seen. */
   private Optional<Long> headStartedMs = Optional.empty();
@@ -33,6 +33,7 @@
     super(config, DefaultHttpRequestFactory.INSTANCE);
     this.limits = limits;
     this.clock = clock;
+    lines = new HeadLines(() -> limits.get().maxHeadBytes());
   }
 
   @Override
@@ -56,6 +57,8 @@
       throws IOException, HttpException {
     try {
       return super.parse(new CheckedLines(input, lines), endOfStream);
+    } catch (HeadTooLargeException e) {
+      throw new RequestHeaderFieldsTooLargeException(e.getMessage(), e);
     } catch (MalformedMessageException e) {
       // HttpCore responds to a ProtocolException; after others it closes the connection only.
       throw new ProtocolException(e.getMessage(), e);
--- a/http/src/main/java/dev/caroblb/http/StrictResponseParser.java
+++ b/http/src/main/java/dev/caroblb/http/StrictResponseParser.java
@@ -25,7 +25,10 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}( [\\t\\x20-\\x7e\\x80-\\xff]*)?");
 
-  private final HeadLines lines = new HeadLines();
+  /** Maximum size of a response head, in bytes. */
+  private static final int MAX_HEAD_BYTES = 65_536;
+
+  private final HeadLines lines = new HeadLines(() -> MAX_HEAD_BYTES);
 
   StrictResponseParser(Http1Config config) {
     super(config, DefaultHttpResponseFactory.INSTANCE);
--- a/http/src/test/java/dev/caroblb/http/EndlessResponseTest.java
+++ b/http/src/test/java/dev/caroblb/http/EndlessResponseTest.java
@@ -78,6 +78,23 @@
       assertFails(HEAD, "A: b\r\n");
     }
 
+    /** Guards against long fields, each within its limit, that together fill the memory. */
+    @Test
+    void longFieldsFailTheRequestBeforeTheEndOfTheHead() throws Exception {
+      String field = "A: " + "b".repeat(16_000) + "\r\n";
+      try (ScriptedPeer peer =
+          new ScriptedPeer(
+              connection -> {
+                ScriptedPeer.readHead(connection);
+                ScriptedPeer.write(connection, HEAD + field.repeat(95));
+                ScriptedPeer.awaitClose(connection);
+              })) {
+        RecordingSink sink = new RecordingSink();
+        send(peer, sink);
+        assertEquals("failed", sink.awaitOutcome(TIMEOUT_MS));
+      }
+    }
+
     /** Guards against interim responses that keep a request waiting until its deadline. */
     @Test
     void endlessInterimResponsesFailTheRequest() throws Exception {
--- a/http/src/test/java/dev/caroblb/http/RequestLimitsTest.java
+++ b/http/src/test/java/dev/caroblb/http/RequestLimitsTest.java
@@ -114,6 +114,18 @@
     }
   }
 
+  @Nested
+  class HeadOverItsLimit {
+    /** Guards against long fields, each within its limit, that are collected up to their number. */
+    @Test
+    void isRejectedBeforeItsEnd() throws Exception {
+      limits = new RequestLimits(16_384, 1_024, LONG_MS, LONG_MS);
+      String field = "X-Filler: " + "f".repeat(15_000) + "\r\n";
+      assertEquals("431", statusOf("GET /x HTTP/1.1\r\nHost: a\r\n" + field.repeat(2)));
+      assertEquals(431, rejected.poll(WAIT_MS, TimeUnit.MILLISECONDS));
+    }
+  }
+
   @Nested
   class Times {
     private static final long SHORT_MS = 300;
