Bound what clients without limits can use together

What callers saw: crowds of clients ended an entry (1,000 heads that stop short of their end, requests without end) or kept it from answering others (chunked bodies in small chunks or one large chunk that stop short of their end); idle connections took all descriptors.

Cause: the one thread of the connections read one of them for as long as bytes arrived; each part of a body had a buffer of its own; bodies that stopped kept the memory account full and ordinary requests refused; nothing bounded connections, pipelined requests and unread bytes.

Change: a bounded read for each event; parts share segments; a body that has stalled is given up, and short requests are admitted, when memory is short; limits of connections without a request, of bodies that arrive, of running requests by heap and descriptors, of requests on one connection, and of receive buffers. A listener that can no longer accept is reported.

--- a/core/src/main/java/dev/caroblb/core/MemoryAccount.java
+++ b/core/src/main/java/dev/caroblb/core/MemoryAccount.java
@@ -43,6 +43,11 @@
     return usedBytes < limitBytes / NEW_WORK_DENOMINATOR * NEW_WORK_NUMERATOR;
   }
 
+  /** Whether three quarters of the bound are in use. */
+  public synchronized boolean nearlyFull() {
+    return usedBytes >= limitBytes / 4 * 3;
+  }
+
   /** Whether the bound is reached. */
   public synchronized boolean full() {
     return usedBytes >= limitBytes;
--- a/http/src/main/java/dev/caroblb/http/CallerConnections.java
+++ b/http/src/main/java/dev/caroblb/http/CallerConnections.java
@@ -25,6 +25,7 @@
   private final Http1Config config;
   private final Supplier<RequestLimits> limits;
   private final ListenerObserver observer;
+  private final CallerSessions sessions;
   private final Supplier<ServerExchange> exchanges;
   private final Callback<Exception> onException;
 
@@ -35,11 +36,13 @@
       Http1Config config,
       Supplier<RequestLimits> limits,
       ListenerObserver observer,
+      CallerSessions sessions,
       Supplier<ServerExchange> exchanges,
       Callback<Exception> onException) {
     this.config = config;
     this.limits = limits;
     this.observer = observer;
+    this.sessions = sessions;
     this.exchanges = exchanges;
     this.onException = onException;
   }
@@ -56,7 +59,7 @@
             DefaultConnectionReuseStrategy.INSTANCE,
             () -> new StrictRequestParser(config, limits, new SystemMillisClock()),
             DefaultHttpResponseWriterFactory.INSTANCE,
-            new ExchangeMonitor(observer, limits),
+            new ExchangeMonitor(observer, limits, sessions.find(session)),
             onException);
     return new ServerHttp1IOEventHandlerFactory(streams, null, null)
         .createHandler(session, attachment);
--- a/http/src/main/java/dev/caroblb/http/CallerSession.java
+++ b/http/src/main/java/dev/caroblb/http/CallerSession.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
+import java.nio.channels.SelectionKey;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
@@ -14,26 +15,87 @@
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * Session of a caller that turns end of input into an error. HttpCore treats end of input as a
- * half-close by a caller that still waits for its response, and detects a closed connection only on
- * the next write.
+ * Session of a caller. Turns end of input into an error: HttpCore treats it as a half-close by a
+ * caller that still waits for its response, and detects a closed connection only on the next write.
+ *
+ * <p>Reads a bounded number of bytes for each event. HttpCore reads on for as long as bytes arrive,
+ * so that one caller who sends fast, in parts that take long to process, would keep the thread from
+ * all other connections.
  */
 final class CallerSession implements IOSession {
+  private static final int BYTES_PER_EVENT = 16_384;
+
+  /**
+   * Requests that a caller may send on a connection before the first of them is answered. Those
+   * that arrived together with the last of these are handled, too.
+   */
+  private static final int MAX_OPEN_REQUESTS = 16;
+
   private final IOSession session;
   private final Supplier<RequestLimits> limits;
+  private final CallerSessions sessions;
+  private int bytesLeft = BYTES_PER_EVENT;
 
-  CallerSession(IOSession session, Supplier<RequestLimits> limits) {
+  /** Whether HttpCore wants to be told of bytes that arrive. */
+  private boolean readWanted = true;
+
+  private volatile boolean readPaused;
+
+  CallerSession(IOSession session, Supplier<RequestLimits> limits, CallerSessions sessions) {
     this.session = session;
     this.limits = limits;
+    this.sessions = sessions;
+  }
+
+  /** Notes the number of requests on this connection whose responses are not complete. */
+  void openRequests(int count) {
+    if (count == 0) {
+      sessions.waits(this);
+    } else {
+      sessions.requestBegan(this);
+    }
+    setReadPaused(count >= MAX_OPEN_REQUESTS);
+  }
+
+  /** Keeps a caller from sending requests without end before it has read responses. */
+  private void setReadPaused(boolean paused) {
+    locked(
+        () -> {
+          if (readPaused == paused) {
+            return;
+          }
+          readPaused = paused;
+          if (paused) {
+            session.clearEvent(SelectionKey.OP_READ);
+          } else if (readWanted) {
+            session.setEvent(SelectionKey.OP_READ);
+          }
+        });
+  }
+
+  /** Runs an action under the lock of the session, which HttpCore holds while it changes events. */
+  private void locked(Runnable action) {
+    Lock lock = session.getLock();
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
   }
 
   @Override
   public int read(ByteBuffer target) throws IOException {
+    if (bytesLeft <= 0 || readPaused) {
+      return 0; // The reactor reports the rest with a later event.
+    }
     int count = session.read(target);
+    bytesLeft -= count;
     if (count < 0) {
       throw new ConnectionClosedException("the caller closed the connection");
     }
     if (count > 0) {
+      sessions.headBegan(this);
       boundHead();
     }
     return count;
@@ -118,26 +180,48 @@
 
   @Override
   public void setEventMask(int mask) {
-    session.setEventMask(mask);
+    locked(
+        () -> {
+          readWanted = (mask & SelectionKey.OP_READ) != 0;
+          session.setEventMask(readPaused ? mask & ~SelectionKey.OP_READ : mask);
+        });
   }
 
   @Override
   public void setEvent(int operation) {
-    session.setEvent(operation);
+    if (operation != SelectionKey.OP_READ) {
+      session.setEvent(operation);
+      return;
+    }
+    locked(
+        () -> {
+          readWanted = true;
+          if (!readPaused) {
+            session.setEvent(operation);
+          }
+        });
   }
 
   @Override
   public void clearEvent(int operation) {
-    session.clearEvent(operation);
+    locked(
+        () -> {
+          if (operation == SelectionKey.OP_READ) {
+            readWanted = false;
+          }
+          session.clearEvent(operation);
+        });
   }
 
   @Override
   public void close() {
+    sessions.remove(this);
     session.close();
   }
 
   @Override
   public void close(CloseMode mode) {
+    sessions.remove(this);
     session.close(mode);
   }
 
@@ -171,8 +255,10 @@
     return session.getLastEventTime();
   }
 
+  /** Called by HttpCore at the start of each event. */
   @Override
   public void updateReadTime() {
+    bytesLeft = BYTES_PER_EVENT;
     session.updateReadTime();
   }
 
--- a/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
+++ b/http/src/main/java/dev/caroblb/http/ExchangeMonitor.java
@@ -28,18 +28,22 @@
 
   private final ListenerObserver observer;
   private final Supplier<RequestLimits> limits;
+  private final CallerSession session;
 
   /** Requests whose responses are not complete. */
   private int openRequests;
 
-  ExchangeMonitor(ListenerObserver observer, Supplier<RequestLimits> limits) {
+  ExchangeMonitor(
+      ListenerObserver observer, Supplier<RequestLimits> limits, CallerSession session) {
     this.observer = observer;
     this.limits = limits;
+    this.session = session;
   }
 
   @Override
   public synchronized void onRequestHead(HttpConnection connection, HttpRequest request) {
     openRequests++;
+    session.openRequests(openRequests);
     connection.setSocketTimeout(RESPONSE_TIMEOUT);
   }
 
@@ -54,6 +58,7 @@
   public synchronized void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
     // HttpCore also completes exchanges whose request head was malformed and not counted.
     openRequests = Math.max(0, openRequests - 1);
+    session.openRequests(openRequests);
     if (openRequests > 0) {
       return;
     }
--- a/http/src/main/java/dev/caroblb/http/HttpListener.java
+++ b/http/src/main/java/dev/caroblb/http/HttpListener.java
@@ -1,9 +1,13 @@
 package dev.caroblb.http;
 
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
 import dev.caroblb.core.LogLine;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -19,16 +23,29 @@
 public final class HttpListener implements AutoCloseable {
   private static final System.Logger LOGGER = System.getLogger(HttpListener.class.getName());
 
+  /**
+   * Bounds what the system keeps for callers whose bodies are not read on; it would grow to several
+   * MB for each connection.
+   */
+  private static final int RECEIVE_BUFFER_BYTES = 32_768;
+
+  private static final long LISTEN_TIMEOUT_MS = 500;
+
   private final HttpAsyncServer server;
   private final InetSocketAddress address;
 
   private final OpenExchanges openExchanges;
+  private final ReactorFaults faults;
 
   private HttpListener(
-      HttpAsyncServer server, InetSocketAddress address, OpenExchanges openExchanges) {
+      HttpAsyncServer server,
+      InetSocketAddress address,
+      OpenExchanges openExchanges,
+      ReactorFaults faults) {
     this.server = server;
     this.address = address;
     this.openExchanges = openExchanges;
+    this.faults = faults;
   }
 
   /** Starts listening with limits that do not change; port 0 selects a free port. */
@@ -72,8 +89,10 @@
       ListenerMemory memory)
       throws IOException {
     OpenExchanges openExchanges = new OpenExchanges();
+    ReactorFaults faults = new ReactorFaults();
     HttpAsyncServer server =
         create(
+            faults,
             limits,
             requestLimits,
             observer,
@@ -88,7 +107,8 @@
     server.start();
     try {
       ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
-      return new HttpListener(server, (InetSocketAddress) endpoint.getAddress(), openExchanges);
+      return new HttpListener(
+          server, (InetSocketAddress) endpoint.getAddress(), openExchanges, faults);
     } catch (ExecutionException e) {
       server.close(CloseMode.IMMEDIATE);
       throw new IOException(
@@ -100,6 +120,7 @@
   }
 
   private static HttpAsyncServer create(
+      ReactorFaults faults,
       HttpLimits limits,
       Supplier<RequestLimits> requestLimits,
       ListenerObserver observer,
@@ -110,9 +131,10 @@
             .setMaxHeaderCount(limits.maxHeaders())
             .setInitialWindowSize(1)
             .build();
+    CallerSessions sessions = new CallerSessions(limits.maxWaiting());
     CallerConnections connections =
         new CallerConnections(
-            config, requestLimits, observer, exchanges, HttpListener::onException);
+            config, requestLimits, observer, sessions, exchanges, HttpListener::onException);
     IOReactorConfig reactor =
         IOReactorConfig.custom()
             .setIoThreadCount(limits.ioThreads())
@@ -120,12 +142,18 @@
             .setSoReuseAddress(true)
             .setTcpNoDelay(true)
             .setBacklogSize(limits.backlog())
+            .setRcvBufSize(RECEIVE_BUFFER_BYTES)
             .build();
     return new HttpAsyncServer(
         connections,
         reactor,
-        session -> new CallerSession(session, requestLimits),
-        HttpListener::onException,
+        session -> {
+          CallerSession caller = new CallerSession(session, requestLimits, sessions);
+          sessions.add(caller);
+          sessions.waits(caller);
+          return caller;
+        },
+        faults,
         null);
   }
 
@@ -136,7 +164,30 @@
 
   /** Whether all threads run; false after a close, or if a thread ended by an error. */
   public boolean running() {
-    return server.getStatus() == IOReactorStatus.ACTIVE;
+    return server.getStatus() == IOReactorStatus.ACTIVE && accepting();
+  }
+
+  /**
+   * Whether connections are accepted. HttpCore ends its listening thread, but not the server, when
+   * it cannot accept a connection, for example while the process has no free descriptor. It says so
+   * only to the exception callback; whether the address is free again tells this from other faults.
+   */
+  private boolean accepting() {
+    if (!faults.reported()) {
+      return true;
+    }
+    try {
+      ListenerEndpoint unused =
+          server.listen(address, URIScheme.HTTP).get(LISTEN_TIMEOUT_MS, MILLISECONDS);
+      return true;
+    } catch (IllegalStateException | TimeoutException e) {
+      return false;
+    } catch (ExecutionException e) {
+      return e.getCause() instanceof BindException;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return true;
+    }
   }
 
   /** The bound address, with the actual port. */
--- a/http/src/main/java/dev/caroblb/http/RequestBody.java
+++ b/http/src/main/java/dev/caroblb/http/RequestBody.java
@@ -3,8 +3,6 @@
 import dev.caroblb.core.Payload;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,23 +16,28 @@
   /** Bytes that a caller may send before the first of them are processed. */
   private static final int WINDOW_BYTES = 65_536;
 
+  /** Part of the window that is reopened at once, rather than after each part. */
+  private static final int MIN_UPDATE_BYTES = WINDOW_BYTES / 2;
+
   /** Beyond what an exchange discards before it closes the connection. */
   private static final int DISCARD_WINDOW_BYTES = Integer.MAX_VALUE / 2;
 
   private final ListenerMemory memory;
   private final Runnable onPauseExpired;
   private final Runnable resume = this::resume;
-  private final List<ByteBuffer> parts = new ArrayList<>();
+  private final BodyBuffer buffer = new BodyBuffer();
   private Optional<CapacityChannel> capacity = Optional.empty();
-  private boolean exempt;
+  private boolean shortBody;
   private int size;
   private int closedWindowBytes;
+  private int unnotedBytes;
   private boolean paused;
   private boolean expires;
   private boolean released;
 
   /**
-   * @param onPauseExpired runs, on another thread, if the account was full for too long
+   * @param onPauseExpired runs, on another thread, if the account was full for too long or the body
+   *     is given up
    */
   RequestBody(ListenerMemory memory, Runnable onPauseExpired) {
     this.memory = memory;
@@ -47,7 +50,8 @@
 
   /** Sets the declared length; negative if there is none. */
   synchronized void declare(long bytes) {
-    exempt = memory.exempt(bytes);
+    shortBody = memory.isShort(bytes);
+    memory.bodies().progressed(this);
   }
 
   void attach(CapacityChannel channel) throws IOException {
@@ -66,28 +70,44 @@
   void add(ByteBuffer source) throws IOException {
     boolean pause;
     synchronized (this) {
-      byte[] bytes = new byte[source.remaining()];
-      source.get(bytes);
-      closedWindowBytes += bytes.length;
+      int bytes = source.remaining();
+      closedWindowBytes += bytes;
       if (released) {
+        source.position(source.limit());
         return;
       }
-      parts.add(ByteBuffer.wrap(bytes));
-      size += bytes.length;
-      memory.account().take(bytes.length);
-      pause = !exempt && memory.account().full() && !memory.account().mayExceed(this);
+      buffer.add(source);
+      size += bytes;
+      noteProgress(bytes);
+      memory.account().take(bytes);
+      pause = !shortBody && memory.account().full() && !memory.account().mayExceed(this);
       if (pause) {
         paused = true;
+        memory.bodies().remove(this);
         expireLater();
       }
     }
+    memory.reclaim();
     if (pause) {
       memory.account().remove(resume);
       memory.account().whenFree(resume);
       forgetUnlessPaused();
       return;
     }
-    reopenWindow();
+    reopenWindow(MIN_UPDATE_BYTES);
+  }
+
+  private void noteProgress(int bytes) {
+    unnotedBytes += bytes;
+    if (unnotedBytes >= BegunBodies.PROGRESS_BYTES) {
+      unnotedBytes = 0;
+      memory.bodies().progressed(this);
+    }
+  }
+
+  /** Rejects the request, on another thread: the connection is not that of the calling one. */
+  void giveUp() {
+    CompletableFuture<Void> unused = CompletableFuture.runAsync(onPauseExpired);
   }
 
   /** Removes the waiting action of a body that ended meanwhile; it would use up a wake-up. */
@@ -120,21 +140,27 @@
   private void resume() {
     synchronized (this) {
       paused = false;
+      if (!released) {
+        memory.bodies().progressed(this);
+      }
     }
     try {
-      reopenWindow();
+      reopenWindow(1);
     } catch (IOException | RuntimeException e) {
       // The connection is closed; the exchange is told so.
     }
   }
 
-  private void reopenWindow() throws IOException {
+  private void reopenWindow(int minBytes) throws IOException {
     int bytes;
     synchronized (this) {
+      if (closedWindowBytes < minBytes) {
+        return;
+      }
       bytes = closedWindowBytes;
       closedWindowBytes = 0;
     }
-    if (bytes > 0 && capacity.isPresent()) {
+    if (capacity.isPresent()) {
       capacity.get().update(bytes);
     }
   }
@@ -142,13 +168,12 @@
   /** The complete body. Its memory stays counted. */
   synchronized Payload complete() {
     paused = false;
+    memory.bodies().remove(this);
     memory.account().remove(resume);
     if (!memory.account().exceeded()) {
       memory.account().finished(this);
     }
-    Payload body = Payload.concat(parts);
-    parts.clear();
-    return body;
+    return buffer.take();
   }
 
   /** Gives the memory back; further parts are discarded and the rest may be read. */
@@ -161,8 +186,9 @@
       released = true;
       paused = false;
       bytes = size;
-      parts.clear();
+      buffer.clear();
     }
+    memory.bodies().remove(this);
     memory.account().remove(resume);
     memory.account().release(bytes);
     memory.account().finished(this);
--- a/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
+++ b/http/src/test/java/dev/caroblb/http/BoundedMemoryTest.java
@@ -125,6 +125,54 @@
     }
   }
 
+  @Nested
+  class OrdinaryRequest {
+    /** Guards against callers that are refused for as long as others keep the memory full. */
+    @Test
+    void withoutABodyIsHandledWhileMemoryIsFull() throws Exception {
+      listen(WAIT_MS);
+      account.take(LIMIT);
+      try (Socket socket = send("GET /x", 0)) {
+        nextHandled().reply().send(200, List.of(), Payload.empty());
+        assertTrue(head(socket).startsWith("HTTP/1.1 200"));
+      }
+    }
+
+    /** Guards against bodies that stop and keep the memory full for as long as they stay. */
+    @Test
+    void getsTheMemoryOfABodyThatHasStalled() throws Exception {
+      listen(WAIT_MS);
+      try (Socket stalled = send("POST /x", LIMIT)) {
+        sendBody(stalled, LIMIT - 100);
+        awaitUsed(LIMIT - 100);
+        boolean served = false;
+        long limit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        while (!served && System.nanoTime() < limit) {
+          try (Socket other = send("POST /x", BODY)) {
+            served = completes(other);
+          }
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        }
+        assertTrue(served, "the memory is kept");
+        assertTrue(head(stalled).startsWith("HTTP/1.1 503"));
+      }
+      awaitUsed(0);
+      assertNull(handled.poll());
+    }
+  }
+
+  /** Sends the body of a request; returns whether it was handled rather than refused. */
+  private boolean completes(Socket socket) throws Exception {
+    sendBody(socket, BODY);
+    Handled next = handled.poll(100, TimeUnit.MILLISECONDS);
+    if (next == null) {
+      assertTrue(head(socket).startsWith("HTTP/1.1 503"));
+      return false;
+    }
+    next.reply().send(200, List.of(), Payload.empty());
+    return head(socket).startsWith("HTTP/1.1 200");
+  }
+
   @Nested
   class BegunBody {
     private static final int SENDERS = 4;
--- a/http/src/test/java/dev/caroblb/http/PipelinedRequestTest.java
+++ b/http/src/test/java/dev/caroblb/http/PipelinedRequestTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.caroblb.core.Payload;
 import java.io.IOException;
@@ -10,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +24,7 @@
   private static final int WAIT_MS = 10_000;
   private static final long IDLE_MS = 400;
   private static final Payload EMPTY = Payload.empty();
+  private static final String END = "\r\n\r\n";
   private static final String TWO_REQUESTS =
       "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n";
 
@@ -69,7 +72,8 @@
         return count;
       }
       read.append((char) next);
-      if (read.toString().endsWith("\r\n\r\n")) {
+      if (read.length() >= END.length()
+          && read.substring(read.length() - END.length()).equals(END)) {
         count++;
       }
     }
@@ -93,6 +97,41 @@
     }
   }
 
+  @Nested
+  class InALongSeries {
+    private static final int REQUESTS = 3_000;
+
+    /** Guards against a caller that fills the memory with requests, and against one that hangs. */
+    @Test
+    void isReadAsResponsesAreSent() throws Exception {
+      try (Socket socket = new Socket()) {
+        socket.setSoTimeout(WAIT_MS);
+        socket.connect(listener.address(), WAIT_MS);
+        String request = "GET /series HTTP/1.1\r\nHost: a\r\n\r\n";
+        socket
+            .getOutputStream()
+            .write(request.repeat(REQUESTS).getBytes(StandardCharsets.US_ASCII));
+        Reply first = nextReply();
+        Thread.sleep(2 * IDLE_MS);
+        assertTrue(replies.size() < REQUESTS / 2, replies.size() + " requests were handled");
+        first.send(200, List.of(), EMPTY);
+        CompletableFuture<Void> responding =
+            CompletableFuture.runAsync(
+                () -> {
+                  for (int i = 1; i < REQUESTS; i++) {
+                    try {
+                      nextReply().send(200, List.of(), EMPTY);
+                    } catch (InterruptedException e) {
+                      throw new IllegalStateException(e);
+                    }
+                  }
+                });
+        assertEquals(REQUESTS, responses(socket, REQUESTS));
+        responding.get(WAIT_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
   @Nested
   class WhenTheConnectionCloses {
     /** Guards against a request that was handled and whose connection closes without a response. */
