Name the action that rejects a request, and share the requests of a test

The action of a body had the name of one of its two causes. Two methods of EntryGroup built the same request. No change of behaviour; the tests of take-ups and of bounded memory pass.

--- a/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
+++ b/forwarding/src/test/java/dev/caroblb/forwarding/EntryGroup.java
@@ -178,25 +178,17 @@
 
   /** Lets a request arrive at an entry; returns its number. */
   long arrive(int entry, String path, PromptPart... parts) {
-    long number = nextCall();
-    RecordingCaller unused =
-        arrive(
-            entry,
-            new ForwardCall(
-                number,
-                "id-" + number,
-                "host",
-                path,
-                Optional.of(30_000L),
-                Optional.of("key"),
-                Optional.of(new GenerationSize(1_000, 400, Optional.of(300L))),
-                List.of(parts),
-                new RecordingCaller()));
-    return number;
+    return arrive(entry, path, List.of(parts), Optional.empty());
   }
 
   /** Lets a caller take up the stream of an earlier request; returns the number of its request. */
   long takeUp(int entry, String path, long firstRequest) {
+    StreamTakeUp takeUp = new StreamTakeUp(Optional.of("id-" + firstRequest));
+    return arrive(entry, path, List.of(), Optional.of(takeUp));
+  }
+
+  private long arrive(
+      int entry, String path, List<PromptPart> parts, Optional<StreamTakeUp> takeUp) {
     long number = nextCall();
     RecordingCaller unused =
         arrive(
@@ -209,10 +201,10 @@
                 Optional.of(30_000L),
                 Optional.of("key"),
                 Optional.of(new GenerationSize(1_000, 400, Optional.of(300L))),
-                List.of(),
+                parts,
                 new RecordingCaller(),
                 0,
-                Optional.of(new StreamTakeUp(Optional.of("id-" + firstRequest)))));
+                takeUp));
     return number;
   }
 
--- a/http/src/main/java/dev/caroblb/http/RequestBody.java
+++ b/http/src/main/java/dev/caroblb/http/RequestBody.java
@@ -23,7 +23,7 @@
   private static final int DISCARD_WINDOW_BYTES = Integer.MAX_VALUE / 2;
 
   private final ListenerMemory memory;
-  private final Runnable onPauseExpired;
+  private final Runnable reject;
   private final Runnable resume = this::resume;
   private final BodyBuffer buffer = new BodyBuffer();
   private Optional<CapacityChannel> capacity = Optional.empty();
@@ -36,12 +36,12 @@
   private boolean released;
 
   /**
-   * @param onPauseExpired runs, on another thread, if the account was full for too long or the body
-   *     is given up
+   * @param reject rejects the request, on another thread, if the account was full for too long or
+   *     the body is given up
    */
-  RequestBody(ListenerMemory memory, Runnable onPauseExpired) {
+  RequestBody(ListenerMemory memory, Runnable reject) {
     this.memory = memory;
-    this.onPauseExpired = onPauseExpired;
+    this.reject = reject;
   }
 
   synchronized int size() {
@@ -107,7 +107,7 @@
 
   /** Rejects the request, on another thread: the connection is not that of the calling one. */
   void giveUp() {
-    CompletableFuture<Void> unused = CompletableFuture.runAsync(onPauseExpired);
+    CompletableFuture<Void> unused = CompletableFuture.runAsync(reject);
   }
 
   /** Removes the waiting action of a body that ended meanwhile; it would use up a wake-up. */
@@ -134,7 +134,7 @@
         return;
       }
     }
-    onPauseExpired.run();
+    reject.run();
   }
 
   private void resume() {
